--- /dev/null
+++ b/internal/process/slugledger/ledger.go
@@ -0,0 +1,307 @@
+// Package slugledger counts usage when it is relayed to callers and keeps the
+// process's record of each window in the platform's store.
+//
+// A record is replaced whole. Once its window has ended the process closes it.
+// Where the reporter sealed it first, the rest is carried into the present
+// window, so that no token is billed twice and none that was recorded is lost.
+//
+// # Usage
+//
+//	l := slugledger.New(slugledger.Config{Process: "gate-1", Window: time.Minute, Store: store})
+//	l.Add(key, slugledger.Totals{Requests: 1, OutputTokens: 12})
+//	err := l.Write(ctx)
+package slugledger
+
+import (
+	"context"
+	"fmt"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sassafraslug/sassafraslug/internal/process/slugname"
+	"github.com/sassafraslug/sassafraslug/internal/process/slugstore"
+)
+
+// Window is the start of an accounting period in seconds since 1970.
+type Window int64
+
+// RecordPrefix begins the names of records.
+const RecordPrefix = "usage/records/"
+
+// RecordName returns the name of a process's record of a window.
+func RecordName(w Window, p slugname.Process) string {
+	return fmt.Sprintf("%s%d/%s", RecordPrefix, w, p)
+}
+
+// WindowAt returns the window of length d that holds a time.
+func WindowAt(t time.Time, d time.Duration) Window {
+	n := int64(d / time.Second)
+	return Window(t.Unix() / n * n)
+}
+
+// End returns the end of a window of length d.
+func (w Window) End(d time.Duration) time.Time { return time.Unix(int64(w), 0).Add(d) }
+
+// Key is what is billed apart.
+type Key struct {
+	Workspace slugname.Workspace
+	Service   slugname.Service
+}
+
+// Totals are the billed quantities.
+type Totals struct {
+	Requests     int64 `json:"requests"`
+	PromptTokens int64 `json:"promptTokens"`
+	CachedTokens int64 `json:"cachedTokens"`
+	OutputTokens int64 `json:"outputTokens"`
+}
+
+// Plus returns the sum.
+func (t Totals) Plus(x Totals) Totals {
+	return Totals{t.Requests + x.Requests, t.PromptTokens + x.PromptTokens, t.CachedTokens + x.CachedTokens, t.OutputTokens + x.OutputTokens}
+}
+
+// Minus returns the difference.
+func (t Totals) Minus(x Totals) Totals {
+	return Totals{t.Requests - x.Requests, t.PromptTokens - x.PromptTokens, t.CachedTokens - x.CachedTokens, t.OutputTokens - x.OutputTokens}
+}
+
+// Line is the usage of one workspace and service.
+type Line struct {
+	Workspace slugname.Workspace `json:"workspace"`
+	Service   slugname.Service   `json:"service"`
+	Totals
+}
+
+// Record is what a process counted in a window.
+type Record struct {
+	Process slugname.Process `json:"process"`
+	Window  Window           `json:"window"`
+	Lines   []Line           `json:"lines"`
+	// Closed is set by the process when nothing more will come.
+	Closed bool `json:"closed"`
+	// Sealed is set by the reporter when it no longer waits for the process.
+	Sealed bool `json:"sealed"`
+}
+
+// Config makes a Ledger.
+type Config struct {
+	Process slugname.Process
+	// Window is the length of a window, a whole number of seconds.
+	Window time.Duration
+	Store  *slugstore.Store
+}
+
+// shardCount is the number of separately locked parts.
+const shardCount = 16
+
+// Ledger counts the usage that one process relayed.
+type Ledger struct {
+	cfg    Config
+	shards [shardCount]shard
+
+	// mu guards the records and is held over a write.
+	mu      sync.Mutex
+	records map[Window]*state
+}
+
+// shard holds counts that were not yet put into a window.
+type shard struct {
+	mu     sync.Mutex
+	totals map[Window]map[Key]Totals
+}
+
+// state is a record with what the store has of it.
+type state struct {
+	totals  map[Key]Totals
+	version slugstore.Version
+	dirty   bool
+	closed  bool
+}
+
+// New returns an empty Ledger.
+func New(cfg Config) *Ledger {
+	l := &Ledger{cfg: cfg, records: map[Window]*state{}}
+	for i := range l.shards {
+		l.shards[i].totals = map[Window]map[Key]Totals{}
+	}
+	return l
+}
+
+// Add counts usage in the present window.
+func (l *Ledger) Add(k Key, t Totals) {
+	h := uint(0)
+	for i := range len(k.Workspace) {
+		h = h*31 + uint(k.Workspace[i])
+	}
+	s := &l.shards[h%shardCount]
+	w := WindowAt(time.Now(), l.cfg.Window)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.totals[w] == nil {
+		s.totals[w] = map[Key]Totals{}
+	}
+	s.totals[w][k] = s.totals[w][k].Plus(t)
+}
+
+// Write stores every record that changed, and closes those whose windows have
+// ended. What could not be written is kept for the next call.
+func (l *Ledger) Write(ctx context.Context) error {
+	return l.write(ctx, time.Now(), false)
+}
+
+// Close stores and closes all records, the present window's too. The process
+// must not count afterwards.
+func (l *Ledger) Close(ctx context.Context) error {
+	return l.write(ctx, time.Now(), true)
+}
+
+func (l *Ledger) write(ctx context.Context, now time.Time, closing bool) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.collect()
+	var failed error
+	// A sealed record moves its rest into the present window, which comes last.
+	for pass := 0; pass < 2; pass++ {
+		for _, w := range l.windows() {
+			failed = errors.CombineErrors(failed, l.writeRecord(ctx, w, now, closing))
+		}
+	}
+	return failed
+}
+
+// collect moves the counts of the shards into the records.
+func (l *Ledger) collect() {
+	for i := range l.shards {
+		s := &l.shards[i]
+		s.mu.Lock()
+		totals := s.totals
+		s.totals = map[Window]map[Key]Totals{}
+		s.mu.Unlock()
+		for w, keys := range totals {
+			l.record(w).add(keys)
+		}
+	}
+}
+
+func (l *Ledger) record(w Window) *state {
+	r := l.records[w]
+	if r == nil {
+		r = &state{totals: map[Key]Totals{}}
+		l.records[w] = r
+	}
+	return r
+}
+
+func (r *state) add(keys map[Key]Totals) {
+	for k, t := range keys {
+		if t == (Totals{}) {
+			continue
+		}
+		r.totals[k] = r.totals[k].Plus(t)
+		r.dirty = true
+	}
+}
+
+func (l *Ledger) windows() []Window {
+	out := make([]Window, 0, len(l.records))
+	for w := range l.records {
+		out = append(out, w)
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i] < out[j] })
+	return out
+}
+
+// lateAfter is how long after its end a window may still be created by its
+// process. Later counts go into the present window.
+const lateAfter = 3 * time.Second
+
+func (l *Ledger) writeRecord(ctx context.Context, w Window, now time.Time, closing bool) error {
+	r := l.records[w]
+	ended := !now.Before(w.End(l.cfg.Window))
+	if r.version == 0 && now.After(w.End(l.cfg.Window).Add(lateAfter)) {
+		l.carry(w, nil, now)
+		return nil
+	}
+	if !r.dirty && !(ended || closing) {
+		return nil
+	}
+	body := Record{Process: l.cfg.Process, Window: w, Lines: r.lines(), Closed: ended || closing}
+	version, err := l.cfg.Store.Put(ctx, RecordName(w, l.cfg.Process), r.version, body)
+	if errors.Is(err, slugstore.ErrConflict) {
+		return l.settle(ctx, w, now)
+	}
+	if err != nil {
+		return err
+	}
+	r.version, r.dirty = version, false
+	if body.Closed {
+		delete(l.records, w)
+	}
+	return nil
+}
+
+// settle handles a record that another process wrote, or that an earlier write
+// of ours changed without telling us.
+func (l *Ledger) settle(ctx context.Context, w Window, now time.Time) error {
+	o, err := l.cfg.Store.Get(ctx, RecordName(w, l.cfg.Process))
+	if err != nil {
+		return err
+	}
+	var stored Record
+	if o.Body == nil {
+		// The record was removed after its report.
+		l.carry(w, l.records[w].reported(), now)
+		return nil
+	}
+	if err := o.Decode(&stored); err != nil {
+		return err
+	}
+	if stored.Sealed || stored.Closed {
+		l.carry(w, stored.Lines, now)
+		return nil
+	}
+	l.records[w].version = o.Version
+	return nil
+}
+
+// reported returns what the process last wrote, nothing when it is not known.
+func (r *state) reported() []Line {
+	if r.version == 0 {
+		return nil
+	}
+	return r.lines()
+}
+
+// carry moves what the stored record lacks into the present window.
+func (l *Ledger) carry(w Window, stored []Line, now time.Time) {
+	rest := l.records[w].totals
+	for _, x := range stored {
+		k := Key{x.Workspace, x.Service}
+		rest[k] = rest[k].Minus(x.Totals)
+	}
+	delete(l.records, w)
+	l.record(WindowAt(now, l.cfg.Window)).add(rest)
+}
+
+func (r *state) lines() []Line {
+	lines := make([]Line, 0, len(r.totals))
+	for k, t := range r.totals {
+		lines = append(lines, Line{k.Workspace, k.Service, t})
+	}
+	SortLines(lines)
+	return lines
+}
+
+// SortLines orders lines by workspace and service.
+func SortLines(lines []Line) {
+	sort.Slice(lines, func(i, j int) bool {
+		a, b := lines[i], lines[j]
+		if a.Workspace != b.Workspace {
+			return a.Workspace < b.Workspace
+		}
+		return a.Service < b.Service
+	})
+}
--- /dev/null
+++ b/internal/process/slugpick/picker.go
@@ -0,0 +1,467 @@
+// Package slugpick chooses the endpoint of a service with the least predicted
+// completion time of a request: time in the queue, prefill of what is not
+// cached, and decoding at the batch size that the request would find.
+//
+// Load reports lag, so the picker adds its own sends since the report was taken.
+// Prefix affinity follows from the prediction: a cached prefix saves its prefill,
+// until the wait for its endpoint outweighs the saving. Prefix hashes are salted
+// by workspace, so that no workspace can probe the cache of another.
+//
+// # Usage
+//
+//	p := slugpick.New(slugpick.Config{Local: "dc-1"})
+//	p.SetEndpoints(endpoints)
+//	t, ok := p.Pick(work, time.Now())
+//	...
+//	p.Done(t, slugpick.OutcomeWhole, time.Now())
+package slugpick
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/sassafraslug/sassafraslug/internal/process/slugname"
+	"github.com/sassafraslug/sassafraslug/internal/process/slugplan"
+	"github.com/sassafraslug/sassafraslug/internal/version/slugmanifest"
+)
+
+// Endpoint is a candidate.
+type Endpoint struct {
+	slugplan.Endpoint
+	DataCentre slugname.DataCentre
+}
+
+// Config sets what the picker assumes.
+type Config struct {
+	// Local is the data centre of this process.
+	Local slugname.DataCentre
+	// RemotePenalty is the cost of leaving the data centre.
+	RemotePenalty time.Duration
+	// CacheAge is how long a prefix is assumed to stay cached after its last use.
+	CacheAge time.Duration
+	// Overcommit is the number of requests sent beyond an endpoint's streams, as
+	// a part of the streams.
+	Overcommit float64
+	// CrashPause is how long an endpoint gets no work after a crash.
+	CrashPause time.Duration
+}
+
+// Defaults of the configuration.
+const (
+	defaultRemotePenalty = 2 * time.Millisecond
+	defaultCacheAge      = 5 * time.Minute
+	defaultCrashPause    = 500 * time.Millisecond
+	// suspectShare is the greatest part of endpoints that may hold suspects.
+	suspectShare = 0.1
+)
+
+// Tokens is a number of tokens.
+type Tokens int
+
+// Work is what the choice depends on.
+type Work struct {
+	Workspace    slugname.Workspace
+	Class        slugmanifest.Class
+	PromptTokens Tokens
+	OutputTokens Tokens
+	// Blocks are the salted hashes of the prompt's prefixes, one a block.
+	Blocks []uint64
+	// BlockTokens is the number of tokens in a block.
+	BlockTokens Tokens
+	// Repeatable work may run on endpoints that can vanish.
+	Repeatable bool
+	// Avoid lists endpoints that failed the request before.
+	Avoid []slugname.Endpoint
+	// Suspect work runs with no other suspect beside it.
+	Suspect bool
+	// Force ignores the endpoint's room, for work that must not wait.
+	Force bool
+}
+
+// Ticket is a choice. It must be given back with Done.
+type Ticket struct {
+	Endpoint slugname.Endpoint
+	Address  string
+	// Cached is the number of prompt tokens assumed to be cached.
+	Cached Tokens
+	// Predicted is the predicted completion time.
+	Predicted time.Duration
+	work      Work
+	at        time.Time
+}
+
+// Outcome says how a request ended at its endpoint.
+type Outcome int
+
+// The outcomes.
+const (
+	// OutcomeWhole is an answer from its first to its last byte.
+	OutcomeWhole Outcome = iota
+	// OutcomeNotRun is a refusal by the endpoint.
+	OutcomeNotRun
+	// OutcomeFailed is a lost connection or an endpoint that ended.
+	OutcomeFailed
+	// OutcomeCanceled is a request whose caller went away.
+	OutcomeCanceled
+)
+
+// Report is a load report of an endpoint.
+type Report struct {
+	// TakenAt is the time of the report on this process's clock.
+	TakenAt       time.Time
+	Running       int
+	Queued        int
+	PrefillTokens Tokens
+	FreePieces    int
+}
+
+// candidate is an endpoint with its soft state.
+type candidate struct {
+	Endpoint
+	report   Report
+	reported bool
+	// own are this process's sends and returns, newest last.
+	own         []ownEvent
+	outstanding int
+	suspects    int
+	pausedUntil time.Time
+	// error is the ratio of observed to predicted time, smoothed.
+	error float64
+}
+
+// ownEvent is one send (+1) or return (-1) of this process.
+type ownEvent struct {
+	at      time.Time
+	running int
+	prefill Tokens
+}
+
+// Picker chooses among the endpoints of one service.
+type Picker struct {
+	cfg Config
+
+	mu         sync.Mutex
+	candidates []*candidate
+	index      map[slugname.Endpoint]*candidate
+	prefixes   *prefixIndex
+	// cached is scratch space for one pick, by candidate.
+	cached map[slugname.Endpoint]Tokens
+}
+
+// New returns a Picker without endpoints.
+func New(cfg Config) *Picker {
+	if cfg.RemotePenalty == 0 {
+		cfg.RemotePenalty = defaultRemotePenalty
+	}
+	if cfg.CacheAge == 0 {
+		cfg.CacheAge = defaultCacheAge
+	}
+	if cfg.CrashPause == 0 {
+		cfg.CrashPause = defaultCrashPause
+	}
+	return &Picker{
+		cfg: cfg, index: map[slugname.Endpoint]*candidate{},
+		prefixes: newPrefixIndex(), cached: map[slugname.Endpoint]Tokens{},
+	}
+}
+
+// SetEndpoints replaces the endpoints and keeps the state of those that stay.
+func (p *Picker) SetEndpoints(endpoints []Endpoint) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	index := make(map[slugname.Endpoint]*candidate, len(endpoints))
+	p.candidates = p.candidates[:0]
+	for _, e := range endpoints {
+		c := p.index[e.Name]
+		if c == nil || c.Address != e.Address {
+			c = &candidate{error: 1}
+		}
+		c.Endpoint = e
+		index[e.Name] = c
+		p.candidates = append(p.candidates, c)
+	}
+	for name := range p.index {
+		if index[name] == nil {
+			p.prefixes.forget(name)
+		}
+	}
+	p.index = index
+}
+
+// Endpoints returns the endpoints in the order in which they were set.
+func (p *Picker) Endpoints() []Endpoint {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	out := make([]Endpoint, len(p.candidates))
+	for i, c := range p.candidates {
+		out[i] = c.Endpoint
+	}
+	return out
+}
+
+// Streams returns the number of requests that all serving endpoints run at once.
+func (p *Picker) Streams() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := 0
+	for _, c := range p.candidates {
+		if c.State == slugplan.StateServing {
+			n += c.Streams
+		}
+	}
+	return n
+}
+
+// Outstanding returns the number of this process's requests at an endpoint.
+func (p *Picker) Outstanding(e slugname.Endpoint) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if c := p.index[e]; c != nil {
+		return c.outstanding
+	}
+	return 0
+}
+
+// Report takes a load report.
+func (p *Picker) Report(e slugname.Endpoint, r Report) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	c := p.index[e]
+	if c == nil || c.reported && r.TakenAt.Before(c.report.TakenAt) {
+		return
+	}
+	c.report, c.reported = r, true
+	c.own = slices.DeleteFunc(c.own, func(x ownEvent) bool { return !x.at.After(r.TakenAt) })
+}
+
+// CacheEvent takes word that an endpoint cached or dropped a prefix.
+func (p *Picker) CacheEvent(e slugname.Endpoint, prefix uint64, removed bool, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if removed {
+		p.prefixes.remove(prefix, e)
+		return
+	}
+	p.prefixes.add(prefix, e, now.Add(p.cfg.CacheAge))
+}
+
+// Pick chooses an endpoint and counts the work as sent there. It reports false
+// when no endpoint may take the work now.
+func (p *Picker) Pick(w Work, now time.Time) (Ticket, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.lookUpPrefixes(w, now)
+	split := p.hasSplit()
+	var best *candidate
+	var least time.Duration
+	for _, c := range p.candidates {
+		if !p.eligible(c, w, split, now) {
+			continue
+		}
+		if d := p.predict(c, w); best == nil || d < least {
+			best, least = c, d
+		}
+	}
+	if best == nil {
+		return Ticket{}, false
+	}
+	return p.take(best, w, least, now), true
+}
+
+// hasSplit reports whether both roles of a split have a serving endpoint.
+func (p *Picker) hasSplit() bool {
+	prefill, decode := false, false
+	for _, c := range p.candidates {
+		if c.State != slugplan.StateServing {
+			continue
+		}
+		prefill = prefill || c.Role == slugplan.RolePrefill
+		decode = decode || c.Role == slugplan.RoleDecode
+	}
+	return prefill && decode
+}
+
+func (p *Picker) eligible(c *candidate, w Work, split bool, now time.Time) bool {
+	if c.State != slugplan.StateServing || now.Before(c.pausedUntil) {
+		return false
+	}
+	if c.Cheap && !w.Repeatable {
+		return false
+	}
+	if split && !roleTakes(c.Role, w, c.Speed) {
+		return false
+	}
+	if w.Suspect && (c.suspects > 0 || !p.suspectsAllowed()) {
+		return false
+	}
+	return (w.Force || c.hasRoom(w, p.cfg.Overcommit)) && !slices.Contains(w.Avoid, c.Name)
+}
+
+// roleTakes reports whether an engine in a role takes the work. Work is mostly
+// prompt when its prefill takes longer than its decoding.
+func roleTakes(r slugplan.Role, w Work, s slugplan.Speed) bool {
+	if r != slugplan.RolePrefill && r != slugplan.RoleDecode {
+		return true
+	}
+	return (r == slugplan.RolePrefill) == MostlyPrompt(w.PromptTokens, w.OutputTokens, s)
+}
+
+// MostlyPrompt reports whether prefill is the greater part of a request's work.
+// Decoding is shared by the batch, so a token's part of a step counts.
+func MostlyPrompt(prompt, output Tokens, s slugplan.Speed) bool {
+	if s.PrefillPerSecond <= 0 {
+		return prompt > output
+	}
+	prefill := float64(prompt) / s.PrefillPerSecond
+	decode := float64(output) * (s.StepPerStream + s.StepBase/typicalBatch).Seconds()
+	return prefill > decode
+}
+
+// typicalBatch is the number of streams among which a step's fixed time is shared.
+const typicalBatch = 16
+
+// suspectsAllowed reports whether one more endpoint may hold a suspect.
+func (p *Picker) suspectsAllowed() bool {
+	holding := 0
+	for _, c := range p.candidates {
+		if c.suspects > 0 {
+			holding++
+		}
+	}
+	return holding < max(1, int(suspectShare*float64(len(p.candidates))))
+}
+
+// hasRoom reports whether the endpoint can start the work, by its streams and by
+// its KV pieces.
+func (c *candidate) hasRoom(w Work, overcommit float64) bool {
+	running, _ := c.load()
+	if running >= c.Streams+int(overcommit*float64(c.Streams)) {
+		return false
+	}
+	if !c.reported || c.Pieces == 0 || c.TokensPerPiece == 0 || running == 0 {
+		return true
+	}
+	need := int(w.PromptTokens+w.OutputTokens) / c.TokensPerPiece
+	return c.report.FreePieces >= min(need, c.Pieces)
+}
+
+// load returns the estimated streams and the tokens waiting for prefill.
+func (c *candidate) load() (running int, prefill Tokens) {
+	if !c.reported {
+		for _, x := range c.own {
+			prefill += x.prefill
+		}
+		return c.outstanding, max(0, prefill)
+	}
+	running = c.report.Running + c.report.Queued
+	prefill = c.report.PrefillTokens
+	for _, x := range c.own {
+		running += x.running
+		prefill += x.prefill
+	}
+	return max(running, c.outstanding), max(0, prefill)
+}
+
+// defaultSpeed stands in for endpoints that do not say what work costs.
+var defaultSpeed = slugplan.Speed{PrefillPerSecond: 20000, StepBase: 10 * time.Millisecond, StepPerStream: 250 * time.Microsecond}
+
+// predict returns the predicted completion time of the work at an endpoint.
+func (p *Picker) predict(c *candidate, w Work) time.Duration {
+	speed := c.Speed
+	if speed.PrefillPerSecond == 0 {
+		speed = defaultSpeed
+	}
+	running, backlog := c.load()
+	prefill := max(0, w.PromptTokens-p.cached[c.Name]) + backlog
+	seconds := float64(prefill) / speed.PrefillPerSecond
+	step := speed.StepBase + time.Duration(running+1)*speed.StepPerStream
+	d := time.Duration(seconds*float64(time.Second)) + time.Duration(w.OutputTokens)*step
+	if over := running - c.Streams; over >= 0 && c.Streams > 0 {
+		d += time.Duration(float64(over+1) / float64(c.Streams) * float64(w.OutputTokens) * float64(step))
+	}
+	d = time.Duration(float64(d) * c.error)
+	if c.DataCentre != p.cfg.Local {
+		d += p.cfg.RemotePenalty
+	}
+	return d
+}
+
+// maxOwnEvents bounds the sends remembered for an endpoint that does not report.
+const maxOwnEvents = 512
+
+func (p *Picker) take(c *candidate, w Work, predicted time.Duration, now time.Time) Ticket {
+	t := Ticket{Endpoint: c.Name, Address: c.Address, Cached: p.cached[c.Name], Predicted: predicted, work: w, at: now}
+	c.outstanding++
+	c.note(ownEvent{now, 1, max(0, w.PromptTokens-t.Cached)})
+	if w.Suspect {
+		c.suspects++
+	}
+	for _, i := range samplePositions(len(w.Blocks)) {
+		p.prefixes.add(w.Blocks[i], c.Name, now.Add(p.cfg.CacheAge))
+	}
+	return t
+}
+
+func (c *candidate) note(x ownEvent) {
+	if len(c.own) >= maxOwnEvents {
+		c.own = c.own[1:]
+	}
+	c.own = append(c.own, x)
+}
+
+// FirstToken takes word that the prefill of a request is done.
+func (p *Picker) FirstToken(t Ticket, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if c := p.index[t.Endpoint]; c != nil {
+		c.note(ownEvent{now, 0, -max(0, t.work.PromptTokens-t.Cached)})
+	}
+}
+
+// errorSmoothing is the weight of a new observation of the prediction's error.
+const errorSmoothing = 0.1
+
+// Done gives a ticket back.
+func (p *Picker) Done(t Ticket, o Outcome, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	c := p.index[t.Endpoint]
+	if c == nil {
+		return
+	}
+	c.outstanding = max(0, c.outstanding-1)
+	c.note(ownEvent{now, -1, 0})
+	if t.work.Suspect {
+		c.suspects = max(0, c.suspects-1)
+	}
+	switch o {
+	case OutcomeFailed:
+		c.pausedUntil = now.Add(p.cfg.CrashPause)
+		p.prefixes.forget(c.Name)
+	case OutcomeWhole:
+		c.learn(t, now)
+	}
+}
+
+func (c *candidate) learn(t Ticket, now time.Time) {
+	if t.Predicted <= 0 {
+		return
+	}
+	ratio := now.Sub(t.at).Seconds() / t.Predicted.Seconds()
+	c.error += errorSmoothing * (min(4, max(0.25, ratio*c.error)) - c.error)
+}
+
+// lookUpPrefixes fills p.cached for one pick.
+func (p *Picker) lookUpPrefixes(w Work, now time.Time) {
+	clear(p.cached)
+	positions := samplePositions(len(w.Blocks))
+	for k := len(positions) - 1; k >= 0; k-- {
+		tokens := Tokens(positions[k]+1) * w.BlockTokens
+		for _, h := range p.prefixes.holders(w.Blocks[positions[k]]) {
+			if h.until.After(now) {
+				p.cached[h.endpoint] = max(p.cached[h.endpoint], tokens)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/standin/slugengine/order.go
@@ -0,0 +1,74 @@
+package slugengine
+
+import (
+	"encoding/json"
+	"net/http"
+	"time"
+)
+
+// Order tells the engine to change.
+type Order struct {
+	Number string `json:"number"`
+	Fence  uint64 `json:"fence"`
+	Holder string `json:"holder"`
+	// Action is "setRole" or "load".
+	Action  string `json:"action"`
+	Role    string `json:"role,omitempty"`
+	Version string `json:"version,omitempty"`
+}
+
+// OrderOutcome is the answer to an order.
+type OrderOutcome struct {
+	Number string `json:"number"`
+	Done   bool   `json:"done"`
+}
+
+// Orders returns the orders that took effect, in order.
+func (e *Engine) Orders() []Order {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return append([]Order(nil), e.orders...)
+}
+
+func (e *Engine) postOrder(w http.ResponseWriter, r *http.Request) {
+	var o Order
+	if err := json.NewDecoder(r.Body).Decode(&o); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	outcome, status := e.applyOrder(o)
+	if status == http.StatusOK && outcome.Number == "" {
+		time.Sleep(e.cfg.OrderTime)
+		if e.isDown() {
+			panic(http.ErrAbortHandler)
+		}
+		outcome = OrderOutcome{Number: o.Number, Done: true}
+	}
+	writeJSON(w, status, outcome)
+}
+
+// applyOrder returns the earlier outcome of a repeated order, or applies it.
+func (e *Engine) applyOrder(o Order) (OrderOutcome, int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.cfg.ChecksFences && o.Fence < e.fence {
+		return OrderOutcome{Number: o.Number}, http.StatusPreconditionFailed
+	}
+	e.fence = max(e.fence, o.Fence)
+	if done, ok := e.outcomes[o.Number]; ok {
+		return done, http.StatusOK
+	}
+	e.orders = append(e.orders, o)
+	switch o.Action {
+	case "setRole":
+		e.role = o.Role
+	case "load":
+		e.version = o.Version
+	default:
+		return OrderOutcome{Number: o.Number}, http.StatusBadRequest
+	}
+	if e.cfg.ChecksFences {
+		e.outcomes[o.Number] = OrderOutcome{Number: o.Number, Done: true}
+	}
+	return OrderOutcome{}, http.StatusOK
+}
--- /dev/null
+++ b/internal/standin/slugplatform/store.go
@@ -0,0 +1,212 @@
+package slugplatform
+
+import (
+	"io"
+	"net/http"
+	"sort"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// Headers of the store's protocol.
+const (
+	// VersionHeader carries the version of an object or of the store.
+	VersionHeader = "Object-Version"
+	// IfVersionHeader carries the version that a write expects, 0 for none.
+	IfVersionHeader = "If-Version"
+)
+
+// ListedObject is one entry of a list answer.
+type ListedObject struct {
+	Name    string `json:"name"`
+	Version uint64 `json:"version"`
+	Value   []byte `json:"value,omitempty"`
+	Deleted bool   `json:"deleted,omitempty"`
+}
+
+// ListAnswer is the answer to a list or prefix watch.
+type ListAnswer struct {
+	// Revision is the store's revision at which the list was read.
+	Revision uint64         `json:"revision"`
+	Objects  []ListedObject `json:"objects"`
+}
+
+// store wraps a store call with the faults and the counts.
+func (p *Platform) store(h http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		p.mu.Lock()
+		p.calls[callKind(r)]++
+		down, delay, lose := p.down, p.delay, p.lose
+		p.mu.Unlock()
+		if delay > 0 {
+			time.Sleep(delay)
+		}
+		if down {
+			http.Error(w, "store is down", http.StatusServiceUnavailable)
+			return
+		}
+		if lose != nil && lose(r) {
+			h(discard{header: http.Header{}}, r)
+			http.Error(w, "answer lost", http.StatusGatewayTimeout)
+			return
+		}
+		h(w, r)
+	}
+}
+
+func callKind(r *http.Request) string {
+	switch {
+	case r.Method == http.MethodPut:
+		return "put"
+	case r.Method == http.MethodDelete:
+		return "delete"
+	case r.URL.Query().Get("waitMs") != "":
+		return "watch"
+	case strings.HasPrefix(r.URL.Path, "/store/list"):
+		return "list"
+	default:
+		return "get"
+	}
+}
+
+// discard takes an answer that gets lost.
+type discard struct{ header http.Header }
+
+func (d discard) Header() http.Header         { return d.header }
+func (d discard) Write(b []byte) (int, error) { return len(b), nil }
+func (d discard) WriteHeader(int)             {}
+
+func (p *Platform) getObject(w http.ResponseWriter, r *http.Request) {
+	name := r.PathValue("name")
+	after, wait := waitParameters(r)
+	o, ok := p.await(r, wait, func() bool { return p.objects[name].version > after || wait == 0 }, name)
+	if !ok {
+		p.notModified(w)
+		return
+	}
+	w.Header().Set(VersionHeader, strconv.FormatUint(o.version, 10))
+	if o.version == 0 || o.deleted {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	_, _ = w.Write(o.value)
+}
+
+// await waits until ready holds, and returns the named object.
+func (p *Platform) await(r *http.Request, wait time.Duration, ready func() bool, name string) (object, bool) {
+	deadline := time.NewTimer(wait)
+	defer deadline.Stop()
+	for {
+		p.mu.Lock()
+		if ready() && !p.down {
+			o := p.objects[name]
+			p.mu.Unlock()
+			return o, true
+		}
+		changed := p.changed
+		down := p.down
+		p.mu.Unlock()
+		if down {
+			return object{}, false
+		}
+		select {
+		case <-changed:
+		case <-deadline.C:
+			return object{}, false
+		case <-r.Context().Done():
+			return object{}, false
+		}
+	}
+}
+
+// notModified ends a wait in which nothing changed.
+func (p *Platform) notModified(w http.ResponseWriter) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.down {
+		http.Error(w, "store is down", http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusNotModified)
+}
+
+func waitParameters(r *http.Request) (after uint64, wait time.Duration) {
+	after, _ = strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
+	ms, _ := strconv.Atoi(r.URL.Query().Get("waitMs"))
+	return after, time.Duration(ms) * time.Millisecond
+}
+
+func (p *Platform) putObject(w http.ResponseWriter, r *http.Request) {
+	value, err := io.ReadAll(http.MaxBytesReader(w, r.Body, MaxValueBytes))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusRequestEntityTooLarge)
+		return
+	}
+	p.write(w, r, object{value: value})
+}
+
+func (p *Platform) deleteObject(w http.ResponseWriter, r *http.Request) {
+	p.write(w, r, object{deleted: true})
+}
+
+func (p *Platform) write(w http.ResponseWriter, r *http.Request, next object) {
+	expected, err := strconv.ParseUint(r.Header.Get(IfVersionHeader), 10, 64)
+	if err != nil {
+		http.Error(w, "If-Version is needed", http.StatusBadRequest)
+		return
+	}
+	name := r.PathValue("name")
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	current := p.objects[name]
+	present := current.version
+	if current.deleted {
+		present = 0
+	}
+	if present != expected {
+		w.Header().Set(VersionHeader, strconv.FormatUint(current.version, 10))
+		w.WriteHeader(http.StatusConflict)
+		return
+	}
+	p.revision++
+	next.version = p.revision
+	p.objects[name] = next
+	p.wake()
+	w.Header().Set(VersionHeader, strconv.FormatUint(next.version, 10))
+}
+
+func (p *Platform) listObjects(w http.ResponseWriter, r *http.Request) {
+	prefix := r.URL.Query().Get("prefix")
+	after, wait := waitParameters(r)
+	_, ok := p.await(r, wait, func() bool { return wait == 0 || p.newestUnder(prefix) > after }, "")
+	if !ok {
+		p.notModified(w)
+		return
+	}
+	writeJSON(w, http.StatusOK, p.list(prefix, after))
+}
+
+// newestUnder returns the highest version under a prefix; p.mu is held.
+func (p *Platform) newestUnder(prefix string) uint64 {
+	var newest uint64
+	for name, o := range p.objects {
+		if strings.HasPrefix(name, prefix) {
+			newest = max(newest, o.version)
+		}
+	}
+	return newest
+}
+
+func (p *Platform) list(prefix string, after uint64) ListAnswer {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	answer := ListAnswer{Revision: p.revision}
+	for name, o := range p.objects {
+		if strings.HasPrefix(name, prefix) && o.version > after {
+			answer.Objects = append(answer.Objects, ListedObject{name, o.version, o.value, o.deleted})
+		}
+	}
+	sort.Slice(answer.Objects, func(i, j int) bool { return answer.Objects[i].Name < answer.Objects[j].Name })
+	return answer
+}
