--- /dev/null
+++ b/internal/process/slugaddress/directory.go
@@ -0,0 +1,143 @@
+// Package slugaddress answers callers' question which addresses to use.
+//
+// # Usage
+//
+//	d := slugaddress.New(slugaddress.Config{Self: record, Statuses: table.Statuses, Record: member.Record})
+//	answer := d.Look("workspace")
+package slugaddress
+
+import (
+	"slices"
+	"time"
+
+	"github.com/sassafraslug/sassafraslug/internal/process/slugmember"
+	"github.com/sassafraslug/sassafraslug/internal/process/slugname"
+	"github.com/sassafraslug/sassafraslug/internal/process/slugpeer"
+	"github.com/sassafraslug/sassafraslug/internal/process/slugreach"
+)
+
+// ShardSize is the number of hosts that one workspace is given.
+const ShardSize = 4
+
+// Config makes a Directory.
+type Config struct {
+	Self     slugmember.Record
+	Statuses func() []slugpeer.Status
+	Record   func(slugname.Process) (slugmember.Record, bool)
+	// CutOff reports whether this host is cut off.
+	CutOff func() bool
+	// MaxAge is how long callers keep an answer.
+	MaxAge time.Duration
+}
+
+// Directory knows the addresses of live gates.
+type Directory struct {
+	cfg Config
+}
+
+// New returns a Directory.
+func New(cfg Config) *Directory { return &Directory{cfg: cfg} }
+
+// Address is one gate.
+type Address struct {
+	Address    string              `json:"address"`
+	DataCentre slugname.DataCentre `json:"dataCentre"`
+	Weight     int                 `json:"weight"`
+}
+
+// Answer is the answer to a look-up.
+type Answer struct {
+	Addresses     []Address `json:"addresses"`
+	MaxAgeSeconds int       `json:"maxAgeSeconds"`
+}
+
+// gate is a gate that takes new callers.
+type gate struct {
+	slugmember.Record
+	fresh bool
+}
+
+// Look returns the gates for a shard key, such as a workspace: a few hosts that
+// stay the same, those in this data centre first. An empty key gets all hosts.
+func (d *Directory) Look(shard string) Answer {
+	gates := d.gates()
+	if shard != "" && len(gates) > ShardSize {
+		gates = d.shard(shard, gates)
+	}
+	local := func(g gate) int {
+		if g.DataCentre == d.cfg.Self.DataCentre {
+			return 0
+		}
+		return 1
+	}
+	slices.SortStableFunc(gates, func(a, b gate) int { return local(a) - local(b) })
+	answer := Answer{Addresses: []Address{}, MaxAgeSeconds: int(d.cfg.MaxAge.Seconds())}
+	for _, g := range gates {
+		answer.Addresses = append(answer.Addresses, Address{g.CallersAddress, g.DataCentre, 1})
+	}
+	return answer
+}
+
+// gates returns the live gates. Gates with old word are left out as long as any
+// gate has fresh word.
+func (d *Directory) gates() []gate {
+	var all []gate
+	fresh := false
+	leaving := d.leavingHosts()
+	now := time.Now()
+	for _, s := range d.cfg.Statuses() {
+		r, ok := d.cfg.Record(s.Process)
+		if !ok || s.Kind != slugmember.KindGate || !s.Alive || s.Leaving || leaving[s.Host] {
+			continue
+		}
+		g := gate{r, now.Sub(s.Word) < slugreach.FreshnessBound}
+		if s.Process == d.cfg.Self.Process && d.cfg.CutOff() {
+			g.fresh = false
+		}
+		fresh = fresh || g.fresh
+		all = append(all, g)
+	}
+	if !fresh {
+		return all
+	}
+	return slices.DeleteFunc(all, func(g gate) bool { return !g.fresh })
+}
+
+func (d *Directory) leavingHosts() map[slugname.Host]bool {
+	out := map[slugname.Host]bool{}
+	for _, s := range d.cfg.Statuses() {
+		for _, h := range s.HostsLeaving {
+			out[h] = true
+		}
+	}
+	return out
+}
+
+// shard returns the gates closest to a key by rendezvous hashing.
+func (d *Directory) shard(key string, gates []gate) []gate {
+	hosts := make([]slugname.Host, len(gates))
+	for i, g := range gates {
+		hosts[i] = g.Host
+	}
+	near := slugmember.Closest(key, hosts, ShardSize)
+	out := make([]gate, 0, ShardSize)
+	for _, h := range near {
+		for _, g := range gates {
+			if g.Host == h {
+				out = append(out, g)
+			}
+		}
+	}
+	return out
+}
+
+// Others returns the addresses of other gates, for refusals.
+func (d *Directory) Others(shard string) []string {
+	var out []string
+	for _, a := range d.Look(shard).Addresses {
+		if a.Address != d.cfg.Self.CallersAddress {
+			out = append(out, a.Address)
+		}
+	}
+	return out
+}
--- a/internal/process/slugevent/event.go
+++ b/internal/process/slugevent/event.go
@@ -70,6 +70,7 @@
 	ConnectionSilent
 	UsageUnwritten
 	BurnAlert
+	ClaimUnsettled
 )
 
 var descriptions = map[Event]Description{
@@ -113,6 +114,7 @@
 	RequestQuarantined:      {logrus.ErrorLevel, "request quarantined after crashes", "ask the workspace about the request; it is refused until the field until"},
 	ConnectionSilent:        {logrus.WarnLevel, "connection went silent", "look at what stands between the hosts"},
 	UsageUnwritten:          {logrus.WarnLevel, "usage record not written", "look at the store; totals are kept and written later"},
+	ClaimUnsettled:          {logrus.WarnLevel, "outcome of a claimed call not stored", "look at the store; later uses of the key are told that the outcome is unknown"},
 	BurnAlert:               {logrus.WarnLevel, "service level is burning", "run sassafraslug burn"},
 }
 
--- /dev/null
+++ b/internal/process/sluggate/gate.go
@@ -0,0 +1,382 @@
+// Package sluggate is the daemon between callers and endpoints: address look-up,
+// authentication, admission, routing, relaying and usage counting.
+//
+// # Usage
+//
+//	g := sluggate.New(settings, log)
+//	err := g.Run(ctx) // the first end of ctx begins a graceful shutdown
+package sluggate
+
+import (
+	"context"
+	"expvar"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sassafraslug/sassafraslug/internal/connection/slugsend"
+	"github.com/sassafraslug/sassafraslug/internal/process/slugaddress"
+	"github.com/sassafraslug/sassafraslug/internal/process/slugbackoff"
+	"github.com/sassafraslug/sassafraslug/internal/process/slugburn"
+	"github.com/sassafraslug/sassafraslug/internal/process/slugclaim"
+	"github.com/sassafraslug/sassafraslug/internal/process/slugevent"
+	"github.com/sassafraslug/sassafraslug/internal/process/slugfault"
+	"github.com/sassafraslug/sassafraslug/internal/process/slugfleet"
+	"github.com/sassafraslug/sassafraslug/internal/process/slugledger"
+	"github.com/sassafraslug/sassafraslug/internal/process/sluglimit"
+	"github.com/sassafraslug/sassafraslug/internal/process/slugmember"
+	"github.com/sassafraslug/sassafraslug/internal/process/slugpeer"
+	"github.com/sassafraslug/sassafraslug/internal/process/slugreach"
+	"github.com/sassafraslug/sassafraslug/internal/process/slugserve"
+	"github.com/sassafraslug/sassafraslug/internal/process/slugsettings"
+	"github.com/sassafraslug/sassafraslug/internal/process/slugstep"
+	"github.com/sassafraslug/sassafraslug/internal/process/slugsuspect"
+	"github.com/sassafraslug/sassafraslug/internal/process/slugworld"
+	"github.com/sassafraslug/sassafraslug/internal/request/slugadmit"
+	"github.com/sassafraslug/sassafraslug/internal/request/slugrefusal"
+	"golang.org/x/sync/errgroup"
+)
+
+const (
+	// settleTime is how long a process's leaving takes to become known.
+	settleTime = 2 * time.Second
+	// closeTimeout bounds the last writes of a leaving process.
+	closeTimeout = 10 * time.Second
+	// writeEvery is the time between writes of the usage record on few hosts.
+	writeEvery = 2 * time.Second
+	// writeEveryPerGate is added for each gate, to bound the writes of all.
+	writeEveryPerGate = 20 * time.Millisecond
+	// tickEvery is the time between updates of what peers are told.
+	tickEvery = time.Second
+)
+
+// Gate is the daemon.
+type Gate struct {
+	settings *slugsettings.Settings
+	log      *slugevent.Log
+	metrics  *expvar.Map
+
+	*slugworld.World
+	sender    *slugsend.Sender
+	fleet     *slugfleet.Fleet
+	limits    *sluglimit.Limiter
+	suspects  *slugsuspect.Tracker
+	ledger    *slugledger.Ledger
+	claims    *slugclaim.Claims
+	burn      *slugburn.Burn
+	reach     *slugreach.Reach
+	directory *slugaddress.Directory
+	admitter  *slugadmit.Admitter
+	callers   *slugserve.Server
+	operators *slugserve.Server
+	leaving   atomic.Bool
+	ready     atomic.Bool
+
+	muxOnce       sync.Once
+	mux           *http.ServeMux
+	operatorsOnce sync.Once
+	operatorsMux  http.Handler
+	// stop ends the background work, after the last request.
+	stop context.CancelFunc
+}
+
+// New returns a Gate that does nothing yet.
+func New(s *slugsettings.Settings, log *slugevent.Log) *Gate {
+	return &Gate{settings: s, log: log, metrics: new(expvar.Map).Init()}
+}
+
+// Run runs the daemon. When ctx ends it leaves gracefully: it tells peers and
+// callers, finishes every request, and returns.
+func (g *Gate) Run(ctx context.Context) error {
+	work, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	g.stop = stop
+	return slugstep.Run(work, g.log, []slugstep.Step{
+		{Name: "open listeners", Run: g.listen},
+		{Name: "join the system", Run: g.join},
+		{Name: "build the request path", Run: g.build},
+		{Name: "serve operators", Run: g.serveOperators},
+		{Name: "publish this process", Run: g.publish},
+		{Name: "follow the configuration", Run: g.follow},
+		{Name: "follow the endpoints", Run: g.followFleet},
+		{Name: "tell peers", Run: g.tellPeers},
+		{Name: "record usage", Run: g.recordUsage},
+		{Name: "serve tls to callers", Skip: g.noCertificate, Run: func(context.Context, *errgroup.Group) error { return nil }},
+		{Name: "serve callers", Run: g.serveCallers},
+		{Name: "leave when told", Run: func(_ context.Context, group *errgroup.Group) error {
+			group.Go(func() error { return g.leaveAfter(ctx, work) })
+			return nil
+		}},
+	})
+}
+
+func (g *Gate) noCertificate() string {
+	if g.settings.CallersCertificate == "" {
+		return "callers.tlsCertificate is not set"
+	}
+	return ""
+}
+
+// listen opens all listeners first, so that a port in use ends the start.
+func (g *Gate) listen(_ context.Context, _ *errgroup.Group) error {
+	var err error
+	s := g.settings
+	g.callers, err = slugserve.New(slugserve.Config{
+		Address: s.CallersListen, Handler: http.HandlerFunc(g.serveHTTP), Certificate: s.CallersCertificate, Key: s.CallersKey,
+		MaxHeaderBytes: int(s.MaxHeaderBytes), MaxConnections: int(s.MaxConnections), Log: g.log,
+	})
+	if err != nil {
+		return err
+	}
+	g.operators, err = slugserve.New(slugserve.Config{Address: s.OperatorsListen, Handler: http.HandlerFunc(g.serveOperatorsHTTP), Log: g.log})
+	return err
+}
+
+// join makes this process known to itself: store, peers and configuration.
+func (g *Gate) join(_ context.Context, _ *errgroup.Group) error {
+	g.sender = slugsend.New(slugsend.Config{})
+	world, err := slugworld.New(slugworld.Config{
+		Settings: g.settings, Kind: slugmember.KindGate, Log: g.log, Metrics: g.metrics,
+		CallersAddress:   advertised(g.settings.CallersAdvertise, g.callers.Address()),
+		OperatorsAddress: advertised(g.settings.OperatorsAdvertise, g.operators.Address()),
+		Heard:            g.heard,
+	})
+	g.World = world
+	return err
+}
+
+// advertised returns the address that others are told. A port of 0 is replaced
+// by the one that is listened on.
+func advertised(wanted, listening string) string {
+	if len(wanted) > 2 && wanted[len(wanted)-2:] == ":0" {
+		return listening
+	}
+	return wanted
+}
+
+// build makes the parts of the request path.
+func (g *Gate) build(_ context.Context, _ *errgroup.Group) error {
+	s := g.settings
+	self := g.Member.Self()
+	g.burn = slugburn.New()
+	g.limits = sluglimit.New()
+	g.suspects = slugsuspect.New(slugsuspect.Config{}, func(slugsuspect.Suspicion) { go g.tellSuspicions() })
+	g.claims = slugclaim.New(slugclaim.Config{Process: self.Process, Store: g.Store.For("claims")})
+	g.ledger = slugledger.New(slugledger.Config{Process: self.Process, Window: s.UsageWindow, Store: g.Store.For("usage")})
+	g.fleet = slugfleet.New(slugfleet.Config{
+		Host: s.Host, DataCentre: s.DataCentre, Store: g.Store.For("plans"), Get: g.sender.Get,
+		QueueLength: int(s.QueueLength), Changed: g.tellPlans,
+	})
+	g.reach = slugreach.New(slugreach.Config{Word: g.Follower.Word, Statuses: g.Table.Statuses, Records: g.Member.Records, Log: g.log})
+	g.directory = slugaddress.New(slugaddress.Config{
+		Self: self, Statuses: g.Table.Statuses, Record: g.Member.Record, CutOff: g.reach.CutOff, MaxAge: s.AnswerAge,
+	})
+	g.admitter = slugadmit.New(slugadmit.Config{
+		Snapshot: g.Follower.Snapshot, CutOff: g.cutOff, Fleet: g.fleet, Limits: g.limits,
+		MaxBodyBytes: s.MaxBodyBytes, MemoryBytes: s.MemoryBytes, BodyTimeout: s.BodyTimeout,
+	})
+	return nil
+}
+
+// cutOff refuses requests while this host is cut off.
+func (g *Gate) cutOff() *slugrefusal.Refusal {
+	if !g.reach.CutOff() {
+		return nil
+	}
+	return slugrefusal.NotRun(slugrefusal.CodeCutOff, "this host is cut off from the others").After(time.Second)
+}
+
+// heard takes a peer's row.
+func (g *Gate) heard(r slugpeer.Row) {
+	if g.suspects == nil {
+		return
+	}
+	now := time.Now()
+	for _, s := range r.Suspicions {
+		g.suspects.Heard(s, now)
+	}
+}
+
+func (g *Gate) serveOperators(ctx context.Context, group *errgroup.Group) error {
+	group.Go(func() error { return g.operators.Serve(ctx) })
+	return nil
+}
+
+func (g *Gate) publish(ctx context.Context, group *errgroup.Group) error {
+	return g.Publish(ctx, group)
+}
+
+// follow follows the configuration and decides whether it may be trusted.
+func (g *Gate) follow(ctx context.Context, group *errgroup.Group) error {
+	group.Go(func() error { return g.Follower.Run(ctx) })
+	group.Go(func() error { return g.reach.Run(ctx) })
+	return nil
+}
+
+func (g *Gate) followFleet(ctx context.Context, group *errgroup.Group) error {
+	group.Go(func() error { return g.fleet.Run(ctx) })
+	return nil
+}
+
+// tellPeers tells peers what changes from second to second.
+func (g *Gate) tellPeers(ctx context.Context, group *errgroup.Group) error {
+	group.Go(func() error {
+		for ctx.Err() == nil {
+			g.tick()
+			_ = slugbackoff.Sleep(ctx, tickEvery)
+		}
+		return nil
+	})
+	return nil
+}
+
+// tick exchanges demand with the peers.
+func (g *Gate) tick() {
+	demand := g.limits.Tick()
+	limited := g.limitedDemand(demand)
+	busy := g.fleet.Busy()
+	now := time.Now()
+	suspicions := g.suspects.Suspicions(now)
+	self := g.Table.Self()
+	if len(limited.PerSecond) > 0 || len(self.Demand) > 0 || len(busy) > 0 || len(self.Busy) > 0 || len(suspicions) != len(self.Suspicions) || len(limited.Running) > 0 || len(self.Running) > 0 {
+		g.Table.Update(func(r *slugpeer.Row) {
+			r.Demand, r.Running, r.Busy, r.Suspicions = limited.PerSecond, limited.Running, busy, suspicions
+		})
+	}
+	g.takeDemand()
+}
+
+// limitedDemand keeps the demand of workspaces that have limits.
+func (g *Gate) limitedDemand(d sluglimit.Demand) sluglimit.Demand {
+	s := g.Follower.Snapshot()
+	if s == nil {
+		return sluglimit.Demand{}
+	}
+	for w := range d.PerSecond {
+		if x := s.Workspace(w); x == nil || x.Limits.RequestsPerSecond == 0 {
+			delete(d.PerSecond, w)
+		}
+	}
+	for w := range d.Running {
+		if x := s.Workspace(w); x == nil || x.Limits.Concurrent == 0 {
+			delete(d.Running, w)
+		}
+	}
+	return d
+}
+
+// takeDemand takes the demand of the other live gates.
+func (g *Gate) takeDemand() {
+	var others []sluglimit.Demand
+	gates, heard := 1, false
+	known := 0
+	for _, r := range g.Member.Records() {
+		if r.Kind == slugmember.KindGate {
+			known++
+		}
+	}
+	for _, s := range g.Table.Statuses() {
+		if s.Kind != slugmember.KindGate || !s.Alive || s.Process == g.Member.Self().Process {
+			continue
+		}
+		gates++
+		heard = true
+		others = append(others, sluglimit.Demand{PerSecond: s.Demand, Running: s.Running})
+	}
+	if !heard && known > 1 {
+		g.limits.SetPeers(nil, known, false)
+		return
+	}
+	g.limits.SetPeers(others, gates, true)
+}
+
+// tellPlans acknowledges the plans in use.
+func (g *Gate) tellPlans() {
+	versions := g.fleet.Versions()
+	g.Table.Update(func(r *slugpeer.Row) {
+		r.Plans = versions
+		r.Busy = g.fleet.Busy()
+	})
+}
+
+// tellSuspicions tells peers at once.
+func (g *Gate) tellSuspicions() {
+	ctx, cancel := context.WithTimeout(context.Background(), settleTime)
+	defer cancel()
+	list := g.suspects.Suspicions(time.Now())
+	g.Table.Update(func(r *slugpeer.Row) { r.Suspicions = list })
+	g.Table.Push(ctx)
+}
+
+// recordUsage writes the usage record every few seconds.
+func (g *Gate) recordUsage(ctx context.Context, group *errgroup.Group) error {
+	group.Go(func() error {
+		for slugbackoff.Sleep(ctx, g.writeInterval()) == nil {
+			if err := g.ledger.Write(ctx); err != nil && ctx.Err() == nil {
+				g.log.Error(slugevent.UsageUnwritten, err, nil)
+			}
+		}
+		return nil
+	})
+	return nil
+}
+
+// writeInterval grows with the number of gates, so that the writes of all stay
+// within the store's budget.
+func (g *Gate) writeInterval() time.Duration {
+	gates := 0
+	for _, r := range g.Member.Records() {
+		if r.Kind == slugmember.KindGate {
+			gates++
+		}
+	}
+	return writeEvery + time.Duration(gates)*writeEveryPerGate
+}
+
+func (g *Gate) serveCallers(ctx context.Context, group *errgroup.Group) error {
+	group.Go(func() error { return g.callers.Serve(ctx) })
+	g.ready.Store(true)
+	return nil
+}
+
+// leaveAfter waits for the word to leave, and leaves.
+func (g *Gate) leaveAfter(told, work context.Context) error {
+	select {
+	case <-told.Done():
+	case <-work.Done():
+		_ = g.callers.Close()
+		return g.operators.Close()
+	}
+	return g.leave(work)
+}
+
+// leave ends the daemon without cutting a request.
+func (g *Gate) leave(ctx context.Context) error {
+	g.log.Emit(slugevent.ShutdownBegun, nil)
+	g.leaving.Store(true)
+	g.Table.Update(func(r *slugpeer.Row) { r.Leaving = true })
+	g.Table.Push(ctx)
+	_ = slugbackoff.Sleep(ctx, g.settings.AnswerAge+settleTime)
+	g.callers.Discourage()
+	if err := g.callers.Finish(ctx); err != nil {
+		return err
+	}
+	err := g.lastWrites(ctx)
+	g.stop()
+	g.sender.CloseIdle()
+	_ = g.operators.Close()
+	g.log.Emit(slugevent.ShutdownDone, nil)
+	return err
+}
+
+// lastWrites closes the usage record and withdraws this process.
+func (g *Gate) lastWrites(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, closeTimeout)
+	defer cancel()
+	if err := g.ledger.Close(ctx); err != nil {
+		g.log.Error(slugevent.UsageUnwritten, err, nil)
+		return slugfault.Wrap(err, "close usage record", g.settings.PlatformAddress)
+	}
+	return g.Leave(ctx)
+}
--- /dev/null
+++ b/internal/process/sluggate/http.go
@@ -0,0 +1,154 @@
+package sluggate
+
+import (
+	"encoding/json"
+	"expvar"
+	"net/http"
+	"runtime"
+	"time"
+
+	"github.com/sassafraslug/sassafraslug/internal/process/slugname"
+	"github.com/sassafraslug/sassafraslug/internal/request/slugadmit"
+	"github.com/sassafraslug/sassafraslug/internal/request/slugchat"
+	"github.com/sassafraslug/sassafraslug/internal/request/slugplaincall"
+	"github.com/sassafraslug/sassafraslug/internal/request/slugrefusal"
+	"github.com/sassafraslug/sassafraslug/internal/version/slugconfig"
+)
+
+// serveHTTP serves callers.
+func (g *Gate) serveHTTP(w http.ResponseWriter, r *http.Request) {
+	g.callersMux().ServeHTTP(w, r)
+}
+
+// callersMux returns the routes of callers, made at the first call.
+func (g *Gate) callersMux() *http.ServeMux {
+	g.muxOnce.Do(func() { g.mux = g.newCallersMux() })
+	return g.mux
+}
+
+func (g *Gate) newCallersMux() *http.ServeMux {
+	chat := slugchat.New(slugchat.Config{
+		Snapshot: g.Follower.Snapshot, Admitter: g.admitter, Sender: g.sender, Ledger: g.ledger, Burn: g.burn,
+		Suspects: g.suspects, Log: g.log, Refused: g.refused, Progress: g.settings.Progress, WriteTimeout: g.settings.WriteTimeout,
+	})
+	plain := slugplaincall.New(slugplaincall.Config{
+		Snapshot: g.Follower.Snapshot, Admitter: g.admitter, Sender: g.sender, Claims: g.claims,
+		Ledger: g.ledger, Burn: g.burn, Log: g.log, Refused: g.refused,
+	})
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /v1/addresses", g.getAddresses)
+	mux.HandleFunc("GET /v1/models", g.getModels)
+	mux.Handle("POST /v1/chat/completions", chat)
+	mux.Handle("POST /v1/completions", chat)
+	mux.Handle("/services/{service}/{path...}", plain)
+	mux.HandleFunc("/", g.notFound)
+	return mux
+}
+
+// refused counts a refusal and adds other addresses where they help.
+func (g *Gate) refused(r *slugrefusal.Refusal) {
+	g.metrics.Add("refused."+string(r.Code), 1)
+	if r.RetryAfter > 0 || r.Code == slugrefusal.CodeCutOff || r.Code == slugrefusal.CodeNotReady {
+		r.Addresses = g.directory.Others("")
+	}
+}
+
+func (g *Gate) notFound(w http.ResponseWriter, r *http.Request) {
+	slugrefusal.NotRun(slugrefusal.CodeRouteUnknown, "no route for %s %s", r.Method, r.URL.Path).Write(w)
+}
+
+// getAddresses answers a look-up. It is cheap and needs no key; a caller that
+// shows its key is told the hosts of its workspace.
+func (g *Gate) getAddresses(w http.ResponseWriter, r *http.Request) {
+	s := g.Follower.Snapshot()
+	if s == nil {
+		slugrefusal.NotRun(slugrefusal.CodeNotReady, "no configuration is in force yet").After(time.Second).Write(w)
+		return
+	}
+	if name := r.URL.Query().Get("service"); name != "" && s.Service(slugname.Service(name)) == nil {
+		slugrefusal.NotRun(slugrefusal.CodeServiceUnknown, "no service %q", name).Write(w)
+		return
+	}
+	shard := ""
+	if k, ok := slugadmit.FindKey(r); ok {
+		if name, ok := s.Authenticate(slugconfig.HashKey(string(k))); ok {
+			shard = string(name)
+		}
+	}
+	g.metrics.Add("lookups", 1)
+	writeJSON(w, g.directory.Look(shard))
+}
+
+// model is one line of the list of models.
+type model struct {
+	ID      string `json:"id"`
+	Object  string `json:"object"`
+	OwnedBy string `json:"owned_by"`
+}
+
+// modelList is the list of models that a workspace may use.
+type modelList struct {
+	Object string  `json:"object"`
+	Data   []model `json:"data"`
+}
+
+func (g *Gate) getModels(w http.ResponseWriter, r *http.Request) {
+	c, refusal := g.admitter.Begin(r)
+	if refusal == nil {
+		refusal = g.admitter.Authenticate(r, c)
+	}
+	if refusal != nil {
+		g.refused(refusal)
+		refusal.Write(w)
+		return
+	}
+	list := modelList{Object: "list", Data: []model{}}
+	s := g.Follower.Snapshot()
+	for _, x := range s.Manifest.Services {
+		if x.Model != "" && s.Allowed(c.Workspace, x.Name) {
+			list.Data = append(list.Data, model{string(x.Model), "model", "sassafraslug"})
+		}
+	}
+	writeJSON(w, list)
+}
+
+// serveOperatorsHTTP serves operators.
+func (g *Gate) serveOperatorsHTTP(w http.ResponseWriter, r *http.Request) {
+	g.operatorsOnce.Do(func() { g.operatorsMux = g.newOperatorsMux() })
+	g.operatorsMux.ServeHTTP(w, r)
+}
+
+func (g *Gate) newOperatorsMux() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /health", func(http.ResponseWriter, *http.Request) {})
+	mux.HandleFunc("GET /ready", g.getReady)
+	mux.HandleFunc("GET /burn", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, g.burn.Report(time.Now())) })
+	mux.HandleFunc("GET /metrics", g.getMetrics)
+	return mux
+}
+
+// getReady answers 200 while this gate takes new callers.
+func (g *Gate) getReady(w http.ResponseWriter, _ *http.Request) {
+	if !g.ready.Load() || g.leaving.Load() || g.Follower.Snapshot() == nil || g.reach.CutOff() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+// getMetrics writes the metrics of this daemon and of the runtime.
+func (g *Gate) getMetrics(w http.ResponseWriter, _ *http.Request) {
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	heap := new(expvar.Int)
+	heap.Set(int64(m.HeapInuse))
+	g.metrics.Set("heapBytes", heap)
+	peer := new(expvar.Int)
+	peer.Set(int64(g.Link.Bytes()))
+	g.metrics.Set("peerBytes", peer)
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write([]byte(g.metrics.String()))
+}
+
+func writeJSON(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(v)
+}
--- a/internal/process/slugledger/ledger.go
+++ b/internal/process/slugledger/ledger.go
@@ -117,8 +117,9 @@
 type state struct {
 	totals  map[Key]Totals
 	version slugstore.Version
-	dirty   bool
-	closed  bool
+	// attempted is what the last write held, whether it took effect or not.
+	attempted []Line
+	dirty     bool
 }
 
 // New returns an empty Ledger.
@@ -221,7 +222,7 @@
 func (l *Ledger) writeRecord(ctx context.Context, w Window, now time.Time, closing bool) error {
 	r := l.records[w]
 	ended := !now.Before(w.End(l.cfg.Window))
-	if r.version == 0 && now.After(w.End(l.cfg.Window).Add(lateAfter)) {
+	if r.attempted == nil && now.After(w.End(l.cfg.Window).Add(lateAfter)) {
 		l.carry(w, nil, now)
 		return nil
 	}
@@ -229,6 +230,7 @@
 		return nil
 	}
 	body := Record{Process: l.cfg.Process, Window: w, Lines: r.lines(), Closed: ended || closing}
+	r.attempted = body.Lines
 	version, err := l.cfg.Store.Put(ctx, RecordName(w, l.cfg.Process), r.version, body)
 	if errors.Is(err, slugstore.ErrConflict) {
 		return l.settle(ctx, w, now)
@@ -252,8 +254,9 @@
 	}
 	var stored Record
 	if o.Body == nil {
-		// The record was removed after its report.
-		l.carry(w, l.records[w].reported(), now)
+		// The record was removed after its report. What the last write held may
+		// have been reported, so it is not billed again.
+		l.carry(w, l.records[w].attempted, now)
 		return nil
 	}
 	if err := o.Decode(&stored); err != nil {
@@ -267,14 +270,6 @@
 	return nil
 }
 
-// reported returns what the process last wrote, nothing when it is not known.
-func (r *state) reported() []Line {
-	if r.version == 0 {
-		return nil
-	}
-	return r.lines()
-}
-
 // carry moves what the stored record lacks into the present window.
 func (l *Ledger) carry(w Window, stored []Line, now time.Time) {
 	rest := l.records[w].totals
--- /dev/null
+++ b/internal/process/slugpeer/row.go
@@ -0,0 +1,84 @@
+// Package slugpeer lets every process know what the others tell of themselves:
+// the revision in force, its freshness, whether they leave, the demand of the
+// workspaces they serve, suspected requests and acknowledged plans.
+//
+// Each process owns one row. Rows spread by push and pull with a few random
+// peers a second. A digest carries the version and the heartbeat of every row, so
+// that a row is sent only when it has changed.
+//
+// # Usage
+//
+//	t := slugpeer.New(slugpeer.Config{Self: id, Call: link.Call, Peers: member.Records})
+//	t.Update(func(r *slugpeer.Row) { r.Leaving = true })
+//	go t.Run(ctx)
+package slugpeer
+
+import (
+	"time"
+
+	"github.com/sassafraslug/sassafraslug/internal/process/slugmember"
+	"github.com/sassafraslug/sassafraslug/internal/process/slugname"
+	"github.com/sassafraslug/sassafraslug/internal/process/slugstore"
+	"github.com/sassafraslug/sassafraslug/internal/process/slugsuspect"
+	"github.com/sassafraslug/sassafraslug/internal/version/slugconfig"
+)
+
+// Protocol is the version of the messages between processes.
+const Protocol = 1
+
+// Row is what a process tells of itself. Only its owner changes it.
+type Row struct {
+	Process  slugname.Process    `cbor:"1,keyasint"`
+	Kind     slugmember.Kind     `cbor:"2,keyasint"`
+	Host     slugname.Host       `cbor:"3,keyasint"`
+	Revision slugconfig.Revision `cbor:"4,keyasint"`
+	Leaving  bool                `cbor:"5,keyasint,omitempty"`
+	// Demand is the requests a second of each workspace with a limit.
+	Demand map[slugname.Workspace]float32 `cbor:"6,keyasint,omitempty"`
+	// Running is the number of running requests of each workspace with a limit.
+	Running map[slugname.Workspace]uint32 `cbor:"7,keyasint,omitempty"`
+	// Suspicions are requests that were in flight at crashes.
+	Suspicions []slugsuspect.Suspicion `cbor:"8,keyasint,omitempty"`
+	// Plans are the versions of the plans that the process acts on.
+	Plans map[string]slugstore.Version `cbor:"9,keyasint,omitempty"`
+	// HostsLeaving are hosts that the platform's list shows as leaving.
+	HostsLeaving []slugname.Host `cbor:"10,keyasint,omitempty"`
+	// StoreLost tells that the process gets no answer from the store.
+	StoreLost bool `cbor:"11,keyasint,omitempty"`
+	// Busy maps draining endpoints to this process's requests there.
+	Busy map[slugname.Endpoint]uint32 `cbor:"12,keyasint,omitempty"`
+}
+
+// Entry is one row's state in a digest.
+type Entry struct {
+	_         struct{} `cbor:",toarray"`
+	ID        slugmember.ID
+	Version   uint32
+	Heartbeat uint32
+	// WordAge is how long ago the owner had word of the newest configuration, in
+	// units of wordUnit.
+	WordAge uint32
+}
+
+// wordUnit is the resolution of Entry.WordAge.
+const wordUnit = 100 * time.Millisecond
+
+// noWord is the WordAge of a process that never had word.
+const noWord = 1 << 20
+
+// VersionedRow is a row on its way to another process.
+type VersionedRow struct {
+	Version uint32 `cbor:"1,keyasint"`
+	Row     Row    `cbor:"2,keyasint"`
+}
+
+// Message is one message between processes.
+type Message struct {
+	Protocol int            `cbor:"1,keyasint"`
+	Digest   []Entry        `cbor:"2,keyasint,omitempty"`
+	Rows     []VersionedRow `cbor:"3,keyasint,omitempty"`
+	// WantBundle asks for the configuration of a revision or a later one.
+	WantBundle slugconfig.Revision `cbor:"4,keyasint,omitempty"`
+	// Bundle is an encoded configuration.
+	Bundle []byte `cbor:"5,keyasint,omitempty"`
+}
--- /dev/null
+++ b/internal/process/slugpeer/table.go
@@ -0,0 +1,318 @@
+package slugpeer
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sassafraslug/sassafraslug/internal/process/slugbackoff"
+	"github.com/sassafraslug/sassafraslug/internal/process/slugmember"
+	"github.com/sassafraslug/sassafraslug/internal/process/slugname"
+	"github.com/sassafraslug/sassafraslug/internal/version/slugconfig"
+	"golang.org/x/sync/errgroup"
+)
+
+// Config makes a Table.
+type Config struct {
+	Self slugmember.Record
+	// Call sends a message to a process and returns its answer.
+	Call func(ctx context.Context, to slugmember.Record, m Message) (Message, error)
+	// Peers returns all known processes.
+	Peers func() []slugmember.Record
+	// Word returns when this process last had word of the newest configuration.
+	Word func() time.Time
+	// Heard is called for each row that is new or changed; it may be nil.
+	Heard func(Row)
+	// HeardWord is called with each peer's revision and the time of its word; it
+	// may be nil.
+	HeardWord func(slugconfig.Revision, time.Time)
+	// Bundle encodes the configuration in force for a peer; it may be nil.
+	Bundle func() []byte
+	// Fanout is the number of peers called a round.
+	Fanout int
+}
+
+// Times of the exchange.
+const (
+	// Round is the time between exchanges.
+	Round = time.Second
+	// callTimeout bounds one exchange.
+	callTimeout = time.Second
+	// AliveFor is how long after its last heartbeat a process counts as alive.
+	AliveFor = 4 * time.Second
+	// forgetAfter is how long a silent row is kept.
+	forgetAfter = time.Minute
+	// defaultFanout is the number of peers called a round.
+	defaultFanout = 2
+	// pushFanout is the number of peers told of an urgent change at once.
+	pushFanout = 32
+)
+
+// held is a row with what is known of its owner.
+type held struct {
+	row       Row
+	version   uint32
+	heartbeat uint32
+	// heardAt is when the heartbeat last grew.
+	heardAt time.Time
+	// word is when the owner last had word.
+	word time.Time
+}
+
+// Table holds the rows of all processes.
+type Table struct {
+	cfg  Config
+	self slugmember.ID
+
+	mu   sync.Mutex
+	rows map[slugmember.ID]*held
+}
+
+// New returns a Table with this process's row.
+func New(cfg Config) *Table {
+	if cfg.Fanout == 0 {
+		cfg.Fanout = defaultFanout
+	}
+	t := &Table{cfg: cfg, self: slugmember.IDOf(cfg.Self.Process), rows: map[slugmember.ID]*held{}}
+	t.rows[t.self] = &held{version: 1, row: Row{Process: cfg.Self.Process, Kind: cfg.Self.Kind, Host: cfg.Self.Host}, heardAt: time.Now()}
+	return t
+}
+
+// Update changes this process's row.
+func (t *Table) Update(f func(*Row)) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	h := t.rows[t.self]
+	f(&h.row)
+	h.version++
+}
+
+// Self returns this process's row.
+func (t *Table) Self() Row {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.rows[t.self].row
+}
+
+// Status is a row with what is known of its owner.
+type Status struct {
+	Row
+	// Alive tells that the heartbeat grew lately, so that messages of the owner get
+	// here, directly or through others.
+	Alive bool
+	// Word is when the owner last had word of the newest configuration.
+	Word time.Time
+}
+
+// Statuses returns all rows in order of process, this one's included.
+func (t *Table) Statuses() []Status {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := time.Now()
+	out := make([]Status, 0, len(t.rows))
+	for id, h := range t.rows {
+		if h.row.Process == "" {
+			continue
+		}
+		s := Status{Row: h.row, Alive: id == t.self || now.Sub(h.heardAt) < AliveFor, Word: h.word}
+		if id == t.self {
+			s.Word = t.cfg.Word()
+		}
+		out = append(out, s)
+	}
+	slices.SortFunc(out, func(a, b Status) int {
+		if a.Process < b.Process {
+			return -1
+		}
+		return 1
+	})
+	return out
+}
+
+// Run exchanges rows until ctx ends.
+func (t *Table) Run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		t.beat()
+		t.round(ctx, t.cfg.Fanout)
+		jitter := Round*9/10 + time.Duration(rand.Int64N(int64(Round/5)))
+		_ = slugbackoff.Sleep(ctx, jitter)
+	}
+	return nil
+}
+
+// Push exchanges with many peers at once, for changes that must not wait.
+func (t *Table) Push(ctx context.Context) {
+	t.beat()
+	t.round(ctx, pushFanout)
+}
+
+// beat advances this process's heartbeat and forgets silent rows.
+func (t *Table) beat() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := time.Now()
+	self := t.rows[t.self]
+	self.heartbeat++
+	self.heardAt, self.word = now, t.cfg.Word()
+	for id, h := range t.rows {
+		if id != t.self && now.Sub(h.heardAt) > forgetAfter {
+			delete(t.rows, id)
+		}
+	}
+}
+
+func (t *Table) round(ctx context.Context, fanout int) {
+	peers := slices.DeleteFunc(t.cfg.Peers(), func(r slugmember.Record) bool { return r.Process == t.cfg.Self.Process })
+	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+	g, ctx := errgroup.WithContext(ctx)
+	for _, p := range peers[:min(fanout, len(peers))] {
+		g.Go(func() error {
+			t.exchange(ctx, p)
+			return nil
+		})
+	}
+	_ = g.Wait()
+}
+
+// exchange sends the digest, takes newer rows, and sends the rows that the peer
+// lacks.
+func (t *Table) exchange(ctx context.Context, p slugmember.Record) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	answer, err := t.cfg.Call(ctx, p, Message{Protocol: Protocol, Digest: t.digest()})
+	if err != nil {
+		return
+	}
+	t.take(answer)
+	if rows := t.newer(answer.Digest); len(rows) > 0 {
+		_, _ = t.cfg.Call(ctx, p, Message{Protocol: Protocol, Rows: rows})
+	}
+}
+
+// Serve answers a message of a process.
+func (t *Table) Serve(_ slugname.Process, m Message) Message {
+	answer := Message{Protocol: Protocol}
+	t.take(m)
+	if m.WantBundle > 0 && t.cfg.Bundle != nil {
+		answer.Bundle = t.cfg.Bundle()
+	}
+	if m.Digest != nil {
+		answer.Rows = t.newer(m.Digest)
+		answer.Digest = t.digest()
+	}
+	return answer
+}
+
+// ErrNoBundle says that no peer has the configuration that was asked for.
+var ErrNoBundle = errors.New("no peer has the revision")
+
+// FetchBundle asks peers that have a revision for its configuration.
+func (t *Table) FetchBundle(ctx context.Context, r slugconfig.Revision) ([]byte, error) {
+	have := map[slugname.Process]bool{}
+	for _, s := range t.Statuses() {
+		have[s.Process] = s.Alive && s.Revision >= r
+	}
+	for _, p := range t.cfg.Peers() {
+		if !have[p.Process] || p.Process == t.cfg.Self.Process {
+			continue
+		}
+		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+		answer, err := t.cfg.Call(callCtx, p, Message{Protocol: Protocol, WantBundle: r})
+		cancel()
+		if err == nil && answer.Bundle != nil {
+			return answer.Bundle, nil
+		}
+	}
+	return nil, ErrNoBundle
+}
+
+func (t *Table) digest() []Entry {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := time.Now()
+	out := make([]Entry, 0, len(t.rows))
+	for id, h := range t.rows {
+		out = append(out, Entry{ID: id, Version: h.version, Heartbeat: h.heartbeat, WordAge: wordAge(h.word, now)})
+	}
+	return out
+}
+
+func wordAge(word, now time.Time) uint32 {
+	if word.IsZero() {
+		return noWord
+	}
+	return uint32(min(noWord, (now.Sub(word)+wordUnit-1)/wordUnit))
+}
+
+// newer returns the rows that a digest lacks or has in an older version.
+func (t *Table) newer(digest []Entry) []VersionedRow {
+	theirs := make(map[slugmember.ID]uint32, len(digest))
+	for _, e := range digest {
+		theirs[e.ID] = e.Version
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out []VersionedRow
+	for id, h := range t.rows {
+		if h.row.Process != "" && h.version > theirs[id] {
+			out = append(out, VersionedRow{h.version, h.row})
+		}
+	}
+	return out
+}
+
+// take merges rows and heartbeats of a message.
+func (t *Table) take(m Message) {
+	now := time.Now()
+	for _, r := range m.Rows {
+		t.takeRow(r, now)
+	}
+	for _, e := range m.Digest {
+		t.takeEntry(e, now)
+	}
+}
+
+func (t *Table) takeRow(r VersionedRow, now time.Time) {
+	id := slugmember.IDOf(r.Row.Process)
+	if id == t.self {
+		return
+	}
+	t.mu.Lock()
+	h := t.rows[id]
+	if h == nil {
+		h = &held{heardAt: now}
+		t.rows[id] = h
+	}
+	changed := r.Version > h.version
+	if changed {
+		h.version, h.row = r.Version, r.Row
+	}
+	t.mu.Unlock()
+	if changed && t.cfg.Heard != nil {
+		t.cfg.Heard(r.Row)
+	}
+}
+
+func (t *Table) takeEntry(e Entry, now time.Time) {
+	if e.ID == t.self {
+		return
+	}
+	t.mu.Lock()
+	h := t.rows[e.ID]
+	if h == nil || e.Heartbeat <= h.heartbeat {
+		t.mu.Unlock()
+		return
+	}
+	h.heartbeat, h.heardAt = e.Heartbeat, now
+	if e.WordAge < noWord {
+		h.word = now.Add(-time.Duration(e.WordAge) * wordUnit)
+	}
+	revision, word, known := h.row.Revision, h.word, e.Version == h.version
+	t.mu.Unlock()
+	if known && !word.IsZero() && t.cfg.HeardWord != nil {
+		t.cfg.HeardWord(revision, word)
+	}
+}
--- a/internal/process/slugpick/picker.go
+++ b/internal/process/slugpick/picker.go
@@ -17,6 +17,7 @@
 package slugpick
 
 import (
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -147,6 +148,8 @@
 	prefixes   *prefixIndex
 	// cached is scratch space for one pick, by candidate.
 	cached map[slugname.Endpoint]Tokens
+	// turn spreads picks among equal endpoints.
+	turn uint64
 }
 
 // New returns a Picker without endpoints.
@@ -162,7 +165,7 @@
 	}
 	return &Picker{
 		cfg: cfg, index: map[slugname.Endpoint]*candidate{},
-		prefixes: newPrefixIndex(), cached: map[slugname.Endpoint]Tokens{},
+		prefixes: newPrefixIndex(), cached: map[slugname.Endpoint]Tokens{}, turn: rand.Uint64(),
 	}
 }
 
@@ -255,7 +258,9 @@
 	split := p.hasSplit()
 	var best *candidate
 	var least time.Duration
-	for _, c := range p.candidates {
+	first := p.first(w)
+	for i := range p.candidates {
+		c := p.candidates[(first+i)%len(p.candidates)]
 		if !p.eligible(c, w, split, now) {
 			continue
 		}
@@ -269,6 +274,21 @@
 	return p.take(best, w, least, now), true
 }
 
+// first returns the candidate to look at first, which gets the work if no other
+// is better. Equal prompts begin at the same one, so that a prefix stays where it
+// was and a request that crashes engines meets few of them.
+func (p *Picker) first(w Work) int {
+	n := uint64(len(p.candidates))
+	if n == 0 {
+		return 0
+	}
+	if len(w.Blocks) > 0 {
+		return int(w.Blocks[len(w.Blocks)-1] % n)
+	}
+	p.turn++
+	return int(p.turn % n)
+}
+
 // hasSplit reports whether both roles of a split have a serving endpoint.
 func (p *Picker) hasSplit() bool {
 	prefill, decode := false, false
--- a/internal/standin/slugengine/cache.go
+++ b/internal/standin/slugengine/cache.go
@@ -5,26 +5,9 @@
 	"net/http"
 	"strconv"
 
-	"github.com/cespare/xxhash/v2"
+	"github.com/sassafraslug/sassafraslug/internal/request/slugprefix"
 )
 
-// BlockBytes is the length of the prompt blocks whose hashes name cached
-// prefixes.
-const BlockBytes = 256
-
-// BlockHashes returns the hashes of a prompt's prefixes, one a whole block.
-func BlockHashes(salt, prompt string) []uint64 {
-	var hashes []uint64
-	d := xxhash.New()
-	_, _ = d.WriteString(salt + "\x00")
-	for len(prompt) >= BlockBytes {
-		_, _ = d.WriteString(prompt[:BlockBytes])
-		prompt = prompt[BlockBytes:]
-		hashes = append(hashes, d.Sum64())
-	}
-	return hashes
-}
-
 // CacheEvent says that a prefix came into the cache or left it.
 type CacheEvent struct {
 	Prefix  string `json:"prefix"`
@@ -34,7 +17,9 @@
 // CacheEvents is the answer to a read of cache events.
 type CacheEvents struct {
 	// First is the number of the first event; a gap shows as a higher one.
-	First  int          `json:"first"`
+	First int `json:"first"`
+	// Last is the number of the newest event; a restarted engine begins at 1.
+	Last   int          `json:"last"`
 	Events []CacheEvent `json:"events"`
 }
 
@@ -51,7 +36,7 @@
 }
 
 func newPrefixCache(pieces, tokensPerPiece int) *prefixCache {
-	blocks := pieces * tokensPerPiece * bytesPerToken / BlockBytes
+	blocks := pieces * tokensPerPiece * bytesPerToken / slugprefix.BlockBytes
 	return &prefixCache{capacity: max(1, blocks/2), order: list.New(), blocks: map[uint64]*list.Element{}, first: 1}
 }
 
@@ -59,7 +44,7 @@
 func (c *prefixCache) use(salt, prompt string) int {
 	cached := 0
 	hit := true
-	for _, h := range BlockHashes(salt, prompt) {
+	for _, h := range slugprefix.Hashes(salt, []byte(prompt)) {
 		e, ok := c.blocks[h]
 		hit = hit && ok
 		if ok {
@@ -69,7 +54,7 @@
 			c.publish(h, false)
 		}
 		if hit {
-			cached += BlockBytes / bytesPerToken
+			cached += slugprefix.BlockTokens
 		}
 	}
 	for c.order.Len() > c.capacity {
@@ -93,7 +78,7 @@
 	e.mu.Lock()
 	first := max(after+1, e.cache.first)
 	skip := min(first-e.cache.first, len(e.cache.events))
-	answer := CacheEvents{First: first, Events: append([]CacheEvent{}, e.cache.events[skip:]...)}
+	answer := CacheEvents{First: first, Last: e.cache.first + len(e.cache.events) - 1, Events: append([]CacheEvent{}, e.cache.events[skip:]...)}
 	e.mu.Unlock()
 	writeJSON(w, http.StatusOK, answer)
 }
