--- /dev/null
+++ b/cmd/sassafraslug-control/main.go
@@ -0,0 +1,18 @@
+// Command sassafraslug-control does duties under leases and serves operators.
+package main
+
+import (
+	"context"
+	"os"
+
+	"github.com/sassafraslug/sassafraslug/internal/process/slugcontrol"
+	"github.com/sassafraslug/sassafraslug/internal/process/slugdaemon"
+	"github.com/sassafraslug/sassafraslug/internal/process/slugevent"
+	"github.com/sassafraslug/sassafraslug/internal/process/slugsettings"
+)
+
+func main() {
+	os.Exit(slugdaemon.Main("control", slugsettings.Control, os.Args[1:], func(ctx context.Context, s *slugsettings.Settings, log *slugevent.Log) error {
+		return slugcontrol.New(s, log).Run(ctx)
+	}))
+}
--- /dev/null
+++ b/internal/process/slugbuy/buyer.go
@@ -0,0 +1,277 @@
+// Package slugbuy does the ordering duty of one region: it orders endpoints where
+// services need them and gives back those that are not needed.
+//
+// # Usage
+//
+//	b := slugbuy.New(slugbuy.Config{Region: "north", ...})
+//	err := lease.Run(ctx, b.Work)
+package slugbuy
+
+import (
+	"context"
+	"encoding/json"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sassafraslug/sassafraslug/internal/process/slugbackoff"
+	"github.com/sassafraslug/sassafraslug/internal/process/slugevent"
+	"github.com/sassafraslug/sassafraslug/internal/process/slugintent"
+	"github.com/sassafraslug/sassafraslug/internal/process/slugjournal"
+	"github.com/sassafraslug/sassafraslug/internal/process/sluglease"
+	"github.com/sassafraslug/sassafraslug/internal/process/slugname"
+	"github.com/sassafraslug/sassafraslug/internal/process/slugplatformapi"
+	"github.com/sassafraslug/sassafraslug/internal/process/slugstore"
+	"github.com/sassafraslug/sassafraslug/internal/version/slugmanifest"
+)
+
+const (
+	// roundEvery is the time between rounds.
+	roundEvery = time.Second
+	// orderTime is the longest time of one order.
+	orderTime = 4 * time.Second
+	// retryAfter is how long a data centre is left alone after it had no endpoint.
+	retryAfter = 10 * time.Second
+)
+
+// Need is the wanted number of endpoints of a service in a data centre.
+type Need struct {
+	Service slugname.Service
+	Kind    slugmanifest.ServiceKind
+	// Regular and Cheap are the wanted endpoints of each price.
+	Regular int
+	Cheap   int
+}
+
+// Config makes a Buyer.
+type Config struct {
+	Duty   sluglease.Duty
+	Region slugname.Region
+	Self   slugname.Process
+	Store  *slugstore.Store
+	// DataCentres returns the data centres of the region.
+	DataCentres func() []slugname.DataCentre
+	// Needs returns what a data centre should have, given what it has.
+	Needs    func(d slugname.DataCentre, have []slugplatformapi.Endpoint, now time.Time) []Need
+	Offering func(ctx context.Context, d slugname.DataCentre) (slugplatformapi.Offering, error)
+	Order    func(ctx context.Context, d slugname.DataCentre, body json.RawMessage) (slugplatformapi.Endpoint, error)
+	Intent   *slugintent.Intent
+	// Drained reports whether no gate sends to an endpoint any more and it is idle.
+	Drained func(ctx context.Context, e slugplatformapi.Endpoint) bool
+	// Ended reports whether a past holder has certainly ended.
+	Ended func(sluglease.Predecessor) bool
+	Log   *slugevent.Log
+	// Step is called between the steps of an order, for tests; it may be nil.
+	Step func(string)
+}
+
+// Buyer does the duty while it is held.
+type Buyer struct {
+	cfg     Config
+	journal *slugjournal.Journal
+
+	mu sync.Mutex
+	// paused is until when each data centre is left alone.
+	paused map[slugname.DataCentre]time.Time
+	// have are the endpoints as last listed.
+	have map[slugname.DataCentre][]slugplatformapi.Endpoint
+}
+
+// New returns a Buyer.
+func New(cfg Config) *Buyer {
+	if cfg.Step == nil {
+		cfg.Step = func(string) {}
+	}
+	return &Buyer{cfg: cfg, paused: map[slugname.DataCentre]time.Time{}, have: map[slugname.DataCentre][]slugplatformapi.Endpoint{}}
+}
+
+// order is the body of an order for an endpoint.
+type order struct {
+	Number     slugjournal.Number       `json:"number"`
+	Fence      sluglease.Fence          `json:"fence"`
+	Holder     slugname.Process         `json:"holder"`
+	Action     string                   `json:"action"`
+	Service    slugname.Service         `json:"service,omitempty"`
+	Kind       slugmanifest.ServiceKind `json:"kind,omitempty"`
+	Cheap      bool                     `json:"cheap,omitempty"`
+	Endpoint   slugname.Endpoint        `json:"endpoint,omitempty"`
+	DataCentre slugname.DataCentre      `json:"dataCentre"`
+}
+
+// Work does the duty until ctx ends or something fails.
+func (b *Buyer) Work(ctx context.Context, right *sluglease.Right) error {
+	var err error
+	b.cfg.Step("journal.open")
+	if b.journal, err = slugjournal.Open(ctx, b.cfg.Store, b.cfg.Duty, right.Fence, b.cfg.Self); err != nil {
+		return err
+	}
+	for ctx.Err() == nil {
+		if err := b.round(ctx, right); err != nil {
+			return err
+		}
+		_ = slugbackoff.Sleep(ctx, roundEvery)
+	}
+	return nil
+}
+
+// round does at most one order a data centre.
+func (b *Buyer) round(ctx context.Context, right *sluglease.Right) error {
+	b.confirmPredecessors(ctx, right)
+	var release []slugname.Endpoint
+	var failed error
+	for _, d := range b.cfg.DataCentres() {
+		r, err := b.dataCentre(ctx, right, d)
+		release = append(release, r...)
+		if errors.Is(err, slugjournal.ErrDeposed) || errors.Is(err, sluglease.ErrNoRight) {
+			return err
+		}
+		failed = errors.CombineErrors(failed, err)
+	}
+	slices.Sort(release)
+	if err := b.cfg.Intent.SetReleases(ctx, b.cfg.Region, slugintent.Releases{Endpoints: release}); err != nil {
+		return err
+	}
+	return failed
+}
+
+// dataCentre does what one data centre needs, and returns the endpoints that are
+// to be given back.
+func (b *Buyer) dataCentre(ctx context.Context, right *sluglease.Right, d slugname.DataCentre) ([]slugname.Endpoint, error) {
+	offering, err := b.cfg.Offering(ctx, d)
+	if err != nil {
+		return b.releasing(d), err
+	}
+	b.mu.Lock()
+	b.have[d] = offering.Endpoints
+	b.mu.Unlock()
+	if open := b.outstanding(d); open != nil {
+		return b.releasing(d), b.send(ctx, right, d, *open)
+	}
+	missing, surplus := compare(b.cfg.Needs(d, offering.Endpoints, time.Now()), offering.Endpoints)
+	release := names(surplus)
+	if !b.maySend(right, offering) {
+		b.cfg.Log.Emit(slugevent.OrderWithheld, slugevent.Fields{"dataCentre": d, "duty": b.cfg.Duty})
+		return release, nil
+	}
+	for _, e := range surplus {
+		if slices.Contains(b.cfg.Intent.Releases(b.cfg.Region), e.Name) && b.cfg.Drained(ctx, e) {
+			return release, b.add(ctx, right, d, order{Action: "release", Endpoint: e.Name, Service: e.Service})
+		}
+	}
+	if len(missing) > 0 && !time.Now().Before(b.paused[d]) {
+		return release, b.add(ctx, right, d, missing[0])
+	}
+	return release, nil
+}
+
+// releasing returns the endpoints of a data centre that are being given back.
+func (b *Buyer) releasing(d slugname.DataCentre) []slugname.Endpoint {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var out []slugname.Endpoint
+	for _, e := range b.cfg.Intent.Releases(b.cfg.Region) {
+		if slices.ContainsFunc(b.have[d], func(x slugplatformapi.Endpoint) bool { return x.Name == e }) {
+			out = append(out, e)
+		}
+	}
+	return out
+}
+
+func names(endpoints []slugplatformapi.Endpoint) []slugname.Endpoint {
+	out := make([]slugname.Endpoint, len(endpoints))
+	for i, e := range endpoints {
+		out[i] = e.Name
+	}
+	return out
+}
+
+// compare returns the orders that are missing and the endpoints that are not
+// needed.
+func compare(needs []Need, have []slugplatformapi.Endpoint) (missing []order, surplus []slugplatformapi.Endpoint) {
+	for _, n := range needs {
+		for _, cheap := range []bool{false, true} {
+			wanted := n.Regular
+			if cheap {
+				wanted = n.Cheap
+			}
+			var present []slugplatformapi.Endpoint
+			for _, e := range have {
+				if e.Service == n.Service && e.Cheap == cheap && !e.Leaving {
+					present = append(present, e)
+				}
+			}
+			for range wanted - len(present) {
+				missing = append(missing, order{Action: "order", Service: n.Service, Kind: n.Kind, Cheap: cheap})
+			}
+			if extra := len(present) - wanted; extra > 0 {
+				surplus = append(surplus, present[len(present)-extra:]...)
+			}
+		}
+	}
+	return missing, surplus
+}
+
+// maySend reports whether a new order may be sent. An interface that offers
+// neither fences nor request numbers gets none while a past holder may still send.
+func (b *Buyer) maySend(right *sluglease.Right, o slugplatformapi.Offering) bool {
+	return o.ChecksFences || o.RequestNumbers || len(right.Unconfirmed()) == 0
+}
+
+// outstanding returns the order of a data centre that has no outcome.
+func (b *Buyer) outstanding(d slugname.DataCentre) *slugjournal.Order {
+	for _, o := range b.journal.Outstanding() {
+		if o.Target == slugjournal.Target(d) {
+			return &o
+		}
+	}
+	return nil
+}
+
+// add writes one order down and sends it.
+func (b *Buyer) add(ctx context.Context, right *sluglease.Right, d slugname.DataCentre, x order) error {
+	b.cfg.Step("order.journal")
+	o, err := b.journal.Add(ctx, slugjournal.Target(d), string(d), func(n slugjournal.Number) (json.RawMessage, error) {
+		x.Number, x.Fence, x.Holder, x.DataCentre = n, right.Fence, b.cfg.Self, d
+		return json.Marshal(x)
+	})
+	if err != nil {
+		return err
+	}
+	b.cfg.Log.Emit(slugevent.OrderJournaled, slugevent.Fields{"order": o.Number, "dataCentre": d, "action": x.Action})
+	return b.send(ctx, right, d, o)
+}
+
+// send sends a journaled order and writes its outcome down.
+func (b *Buyer) send(ctx context.Context, right *sluglease.Right, d slugname.DataCentre, o slugjournal.Order) error {
+	var e slugplatformapi.Endpoint
+	err := right.Do(ctx, orderTime, func(ctx context.Context) error {
+		b.cfg.Step("order.send")
+		var err error
+		e, err = b.cfg.Order(ctx, d, o.Body)
+		return err
+	})
+	b.cfg.Step("order.sent")
+	switch {
+	case errors.Is(err, slugplatformapi.ErrNoneAvailable):
+		b.paused[d] = time.Now().Add(retryAfter)
+		return b.journal.Finish(ctx, o, "none available")
+	case errors.Is(err, slugplatformapi.ErrFenced) && o.Fence < right.Fence:
+		return b.journal.Finish(ctx, o, "superseded")
+	case err != nil:
+		b.cfg.Log.Error(slugevent.OrderFailed, err, slugevent.Fields{"order": o.Number, "dataCentre": d})
+		return err
+	}
+	b.cfg.Log.Emit(slugevent.EndpointOrdered, slugevent.Fields{"order": o.Number, "endpoint": e.Name})
+	return b.journal.Finish(ctx, o, "done")
+}
+
+// confirmPredecessors records which past holders have ended.
+func (b *Buyer) confirmPredecessors(ctx context.Context, right *sluglease.Right) {
+	_ = right.Refresh(ctx)
+	for _, p := range right.Unconfirmed() {
+		if b.cfg.Ended(p) {
+			_ = right.Confirm(ctx, p.Process)
+		}
+	}
+}
--- /dev/null
+++ b/internal/process/slugcaller/caller.go
@@ -0,0 +1,405 @@
+// Package slugcaller is a caller's client: it asks which address to use, keeps the
+// answer for its age, and repeats a request only when that is safe.
+//
+// # Usage
+//
+//	c := slugcaller.New(slugcaller.Config{Seeds: []string{"127.0.0.1:8080"}, Key: key})
+//	answer, err := c.Chat(ctx, slugcaller.ChatRequest{Model: "lineage", Prompt: "...", MaxTokens: 64})
+package slugcaller
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sassafraslug/sassafraslug/internal/process/slugaddress"
+	"github.com/sassafraslug/sassafraslug/internal/process/slugbackoff"
+	"github.com/sassafraslug/sassafraslug/internal/process/slugfault"
+)
+
+// Config makes a Caller.
+type Config struct {
+	// Seeds are the hosts that are asked first.
+	Seeds []string
+	Key   string
+	// Tries bounds the attempts of one request.
+	Tries int
+	// Transport sends the requests; nil makes one.
+	Transport *http.Transport
+}
+
+// Caller calls the system for one workspace.
+type Caller struct {
+	cfg    Config
+	client *http.Client
+
+	mu        sync.Mutex
+	addresses []string
+	until     time.Time
+}
+
+// defaultTries bounds the attempts of one request.
+const defaultTries = 5
+
+// New returns a Caller.
+func New(cfg Config) *Caller {
+	if cfg.Tries == 0 {
+		cfg.Tries = defaultTries
+	}
+	if cfg.Transport == nil {
+		cfg.Transport = &http.Transport{MaxIdleConnsPerHost: 64, IdleConnTimeout: 5 * time.Second}
+	}
+	return &Caller{cfg: cfg, client: &http.Client{Transport: cfg.Transport}}
+}
+
+// Refusal is a refusal by the system.
+type Refusal struct {
+	Status int
+	Code   string
+	// Ran is "no" when the request certainly had no effect.
+	Ran     string
+	Message string
+	After   time.Duration
+}
+
+// Error returns the code and the message.
+func (r *Refusal) Error() string {
+	return fmt.Sprintf("refused %d %s (ran %s): %s", r.Status, r.Code, r.Ran, r.Message)
+}
+
+// ChatRequest is one chat completion.
+type ChatRequest struct {
+	Model     string
+	Prompt    string
+	MaxTokens int
+	Stream    bool
+	Class     string
+	Deadline  time.Duration
+}
+
+// ChatAnswer is its answer.
+type ChatAnswer struct {
+	RequestID  string
+	Text       string
+	FirstToken time.Duration
+	Total      time.Duration
+	// LongestGap is the longest time between tokens of a streamed answer.
+	LongestGap time.Duration
+}
+
+// Body returns the JSON of a request.
+func (r ChatRequest) Body() []byte {
+	b, _ := json.Marshal(map[string]any{
+		"model": r.Model, "max_tokens": r.MaxTokens, "stream": r.Stream,
+		"messages": []map[string]string{{"role": "user", "content": r.Prompt}},
+	})
+	return b
+}
+
+// Address returns an address to use, after a look-up if the last is too old.
+func (c *Caller) Address(ctx context.Context) (string, error) {
+	c.mu.Lock()
+	fresh := time.Now().Before(c.until) && len(c.addresses) > 0
+	c.mu.Unlock()
+	if !fresh {
+		if err := c.lookUp(ctx); err != nil {
+			return "", err
+		}
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.addresses[rand.IntN(len(c.addresses))], nil
+}
+
+// Forget drops the kept addresses, so that the next request looks up again.
+func (c *Caller) Forget() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.until = time.Time{}
+}
+
+func (c *Caller) lookUp(ctx context.Context) error {
+	c.mu.Lock()
+	candidates := append(append([]string{}, c.addresses...), c.cfg.Seeds...)
+	c.mu.Unlock()
+	var failed error
+	for _, a := range candidates {
+		answer, err := c.lookUpAt(ctx, a)
+		if err == nil && len(answer.Addresses) > 0 {
+			c.keep(answer)
+			return nil
+		}
+		failed = errors.CombineErrors(failed, err)
+	}
+	return slugfault.Wrap(errors.CombineErrors(failed, errors.New("no host answered")), "look up addresses", "")
+}
+
+func (c *Caller) lookUpAt(ctx context.Context, address string) (slugaddress.Answer, error) {
+	ctx, cancel := context.WithTimeout(ctx, 2*time.Second)
+	defer cancel()
+	var answer slugaddress.Answer
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/v1/addresses", http.NoBody)
+	if err != nil {
+		return answer, err
+	}
+	r.Header.Set("Authorization", "Bearer "+c.cfg.Key)
+	resp, err := c.client.Do(r)
+	if err != nil {
+		return answer, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return answer, errors.Newf("look-up at %s: status %d", address, resp.StatusCode)
+	}
+	return answer, json.NewDecoder(resp.Body).Decode(&answer)
+}
+
+func (c *Caller) keep(a slugaddress.Answer) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.addresses = c.addresses[:0]
+	for _, x := range a.Addresses {
+		c.addresses = append(c.addresses, x.Address)
+	}
+	c.until = time.Now().Add(time.Duration(a.MaxAgeSeconds) * time.Second)
+}
+
+// Chat sends a completion and returns its whole answer. It tries again when the
+// refusal says that the request did not run, or that trying again is safe, as it
+// is for completions.
+func (c *Caller) Chat(ctx context.Context, x ChatRequest) (ChatAnswer, error) {
+	var last error
+	for n := range c.cfg.Tries {
+		a, err := c.chat(ctx, x)
+		if err == nil {
+			return a, nil
+		}
+		last = err
+		var refusal *Refusal
+		if errors.As(err, &refusal) && refusal.Status < 500 && refusal.Status != http.StatusTooManyRequests {
+			return a, err
+		}
+		if ctx.Err() != nil || !c.pause(ctx, n, refusal) {
+			return a, err
+		}
+	}
+	return ChatAnswer{}, last
+}
+
+// pause waits before the next try.
+func (c *Caller) pause(ctx context.Context, n int, r *Refusal) bool {
+	c.Forget()
+	d := time.Duration(rand.Int64N(int64(100*time.Millisecond) << n))
+	if r != nil && r.After > d {
+		d = r.After
+	}
+	return slugbackoff.Sleep(ctx, d) == nil
+}
+
+func (c *Caller) chat(ctx context.Context, x ChatRequest) (ChatAnswer, error) {
+	address, err := c.Address(ctx)
+	if err != nil {
+		return ChatAnswer{}, err
+	}
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/v1/chat/completions", bytes.NewReader(x.Body()))
+	if err != nil {
+		return ChatAnswer{}, err
+	}
+	r.Header.Set("Authorization", "Bearer "+c.cfg.Key)
+	if x.Class != "" {
+		r.Header.Set("Sassafraslug-Class", x.Class)
+	}
+	if x.Deadline > 0 {
+		r.Header.Set("Sassafraslug-Deadline-Ms", strconv.FormatInt(x.Deadline.Milliseconds(), 10))
+	}
+	start := time.Now()
+	resp, err := c.client.Do(r)
+	if err != nil {
+		return ChatAnswer{}, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	a := ChatAnswer{RequestID: resp.Header.Get("X-Request-Id")}
+	if resp.StatusCode != http.StatusOK {
+		return a, ReadRefusal(resp)
+	}
+	if x.Stream {
+		err = a.readStream(resp.Body, start)
+	} else {
+		err = a.readDocument(resp.Body)
+		a.FirstToken = time.Since(start)
+	}
+	a.Total = time.Since(start)
+	return a, err
+}
+
+// refusalDocument is a refusal in JSON.
+type refusalDocument struct {
+	Error struct {
+		Code              string  `json:"code"`
+		Message           string  `json:"message"`
+		Ran               string  `json:"ran"`
+		RetryAfterSeconds float64 `json:"retryAfterSeconds"`
+	} `json:"error"`
+}
+
+// ReadRefusal reads a refusal.
+func ReadRefusal(resp *http.Response) error {
+	b, err := io.ReadAll(io.LimitReader(resp.Body, 1<<16))
+	if err != nil {
+		return err
+	}
+	return parseRefusal(resp.StatusCode, b)
+}
+
+func parseRefusal(status int, b []byte) error {
+	var d refusalDocument
+	if json.Unmarshal(b, &d) != nil || d.Error.Code == "" {
+		return errors.Newf("status %d: %s", status, b)
+	}
+	return &Refusal{status, d.Error.Code, d.Error.Ran, d.Error.Message, time.Duration(d.Error.RetryAfterSeconds * float64(time.Second))}
+}
+
+// streamChunk is the part of an event that matters here.
+type streamChunk struct {
+	Choices []struct {
+		Delta struct {
+			Content string `json:"content"`
+		} `json:"delta"`
+	} `json:"choices"`
+}
+
+// ErrNotWhole says that a stream ended without its last event.
+var ErrNotWhole = errors.New("answer is not whole")
+
+func (a *ChatAnswer) readStream(r io.Reader, start time.Time) error {
+	s := bufio.NewScanner(r)
+	s.Buffer(nil, 1<<20)
+	var text strings.Builder
+	last := start
+	failed := false
+	for s.Scan() {
+		line := s.Text()
+		failed = failed || line == "event: error"
+		data, ok := strings.CutPrefix(line, "data: ")
+		switch {
+		case !ok:
+			continue
+		case failed:
+			return parseRefusal(http.StatusBadGateway, []byte(data))
+		case data == "[DONE]":
+			a.Text = text.String()
+			return nil
+		}
+		now := time.Now()
+		if a.FirstToken == 0 {
+			a.FirstToken = now.Sub(start)
+		} else {
+			a.LongestGap = max(a.LongestGap, now.Sub(last))
+		}
+		last = now
+		var c streamChunk
+		if err := json.Unmarshal([]byte(data), &c); err != nil {
+			return err
+		}
+		for _, x := range c.Choices {
+			text.WriteString(x.Delta.Content)
+		}
+	}
+	return errors.CombineErrors(ErrNotWhole, s.Err())
+}
+
+// chatDocument is an answer in one document.
+type chatDocument struct {
+	Choices []struct {
+		Message struct {
+			Content string `json:"content"`
+		} `json:"message"`
+	} `json:"choices"`
+}
+
+func (a *ChatAnswer) readDocument(r io.Reader) error {
+	var d chatDocument
+	if err := json.NewDecoder(r).Decode(&d); err != nil {
+		return err
+	}
+	if len(d.Choices) == 0 {
+		return ErrNotWhole
+	}
+	a.Text = d.Choices[0].Message.Content
+	return nil
+}
+
+// PlainRequest is one call of a plain service.
+type PlainRequest struct {
+	Service string
+	Method  string
+	// Path begins with a slash.
+	Path string
+	Body []byte
+	// IdempotencyKey makes a repeated call run once; empty repeats only calls that
+	// did not run.
+	IdempotencyKey string
+	// Idempotent calls are repeated after any failure.
+	Idempotent bool
+}
+
+// Plain sends a call and returns its status and body.
+func (c *Caller) Plain(ctx context.Context, x PlainRequest) (int, []byte, error) {
+	var last error
+	for n := range c.cfg.Tries {
+		status, body, err := c.plain(ctx, x)
+		if err == nil {
+			return status, body, nil
+		}
+		last = err
+		var refusal *Refusal
+		known := errors.As(err, &refusal)
+		if known && refusal.Status < 500 && refusal.Status != http.StatusTooManyRequests {
+			return refusal.Status, nil, err
+		}
+		safe := x.Idempotent || x.IdempotencyKey != "" || known && refusal.Ran == "no"
+		if !safe || !c.pause(ctx, n, refusal) {
+			return 0, nil, err
+		}
+	}
+	return 0, nil, last
+}
+
+func (c *Caller) plain(ctx context.Context, x PlainRequest) (int, []byte, error) {
+	address, err := c.Address(ctx)
+	if err != nil {
+		return 0, nil, err
+	}
+	r, err := http.NewRequestWithContext(ctx, x.Method, "http://"+address+"/services/"+x.Service+x.Path, bytes.NewReader(x.Body))
+	if err != nil {
+		return 0, nil, err
+	}
+	r.GetBody = nil
+	r.Header.Set("Authorization", "Bearer "+c.cfg.Key)
+	if x.IdempotencyKey != "" {
+		r.Header.Set("Idempotency-Key", x.IdempotencyKey)
+	}
+	resp, err := c.client.Do(r)
+	if err != nil {
+		return 0, nil, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.Header.Get("Sassafraslug-Ran") != "" {
+		return 0, nil, ReadRefusal(resp)
+	}
+	b, err := io.ReadAll(resp.Body)
+	return resp.StatusCode, b, err
+}
+
+// CloseIdle closes connections that are not in use.
+func (c *Caller) CloseIdle() { c.cfg.Transport.CloseIdleConnections() }
--- /dev/null
+++ b/internal/process/slugcontrol/api.go
@@ -0,0 +1,368 @@
+package slugcontrol
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sassafraslug/sassafraslug/internal/process/slugbackoff"
+	"github.com/sassafraslug/sassafraslug/internal/process/slugburn"
+	"github.com/sassafraslug/sassafraslug/internal/process/slugevent"
+	"github.com/sassafraslug/sassafraslug/internal/process/slugintent"
+	"github.com/sassafraslug/sassafraslug/internal/process/sluglease"
+	"github.com/sassafraslug/sassafraslug/internal/process/slugledger"
+	"github.com/sassafraslug/sassafraslug/internal/process/slugmember"
+	"github.com/sassafraslug/sassafraslug/internal/process/slugmetrics"
+	"github.com/sassafraslug/sassafraslug/internal/process/slugname"
+	"github.com/sassafraslug/sassafraslug/internal/process/slugoperate"
+	"github.com/sassafraslug/sassafraslug/internal/process/slugplan"
+	"github.com/sassafraslug/sassafraslug/internal/process/slugreport"
+	"github.com/sassafraslug/sassafraslug/internal/process/slugstore"
+	"github.com/sassafraslug/sassafraslug/internal/version/slugconfig"
+	"github.com/sassafraslug/sassafraslug/internal/version/slugdiff"
+	"github.com/sassafraslug/sassafraslug/internal/version/slughead"
+	"github.com/sassafraslug/sassafraslug/internal/version/slugmanifest"
+)
+
+const (
+	// acceptWithin is how long a change waits for acknowledgements.
+	acceptWithin = 10 * time.Second
+	// acceptLook is the time between looks at the acknowledgements.
+	acceptLook = 50 * time.Millisecond
+	// applyTimeout bounds the writes of a change.
+	applyTimeout = 10 * time.Second
+	// defaultWindows is the number of usage reports that are shown.
+	defaultWindows = 10
+)
+
+// serveHTTP serves operators.
+func (c *Control) serveHTTP(w http.ResponseWriter, r *http.Request) {
+	c.operatorsOnce.Do(func() { c.operatorsMux = c.newMux() })
+	c.operatorsMux.ServeHTTP(w, r)
+}
+
+func (c *Control) newMux() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /health", func(http.ResponseWriter, *http.Request) {})
+	mux.HandleFunc("GET /ready", c.getReady)
+	mux.HandleFunc("GET /metrics", c.getMetrics)
+	mux.HandleFunc("GET /v1/manifest", c.getManifest)
+	mux.HandleFunc("POST /v1/apply", c.postApply)
+	mux.HandleFunc("GET /v1/changes/{id}", c.getChange)
+	mux.HandleFunc("GET /v1/status", c.getStatus)
+	mux.HandleFunc("GET /v1/duties", c.getDuties)
+	mux.HandleFunc("POST /v1/duties/release", c.postRelease)
+	mux.HandleFunc("POST /v1/drain", c.postDrain)
+	mux.HandleFunc("GET /v1/usage", c.getUsage)
+	mux.HandleFunc("GET /v1/burn", c.getBurn)
+	mux.HandleFunc("GET /v1/why", c.getWhy)
+	return mux
+}
+
+func writeJSON(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(v)
+}
+
+func writeError(w http.ResponseWriter, status int, err error) {
+	writeJSON(w, status, slugoperate.Failure{Error: err.Error()})
+}
+
+func (c *Control) getReady(w http.ResponseWriter, _ *http.Request) {
+	if c.leaving.Load() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+func (c *Control) getMetrics(w http.ResponseWriter, _ *http.Request) {
+	slugmetrics.Write(w, c.metrics, c.Link.Bytes())
+}
+
+func (c *Control) getManifest(w http.ResponseWriter, _ *http.Request) {
+	m := slugoperate.Manifest{Manifest: &slugmanifest.Manifest{}}
+	if s := c.Follower.Snapshot(); s != nil {
+		m.Revision, m.Manifest = s.Revision, s.Manifest
+	}
+	writeJSON(w, http.StatusOK, m)
+}
+
+// postApply makes a manifest the next revision.
+func (c *Control) postApply(w http.ResponseWriter, r *http.Request) {
+	base, err := strconv.ParseUint(r.URL.Query().Get("base"), 10, 64)
+	if err != nil {
+		writeError(w, http.StatusBadRequest, errors.Newf("parameter base: %q: a revision is needed", r.URL.Query().Get("base")))
+		return
+	}
+	id := slugstore.ChangeID(r.URL.Query().Get("change"))
+	if id == "" {
+		id = slugstore.RandomChangeID()
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, slugmanifest.MaxManifestBytes))
+	if err != nil {
+		writeError(w, http.StatusRequestEntityTooLarge, err)
+		return
+	}
+	m, problems := slugmanifest.Decode(body)
+	if len(problems) > 0 {
+		writeJSON(w, http.StatusUnprocessableEntity, slugoperate.Invalid{Error: "the manifest is not valid:\n" + problems.Error(), Problems: problems})
+		return
+	}
+	c.apply(w, r, m, slugconfig.Revision(base), id)
+}
+
+func (c *Control) apply(w http.ResponseWriter, r *http.Request, m *slugmanifest.Manifest, base slugconfig.Revision, id slugstore.ChangeID) {
+	ctx, cancel := context.WithTimeout(r.Context(), applyTimeout)
+	defer cancel()
+	h, err := slughead.Apply(ctx, c.Store.For("apply"), m, base, id)
+	switch {
+	case errors.Is(err, slughead.ErrBase):
+		c.log.Emit(slugevent.ConfigurationConflict, slugevent.Fields{"base": base, "revision": h.Revision})
+		writeJSON(w, http.StatusConflict, c.conflict(ctx, m, base, h))
+		return
+	case err != nil:
+		writeError(w, http.StatusServiceUnavailable, errors.Wrapf(err, "outcome unknown: ask with status --change %s", id))
+		return
+	}
+	revision, _ := h.Find(id)
+	c.log.Emit(slugevent.ConfigurationApplied, slugevent.Fields{"revision": revision, "change": id})
+	c.Follower.Heard(revision, time.Now())
+	writeJSON(w, http.StatusOK, c.await(r.Context(), id, revision))
+}
+
+// conflict tells what the present revision differs in.
+func (c *Control) conflict(ctx context.Context, m *slugmanifest.Manifest, base slugconfig.Revision, h slughead.Head) slugoperate.Conflict {
+	x := slugoperate.Conflict{
+		Error:    errors.Newf("base %d is not the present revision, which is %d; nothing was changed", base, h.Revision).Error(),
+		Revision: h.Revision, Diff: []slugdiff.Difference{},
+	}
+	if s, err := slughead.NewLoader(c.Store.For("apply")).Load(ctx, h); err == nil {
+		x.Diff = append(x.Diff, slugdiff.Compare(s.Manifest, m)...)
+	}
+	return x
+}
+
+// await waits until a majority of the hosts has acknowledged a revision.
+func (c *Control) await(ctx context.Context, id slugstore.ChangeID, r slugconfig.Revision) slugoperate.Change {
+	deadline := time.Now().Add(acceptWithin)
+	for {
+		x := c.change(id, r)
+		if x.Accepted || time.Now().After(deadline) || slugbackoff.Sleep(ctx, acceptLook) != nil {
+			return x
+		}
+	}
+}
+
+// change counts the acknowledgements of a revision.
+func (c *Control) change(id slugstore.ChangeID, r slugconfig.Revision) slugoperate.Change {
+	confirmed := map[slugname.Host]bool{}
+	for _, x := range c.Member.Records() {
+		if x.Kind == slugmember.KindGate {
+			confirmed[x.Host] = false
+		}
+	}
+	for _, s := range c.Table.Statuses() {
+		if _, known := confirmed[s.Host]; known && s.Kind == slugmember.KindGate && s.Alive && s.Revision >= r {
+			confirmed[s.Host] = true
+		}
+	}
+	x := slugoperate.Change{ID: id, Revision: r, Unconfirmed: []slugname.Host{}}
+	for h, ok := range confirmed {
+		if !ok {
+			x.Unconfirmed = append(x.Unconfirmed, h)
+		}
+	}
+	slices.Sort(x.Unconfirmed)
+	x.Accepted = r > 0 && 2*(len(confirmed)-len(x.Unconfirmed)) > len(confirmed)
+	return x
+}
+
+// getChange settles what became of a change.
+func (c *Control) getChange(w http.ResponseWriter, r *http.Request) {
+	ctx, cancel := context.WithTimeout(r.Context(), callTimeout)
+	defer cancel()
+	h, err := slughead.Read(ctx, c.Store.For("apply"))
+	if err != nil {
+		writeError(w, http.StatusServiceUnavailable, err)
+		return
+	}
+	id := slugstore.ChangeID(r.PathValue("id"))
+	revision, ok := h.Find(id)
+	if !ok {
+		writeJSON(w, http.StatusOK, slugoperate.Change{ID: id, Unconfirmed: []slugname.Host{}})
+		return
+	}
+	writeJSON(w, http.StatusOK, c.change(id, revision))
+}
+
+func (c *Control) getStatus(w http.ResponseWriter, r *http.Request) {
+	_, answers := c.Follower.Word()
+	x := slugoperate.Status{Revision: c.Follower.Revision(), StoreAnswers: answers, Processes: []slugoperate.ProcessStatus{}, Plans: []slugplan.Plan{}}
+	now := time.Now()
+	for _, s := range c.Table.Statuses() {
+		record, _ := c.Member.Record(s.Process)
+		record.Process, record.Kind, record.Host = s.Process, s.Kind, s.Host
+		x.Processes = append(x.Processes, slugoperate.ProcessStatus{
+			Record: record, Alive: s.Alive, Leaving: s.Leaving, Revision: s.Revision,
+			WordAgeMs: now.Sub(s.Word).Milliseconds(), StoreLost: s.StoreLost,
+		})
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), callTimeout)
+	defer cancel()
+	x.Plans = append(x.Plans, c.plans(ctx)...)
+	writeJSON(w, http.StatusOK, x)
+}
+
+// plans reads the plans from the store; it returns none while the store is down.
+func (c *Control) plans(ctx context.Context) []slugplan.Plan {
+	objects, err := c.Store.For("status").List(ctx, slugplan.Prefix)
+	if err != nil {
+		return nil
+	}
+	var out []slugplan.Plan
+	for _, o := range objects {
+		var p slugplan.Plan
+		if o.Body != nil && o.Decode(&p) == nil {
+			out = append(out, p)
+		}
+	}
+	return out
+}
+
+func (c *Control) getDuties(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, http.StatusOK, slugoperate.Duties{Duties: c.duties.Statuses()})
+}
+
+// postRelease makes this process give a duty up.
+func (c *Control) postRelease(w http.ResponseWriter, r *http.Request) {
+	duty := sluglease.Duty(r.URL.Query().Get("duty"))
+	if !c.duties.GiveUp(duty) {
+		writeError(w, http.StatusNotFound, errors.Newf("duty %q is not held by this process", duty))
+		return
+	}
+	writeJSON(w, http.StatusOK, slugoperate.Duties{})
+}
+
+func (c *Control) postDrain(w http.ResponseWriter, r *http.Request) {
+	var x slugoperate.Drain
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, 1<<16)).Decode(&x); err != nil {
+		writeError(w, http.StatusBadRequest, err)
+		return
+	}
+	if (x.Host == "") == (x.Endpoint == "") {
+		writeError(w, http.StatusBadRequest, errors.New("a host or an endpoint is needed"))
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), callTimeout)
+	defer cancel()
+	err := c.intent.ChangeDrains(ctx, func(d *slugintent.Drains) {
+		if x.Host != "" {
+			d.Hosts = changed(d.Hosts, x.Host, x.Undo)
+			return
+		}
+		d.Endpoints = changed(d.Endpoints, x.Endpoint, x.Undo)
+	})
+	if err != nil {
+		writeError(w, http.StatusServiceUnavailable, err)
+		return
+	}
+	writeJSON(w, http.StatusOK, x)
+}
+
+// changed returns a list with or without a name.
+func changed[T ~string](list []T, name T, remove bool) []T {
+	list = slices.DeleteFunc(list, func(x T) bool { return x == name })
+	if !remove {
+		list = append(list, name)
+	}
+	return list
+}
+
+// getUsage returns the newest reports.
+func (c *Control) getUsage(w http.ResponseWriter, r *http.Request) {
+	n, err := strconv.Atoi(r.URL.Query().Get("windows"))
+	if err != nil || n < 1 {
+		n = defaultWindows
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), callTimeout)
+	defer cancel()
+	x := slugoperate.Usage{Reports: []slugreport.Report{}}
+	length := c.settings.UsageWindow
+	last := slugledger.WindowAt(time.Now(), length)
+	for i := range n {
+		window := last - slugledger.Window(int64(i)*int64(length/time.Second))
+		o, err := c.Store.For("status").Get(ctx, slugreport.ReportName(c.settings.Region, window))
+		if err != nil {
+			writeError(w, http.StatusServiceUnavailable, err)
+			return
+		}
+		var report slugreport.Report
+		if o.Body != nil && o.Decode(&report) == nil {
+			x.Reports = append(x.Reports, report)
+		}
+	}
+	writeJSON(w, http.StatusOK, x)
+}
+
+// getBurn asks all gates for their counts.
+func (c *Control) getBurn(w http.ResponseWriter, r *http.Request) {
+	reports, missing := c.gateReports(r.Context())
+	x := slugoperate.Burn{Lines: []slugoperate.BurnLine{}, Missing: missing}
+	s := c.Follower.Snapshot()
+	for _, l := range slugburn.Merge(reports...) {
+		line := slugoperate.BurnLine{Line: l, Share: defaultShare}
+		if s != nil && s.Service(l.Service) != nil {
+			line.Share = s.Service(l.Service).Objectives.Share
+		}
+		for _, n := range l.Counts {
+			line.Rates = append(line.Rates, n.Rate(line.Share))
+		}
+		x.Lines = append(x.Lines, line)
+	}
+	writeJSON(w, http.StatusOK, x)
+}
+
+// defaultShare is the wanted share of a service that is no longer configured.
+const defaultShare = 0.95
+
+// gateReports reads the counts of all live gates.
+func (c *Control) gateReports(ctx context.Context) (reports [][]slugburn.Line, missing []slugname.Host) {
+	missing = []slugname.Host{}
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	for _, s := range c.Table.Statuses() {
+		record, ok := c.Member.Record(s.Process)
+		if !ok || s.Kind != slugmember.KindGate || !s.Alive {
+			continue
+		}
+		wg.Go(func() {
+			lines, err := c.gateReport(ctx, record.OperatorsAddress)
+			mu.Lock()
+			defer mu.Unlock()
+			if err != nil {
+				missing = append(missing, record.Host)
+				return
+			}
+			reports = append(reports, lines)
+		})
+	}
+	wg.Wait()
+	slices.Sort(missing)
+	return reports, missing
+}
+
+func (c *Control) gateReport(ctx context.Context, address string) ([]slugburn.Line, error) {
+	var lines []slugburn.Line
+	client := slugoperate.New(slugoperate.Config{Address: address, Token: c.token})
+	return lines, client.Get(ctx, "/burn", &lines)
+}
+
+func (c *Control) getWhy(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, http.StatusOK, slugoperate.Why{Decisions: c.duties.Why()})
+}
--- /dev/null
+++ b/internal/process/slugcontrol/control.go
@@ -0,0 +1,291 @@
+// Package slugcontrol is the daemon for duties and operators: engine orders,
+// endpoint ordering and usage reports under leases, and the operators' API.
+//
+// # Usage
+//
+//	c := slugcontrol.New(settings, log)
+//	err := c.Run(ctx) // the first end of ctx begins a graceful shutdown
+package slugcontrol
+
+import (
+	"context"
+	"expvar"
+	"net/http"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sassafraslug/sassafraslug/internal/connection/slugsend"
+	"github.com/sassafraslug/sassafraslug/internal/process/slugbackoff"
+	"github.com/sassafraslug/sassafraslug/internal/process/slugduties"
+	"github.com/sassafraslug/sassafraslug/internal/process/slugevent"
+	"github.com/sassafraslug/sassafraslug/internal/process/slugguard"
+	"github.com/sassafraslug/sassafraslug/internal/process/slugintent"
+	"github.com/sassafraslug/sassafraslug/internal/process/slugmember"
+	"github.com/sassafraslug/sassafraslug/internal/process/slugname"
+	"github.com/sassafraslug/sassafraslug/internal/process/slugpeer"
+	"github.com/sassafraslug/sassafraslug/internal/process/slugplatformapi"
+	"github.com/sassafraslug/sassafraslug/internal/process/slugserve"
+	"github.com/sassafraslug/sassafraslug/internal/process/slugsettings"
+	"github.com/sassafraslug/sassafraslug/internal/process/slugstep"
+	"github.com/sassafraslug/sassafraslug/internal/process/slugworld"
+	"golang.org/x/sync/errgroup"
+)
+
+const (
+	// hostsEvery is the time between reads of the host list.
+	hostsEvery = 2 * time.Second
+	// hostsReaders is the number of processes of a data centre that read the list.
+	hostsReaders = 2
+	// callTimeout bounds a call to the platform or to another process.
+	callTimeout = 3 * time.Second
+	// leaveTimeout bounds the last writes of a leaving process.
+	leaveTimeout = 10 * time.Second
+	// goneAfter is how long a process that ended is still remembered by name.
+	goneAfter = time.Minute
+)
+
+// Control is the daemon.
+type Control struct {
+	settings *slugsettings.Settings
+	log      *slugevent.Log
+	metrics  *expvar.Map
+
+	*slugworld.World
+	client    *http.Client
+	platform  *slugplatformapi.Client
+	intent    *slugintent.Intent
+	duties    *slugduties.Duties
+	operators *slugserve.Server
+	leaving   atomic.Bool
+
+	mu sync.Mutex
+	// hosts is the host list as last read; hostsAt is when.
+	hosts   []slugplatformapi.Host
+	hostsAt time.Time
+	// missing is since when each process was neither listed nor heard.
+	missing map[slugname.Process]time.Time
+
+	// token is what operators present; this process presents it to gates.
+	token         string
+	operatorsOnce sync.Once
+	operatorsMux  http.Handler
+	stop          context.CancelFunc
+}
+
+// New returns a Control that does nothing yet.
+func New(s *slugsettings.Settings, log *slugevent.Log) *Control {
+	return &Control{settings: s, log: log, metrics: new(expvar.Map).Init(), missing: map[slugname.Process]time.Time{}}
+}
+
+// Run runs the daemon. When ctx ends it leaves gracefully: it finishes its orders,
+// releases its duties, and returns.
+func (c *Control) Run(ctx context.Context) error {
+	work, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	c.stop = stop
+	return slugstep.Run(work, c.log, []slugstep.Step{
+		{Name: "open listeners", Run: c.listen},
+		{Name: "join the system", Run: c.join},
+		{Name: "serve operators", Run: c.serveOperators},
+		{Name: "publish this process", Run: c.publish},
+		{Name: "follow the configuration", Run: c.follow},
+		{Name: "read the host list", Run: c.readHosts},
+		{Name: "do duties", Run: c.doDuties},
+		{Name: "leave when told", Run: func(_ context.Context, group *errgroup.Group) error {
+			group.Go(func() error { return c.leaveAfter(ctx, work) })
+			return nil
+		}},
+	})
+}
+
+func (c *Control) listen(_ context.Context, _ *errgroup.Group) error {
+	var err error
+	if c.token, err = slugguard.ReadToken(c.settings.OperatorsTokenFile); err != nil {
+		return err
+	}
+	guard, err := slugguard.New(c.settings.OperatorsTokenFile, http.HandlerFunc(c.serveHTTP))
+	if err != nil {
+		return err
+	}
+	c.operators, err = slugserve.New(slugserve.Config{Address: c.settings.OperatorsListen, Handler: guard, Log: c.log})
+	return err
+}
+
+// join makes the parts and sends nothing.
+func (c *Control) join(_ context.Context, _ *errgroup.Group) error {
+	var err error
+	c.World, err = slugworld.New(slugworld.Config{
+		Settings: c.settings, Kind: slugmember.KindControl, Log: c.log, Metrics: c.metrics,
+		OperatorsAddress: slugworld.Advertised(c.settings.OperatorsAdvertise, c.operators.Address()), Heard: c.heard,
+	})
+	if err != nil {
+		return err
+	}
+	c.client = &http.Client{Timeout: callTimeout, Transport: &http.Transport{DialContext: slugsend.NewDialer(slugsend.UserTimeout).DialContext}}
+	c.platform = slugplatformapi.New(slugplatformapi.Config{BaseURL: c.settings.PlatformAddress, Do: c.client.Do})
+	c.intent = slugintent.New(c.Store.For("intents"))
+	c.duties = slugduties.New(slugduties.Config{
+		World: c.World, Settings: c.settings, Platform: c.platform, Intent: c.intent, Gone: c.gone, Log: c.log,
+		Leaving: c.leaving.Load,
+	})
+	return nil
+}
+
+// heard takes a peer's row. A released duty is looked at at once.
+func (c *Control) heard(r slugpeer.Row) {
+	if c.duties != nil && r.Kind == slugmember.KindControl && r.Released > 0 {
+		c.duties.Poke()
+	}
+}
+
+func (c *Control) serveOperators(ctx context.Context, group *errgroup.Group) error {
+	group.Go(func() error { return c.operators.Serve(ctx) })
+	return nil
+}
+
+func (c *Control) publish(ctx context.Context, group *errgroup.Group) error {
+	return c.Publish(ctx, group)
+}
+
+func (c *Control) follow(ctx context.Context, group *errgroup.Group) error {
+	group.Go(func() error { return c.Follower.Run(ctx) })
+	group.Go(func() error { return c.intent.Run(ctx) })
+	return nil
+}
+
+func (c *Control) doDuties(ctx context.Context, group *errgroup.Group) error {
+	group.Go(func() error { return c.duties.Run(ctx) })
+	return nil
+}
+
+// readHosts reads the host list every few seconds, tells peers which hosts leave,
+// and removes the records of processes that have ended.
+func (c *Control) readHosts(ctx context.Context, group *errgroup.Group) error {
+	group.Go(func() error {
+		for ctx.Err() == nil {
+			if c.readsHosts() {
+				c.readHostsOnce(ctx)
+			}
+			_ = slugbackoff.Sleep(ctx, hostsEvery)
+		}
+		return nil
+	})
+	return nil
+}
+
+// readsHosts reports whether this process is one of the few that read the list.
+func (c *Control) readsHosts() bool {
+	var alive []slugname.Process
+	self := c.Member.Self()
+	for _, s := range c.Table.Statuses() {
+		if r, ok := c.Member.Record(s.Process); ok && s.Alive && s.Kind == slugmember.KindControl && r.DataCentre == self.DataCentre {
+			alive = append(alive, s.Process)
+		}
+	}
+	return slugmember.Rank("hosts", self.Process, alive) < hostsReaders
+}
+
+func (c *Control) readHostsOnce(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	hosts, err := c.platform.Hosts(ctx)
+	if err != nil {
+		return
+	}
+	c.mu.Lock()
+	c.hosts, c.hostsAt = hosts, time.Now()
+	c.mu.Unlock()
+	c.tellLeaving(hosts)
+	c.forgetEnded(ctx)
+}
+
+// tellLeaving tells peers which hosts leave, by the list or by operators.
+func (c *Control) tellLeaving(hosts []slugplatformapi.Host) {
+	leaving := c.intent.Drains().Hosts
+	for _, h := range hosts {
+		if h.State == slugplatformapi.StateLeaving {
+			leaving = append(leaving, h.Name)
+		}
+	}
+	slices.Sort(leaving)
+	leaving = slices.Compact(leaving)
+	if slices.Equal(leaving, c.Table.Self().HostsLeaving) {
+		return
+	}
+	c.Table.Update(func(r *slugpeer.Row) { r.HostsLeaving = leaving })
+}
+
+// forgetEnded removes the records of processes that have been silent for long and
+// whose host is not listed or runs a newer process.
+func (c *Control) forgetEnded(ctx context.Context) {
+	alive := map[slugname.Process]bool{}
+	for _, s := range c.Table.Statuses() {
+		alive[s.Process] = s.Alive
+	}
+	now := time.Now()
+	for _, r := range c.Member.Records() {
+		if alive[r.Process] || !c.gone(r) {
+			c.setMissing(r.Process, time.Time{})
+			continue
+		}
+		if since := c.setMissing(r.Process, now); now.Sub(since) > goneAfter {
+			_ = c.Member.Remove(ctx, r.Process)
+		}
+	}
+}
+
+// setMissing notes since when a process is missing; zero forgets it.
+func (c *Control) setMissing(p slugname.Process, at time.Time) time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if at.IsZero() {
+		delete(c.missing, p)
+		return at
+	}
+	if c.missing[p].IsZero() {
+		c.missing[p] = at
+	}
+	return c.missing[p]
+}
+
+// gone reports whether a process has certainly ended: the host list was read after
+// its start and does not have its host, or a newer process of its kind on its host
+// has published itself.
+func (c *Control) gone(r slugmember.Record) bool {
+	for _, x := range c.Member.Records() {
+		if x.Host == r.Host && x.Kind == r.Kind && x.StartedAtMs > r.StartedAtMs {
+			return true
+		}
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.hostsAt.IsZero() || len(c.hosts) == 0 {
+		return false
+	}
+	return !slices.ContainsFunc(c.hosts, func(h slugplatformapi.Host) bool { return h.Name == r.Host })
+}
+
+// leaveAfter waits for the word to leave, and leaves.
+func (c *Control) leaveAfter(told, work context.Context) error {
+	select {
+	case <-told.Done():
+	case <-work.Done():
+		return c.operators.Close()
+	}
+	c.log.Emit(slugevent.ShutdownBegun, nil)
+	c.leaving.Store(true)
+	c.Table.Update(func(r *slugpeer.Row) { r.Leaving = true })
+	c.duties.Finish()
+	ctx, cancel := context.WithTimeout(work, leaveTimeout)
+	defer cancel()
+	c.Table.Push(ctx)
+	err := c.operators.Finish(ctx)
+	if leaveErr := c.Leave(ctx); err == nil {
+		err = leaveErr
+	}
+	c.stop()
+	c.log.Emit(slugevent.ShutdownDone, nil)
+	return err
+}
--- /dev/null
+++ b/internal/process/slugdaemon/daemon.go
@@ -0,0 +1,73 @@
+// Package slugdaemon is the frame of a daemon's main function: flags, settings,
+// log and signals.
+//
+// # Usage
+//
+//	func main() {
+//		os.Exit(slugdaemon.Main("gate", slugsettings.Gate, os.Args[1:], run))
+//	}
+package slugdaemon
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/sassafraslug/sassafraslug/internal/process/slugevent"
+	"github.com/sassafraslug/sassafraslug/internal/process/slugsettings"
+	"github.com/sirupsen/logrus"
+)
+
+// Run runs a daemon until ctx ends.
+type Run func(ctx context.Context, s *slugsettings.Settings, log *slugevent.Log) error
+
+// Exit statuses of daemons.
+const (
+	// ExitDone follows a graceful shutdown.
+	ExitDone = 0
+	// ExitFailed follows an error.
+	ExitFailed = 1
+	// ExitUsage follows wrong flags or settings.
+	ExitUsage = 2
+)
+
+// Main runs a daemon and returns its exit status. The first SIGTERM or SIGINT
+// begins a graceful shutdown, the second ends the process at once.
+func Main(name string, d slugsettings.Daemon, args []string, run Run) int {
+	app := kingpin.New("sassafraslug-"+name, "The "+name+" daemon of sassafraslug.")
+	path := app.Flag("settings", "INI file with the settings.").Short('s').PlaceHolder("FILE").String()
+	loader := slugsettings.New(d)
+	loader.Flags(app)
+	if _, err := app.Parse(args); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return ExitUsage
+	}
+	s, err := loader.Load(*path)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return ExitUsage
+	}
+	level, _ := logrus.ParseLevel(s.LogLevel)
+	log := slugevent.New(os.Stderr, level, string(s.Host)+"-"+name)
+	if err := run(signalContext(), s, log); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return ExitFailed
+	}
+	return ExitDone
+}
+
+func signalContext() context.Context {
+	ctx, cancel := context.WithCancel(context.Background())
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-signals
+		cancel()
+		<-signals
+		os.Exit(ExitFailed)
+	}()
+	return ctx
+}
--- /dev/null
+++ b/internal/process/slugduties/build.go
@@ -0,0 +1,186 @@
+package slugduties
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	"github.com/sassafraslug/sassafraslug/internal/process/slugbuy"
+	"github.com/sassafraslug/sassafraslug/internal/process/sluglease"
+	"github.com/sassafraslug/sassafraslug/internal/process/slugmember"
+	"github.com/sassafraslug/sassafraslug/internal/process/slugname"
+	"github.com/sassafraslug/sassafraslug/internal/process/slugplan"
+	"github.com/sassafraslug/sassafraslug/internal/process/slugplatformapi"
+	"github.com/sassafraslug/sassafraslug/internal/process/slugreport"
+	"github.com/sassafraslug/sassafraslug/internal/process/slugroster"
+	"github.com/sassafraslug/sassafraslug/internal/version/slugconfig"
+	"github.com/sassafraslug/sassafraslug/internal/version/slugmanifest"
+)
+
+// Names of the duties.
+const (
+	orderingPrefix = "ordering/"
+	usagePrefix    = "usage/"
+	rolesPrefix    = "roles/"
+)
+
+// wanted returns the duties that the configuration asks for, with how to make the
+// work of each.
+func (d *Duties) wanted() map[sluglease.Duty]func(*job) {
+	s := d.cfg.World.Follower.Snapshot()
+	out := map[sluglease.Duty]func(*job){}
+	if s == nil {
+		return out
+	}
+	region := d.cfg.World.Member.Self().Region
+	ordering := sluglease.Duty(orderingPrefix + string(region))
+	out[ordering] = func(j *job) { d.buildOrdering(j, ordering, region) }
+	out[sluglease.Duty(usagePrefix+string(region))] = func(j *job) { d.buildUsage(j, region) }
+	local := map[slugname.DataCentre]bool{}
+	for _, x := range dataCentres(s, region) {
+		local[x] = true
+	}
+	for _, x := range s.Manifest.Services {
+		for _, r := range x.Replicas {
+			if local[r.DataCentre] {
+				duty := sluglease.Duty(rolesPrefix + string(x.Name) + "/" + string(r.DataCentre))
+				out[duty] = func(j *job) { d.buildRoles(j, duty, x.Name, r.DataCentre) }
+			}
+		}
+	}
+	return out
+}
+
+func dataCentres(s *slugconfig.Snapshot, region slugname.Region) []slugname.DataCentre {
+	var out []slugname.DataCentre
+	for _, x := range s.Manifest.DataCentres {
+		if x.Region == region {
+			out = append(out, x.Name)
+		}
+	}
+	return out
+}
+
+func (d *Duties) buildOrdering(j *job, duty sluglease.Duty, region slugname.Region) {
+	w := d.cfg.World
+	b := slugbuy.New(slugbuy.Config{
+		Duty: duty, Region: region, Self: w.Member.Self().Process, Store: w.Store.For("ordering"),
+		DataCentres: func() []slugname.DataCentre { return dataCentres(w.Follower.Snapshot(), region) },
+		Needs:       d.needs,
+		Offering:    d.cfg.Platform.Endpoints, Order: d.cfg.Platform.Order,
+		Intent: d.cfg.Intent, Drained: d.drained, Ended: d.ended, Log: d.cfg.Log,
+	})
+	j.work = b.Work
+}
+
+// needs returns what a data centre should have: the least number of endpoints of
+// each service there.
+func (d *Duties) needs(dc slugname.DataCentre, _ []slugplatformapi.Endpoint, _ time.Time) []slugbuy.Need {
+	var out []slugbuy.Need
+	for _, s := range d.cfg.World.Follower.Snapshot().Manifest.Services {
+		n := slugbuy.Need{Service: s.Name, Kind: s.Kind}
+		for _, r := range s.Replicas {
+			if r.DataCentre == dc {
+				n.Regular = r.Min
+			}
+		}
+		out = append(out, n)
+	}
+	return out
+}
+
+// drained reports whether the plan says that an endpoint leaves, all live gates act
+// on that plan, and the endpoint is idle.
+func (d *Duties) drained(ctx context.Context, e slugplatformapi.Endpoint) bool {
+	name := slugplan.Name(e.Service, e.DataCentre)
+	o, err := d.cfg.World.Store.For("ordering").Get(ctx, name)
+	if err != nil || o.Body == nil {
+		return false
+	}
+	var p slugplan.Plan
+	if o.Decode(&p) != nil {
+		return false
+	}
+	for _, x := range p.Endpoints {
+		if x.Name == e.Name && x.State != slugplan.StateLeaving {
+			return false
+		}
+	}
+	if !slugroster.Drained(d.cfg.World.Table.Statuses(), name, o.Version, e.Name) {
+		return false
+	}
+	if e.Kind != slugmanifest.KindEngine {
+		return true
+	}
+	g, err := d.orders.Greet(ctx, e.Address)
+	return err == nil && g.Idle
+}
+
+// ended reports whether a past holder has certainly ended. Its record in the store
+// is removed only by itself, or after it ended.
+func (d *Duties) ended(p sluglease.Predecessor) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), reviewEvery)
+	defer cancel()
+	o, err := d.cfg.World.Store.For("members").Get(ctx, slugmember.Prefix+string(p.Process))
+	if err != nil {
+		return false
+	}
+	var r slugmember.Record
+	if o.Body == nil {
+		return true
+	}
+	return o.Decode(&r) == nil && d.cfg.Gone(r)
+}
+
+func (d *Duties) buildUsage(j *job, region slugname.Region) {
+	w := d.cfg.World
+	r := slugreport.New(slugreport.Config{
+		Region: region, Store: w.Store.For("usage"), Window: d.cfg.Settings.UsageWindow,
+		Gates: func(ctx context.Context) ([]slugmember.Record, error) { return d.gates(ctx, region) },
+		Alive: d.alive, Send: d.cfg.Platform.Report, Log: d.cfg.Log,
+	})
+	j.work = r.Work
+}
+
+// gates reads the published gates of a region from the store.
+func (d *Duties) gates(ctx context.Context, region slugname.Region) ([]slugmember.Record, error) {
+	objects, err := d.cfg.World.Store.For("usage").List(ctx, slugmember.Prefix)
+	if err != nil {
+		return nil, err
+	}
+	var out []slugmember.Record
+	for _, o := range objects {
+		var r slugmember.Record
+		if o.Body == nil || !strings.HasPrefix(o.Name, slugmember.Prefix) {
+			continue
+		}
+		if err := o.Decode(&r); err != nil {
+			return nil, err
+		}
+		if r.Kind == slugmember.KindGate && r.Region == region {
+			out = append(out, r)
+		}
+	}
+	return out, nil
+}
+
+func (d *Duties) alive(p slugname.Process) bool {
+	for _, s := range d.cfg.World.Table.Statuses() {
+		if s.Process == p {
+			return s.Alive
+		}
+	}
+	return false
+}
+
+func (d *Duties) buildRoles(j *job, duty sluglease.Duty, service slugname.Service, dc slugname.DataCentre) {
+	w := d.cfg.World
+	r := slugroster.New(slugroster.Config{
+		Duty: duty, Service: service, DataCentre: dc, Self: w.Member.Self().Process, Store: w.Store.For("roles"),
+		Offering: func(ctx context.Context) (slugplatformapi.Offering, error) { return d.cfg.Platform.Endpoints(ctx, dc) },
+		Greet:    d.orders.Greet, Send: d.orders.Send, Statuses: w.Table.Statuses,
+		Manifest: func() *slugmanifest.Service { return w.Follower.Snapshot().Service(service) },
+		Leaving:  d.cfg.Intent.Leaving, Ended: d.ended, Log: d.cfg.Log,
+	})
+	j.work = r.Work
+}
--- /dev/null
+++ b/internal/process/slugduties/duties.go
@@ -0,0 +1,246 @@
+// Package slugduties runs the duties of a control process: one lease a duty, and
+// the duty's work while the lease is held. The duties follow from the
+// configuration: ordering and usage of each region, and the roles of each service
+// in each data centre.
+//
+// # Usage
+//
+//	d := slugduties.New(slugduties.Config{World: world, ...})
+//	go d.Run(ctx)
+//	...
+//	d.Finish() // releases all duties and waits
+package slugduties
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/sassafraslug/sassafraslug/internal/process/slugbackoff"
+	"github.com/sassafraslug/sassafraslug/internal/process/slugevent"
+	"github.com/sassafraslug/sassafraslug/internal/process/slugintent"
+	"github.com/sassafraslug/sassafraslug/internal/process/sluglease"
+	"github.com/sassafraslug/sassafraslug/internal/process/slugmember"
+	"github.com/sassafraslug/sassafraslug/internal/process/slugname"
+	"github.com/sassafraslug/sassafraslug/internal/process/slugorder"
+	"github.com/sassafraslug/sassafraslug/internal/process/slugpeer"
+	"github.com/sassafraslug/sassafraslug/internal/process/slugplatformapi"
+	"github.com/sassafraslug/sassafraslug/internal/process/slugsettings"
+	"github.com/sassafraslug/sassafraslug/internal/process/slugworld"
+)
+
+const (
+	// reviewEvery is the time between looks at which duties there are.
+	reviewEvery = time.Second
+	// standDown is how long a process does not claim a duty that it was told to
+	// give up.
+	standDown = 30 * time.Second
+)
+
+// Config makes Duties.
+type Config struct {
+	World    *slugworld.World
+	Settings *slugsettings.Settings
+	Platform *slugplatformapi.Client
+	Intent   *slugintent.Intent
+	// Gone reports whether a process has certainly ended.
+	Gone func(slugmember.Record) bool
+	// Leaving reports whether this process gives all duties up.
+	Leaving func() bool
+	Log     *slugevent.Log
+}
+
+// job is one duty of this process.
+type job struct {
+	lease *sluglease.Lease
+	work  func(context.Context, *sluglease.Right) error
+	// why tells the last decisions; it may be nil.
+	why    func() []Decision
+	cancel context.CancelFunc
+	done   chan struct{}
+	// standDownUntil is until when the duty is not claimed.
+	standDownUntil time.Time
+}
+
+// Decision is one decision with its inputs.
+type Decision struct {
+	At       time.Time          `json:"at"`
+	Duty     sluglease.Duty     `json:"duty"`
+	Decision string             `json:"decision"`
+	Inputs   map[string]float64 `json:"inputs"`
+}
+
+// Duties runs the duties of one process.
+type Duties struct {
+	cfg    Config
+	orders *slugorder.Client
+
+	mu       sync.Mutex
+	jobs     map[sluglease.Duty]*job
+	finished bool
+	released uint32
+}
+
+// New returns Duties without any.
+func New(cfg Config) *Duties {
+	return &Duties{cfg: cfg, orders: slugorder.New(slugorder.Config{}), jobs: map[sluglease.Duty]*job{}}
+}
+
+// Run starts and ends duties as the configuration wants them, until ctx ends.
+func (d *Duties) Run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		d.review(ctx)
+		_ = slugbackoff.Sleep(ctx, reviewEvery)
+	}
+	d.Finish()
+	return nil
+}
+
+// review brings the jobs in line with the configuration.
+func (d *Duties) review(ctx context.Context) {
+	wanted := d.wanted()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.finished {
+		return
+	}
+	for duty, build := range wanted {
+		if d.jobs[duty] == nil {
+			d.start(ctx, duty, build)
+		}
+	}
+	for duty, j := range d.jobs {
+		if wanted[duty] == nil {
+			j.cancel()
+			delete(d.jobs, duty)
+		}
+	}
+}
+
+// start begins to claim a duty; d.mu is held.
+func (d *Duties) start(ctx context.Context, duty sluglease.Duty, build func(*job)) {
+	ctx, cancel := context.WithCancel(ctx)
+	j := &job{cancel: cancel, done: make(chan struct{})}
+	build(j)
+	self := d.cfg.World.Member.Self()
+	j.lease = sluglease.New(sluglease.Config{
+		Duty: duty, Self: self.Process, Host: self.Host, Store: d.cfg.World.Store.For("lease." + string(duty)),
+		TTL: d.cfg.Settings.LeaseTime, Log: d.cfg.Log,
+		Rank:     func() int { return d.rank(duty) },
+		Eligible: func() bool { return d.eligible(j) },
+		Released: d.tellReleased,
+	})
+	d.jobs[duty] = j
+	go func() {
+		defer close(j.done)
+		_ = j.lease.Run(ctx, j.work)
+	}()
+}
+
+// rank returns this process's place among the live control processes.
+func (d *Duties) rank(duty sluglease.Duty) int {
+	var alive []slugname.Process
+	self := d.cfg.World.Member.Self()
+	for _, s := range d.cfg.World.Table.Statuses() {
+		r, ok := d.cfg.World.Member.Record(s.Process)
+		if ok && s.Kind == slugmember.KindControl && s.Alive && !s.Leaving && r.Region == self.Region {
+			alive = append(alive, s.Process)
+		}
+	}
+	return slugmember.Rank(string(duty), self.Process, alive)
+}
+
+func (d *Duties) eligible(j *job) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return !d.cfg.Leaving() && time.Now().After(j.standDownUntil)
+}
+
+// tellReleased makes the other candidates look at their leases at once.
+func (d *Duties) tellReleased() {
+	d.mu.Lock()
+	d.released++
+	n := d.released
+	d.mu.Unlock()
+	d.cfg.World.Table.Update(func(r *slugpeer.Row) { r.Released = n })
+	ctx, cancel := context.WithTimeout(context.Background(), reviewEvery)
+	defer cancel()
+	d.cfg.World.Table.Push(ctx)
+}
+
+// Poke makes all candidates of this process look at their leases at once.
+func (d *Duties) Poke() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, j := range d.jobs {
+		j.lease.Poke()
+	}
+}
+
+// GiveUp makes this process release a duty and leave it to others for a while. It
+// reports whether the process held it.
+func (d *Duties) GiveUp(duty sluglease.Duty) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	j := d.jobs[duty]
+	if j == nil {
+		return false
+	}
+	_, held := j.lease.Status()
+	if held {
+		j.standDownUntil = time.Now().Add(standDown)
+	}
+	return held
+}
+
+// Finish releases all duties and waits until that is done.
+func (d *Duties) Finish() {
+	d.mu.Lock()
+	d.finished = true
+	jobs := d.jobs
+	d.jobs = map[sluglease.Duty]*job{}
+	d.mu.Unlock()
+	for _, j := range jobs {
+		j.cancel()
+	}
+	for _, j := range jobs {
+		<-j.done
+	}
+}
+
+// Status is what this process knows of a duty.
+type Status struct {
+	sluglease.Record
+	// Held tells that this process holds the duty.
+	Held bool `json:"held"`
+}
+
+// Statuses returns the duties that this process looks at, in order of name.
+func (d *Duties) Statuses() []Status {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	out := []Status{}
+	for duty, j := range d.jobs {
+		r, held := j.lease.Status()
+		r.Duty = duty
+		out = append(out, Status{r, held})
+	}
+	slices.SortFunc(out, func(a, b Status) int { return cmp.Compare(a.Duty, b.Duty) })
+	return out
+}
+
+// Why returns the last decisions of the duties that this process holds.
+func (d *Duties) Why() []Decision {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	out := []Decision{}
+	for _, j := range d.jobs {
+		if _, held := j.lease.Status(); held && j.why != nil {
+			out = append(out, j.why()...)
+		}
+	}
+	slices.SortFunc(out, func(a, b Decision) int { return a.At.Compare(b.At) })
+	return out
+}
--- a/internal/process/slugfollow/follower.go
+++ b/internal/process/slugfollow/follower.go
@@ -40,6 +40,9 @@
 	FromPeer func(ctx context.Context, r slugconfig.Revision) (Bundle, error)
 	// InForce is called after each change; it may be nil.
 	InForce func(*slugconfig.Snapshot)
+	// StoreAnswers is called when the store begins or ceases to answer; it may be
+	// nil.
+	StoreAnswers func(bool)
 }
 
 // Follower keeps the configuration in force.
@@ -135,6 +138,9 @@
 	if !changed {
 		return
 	}
+	if f.cfg.StoreAnswers != nil {
+		f.cfg.StoreAnswers(ok)
+	}
 	if ok {
 		f.cfg.Log.Emit(slugevent.StoreAvailable, nil)
 		return
--- a/internal/process/sluggate/gate.go
+++ b/internal/process/sluggate/gate.go
@@ -23,6 +23,7 @@
 	"github.com/sassafraslug/sassafraslug/internal/process/slugevent"
 	"github.com/sassafraslug/sassafraslug/internal/process/slugfault"
 	"github.com/sassafraslug/sassafraslug/internal/process/slugfleet"
+	"github.com/sassafraslug/sassafraslug/internal/process/slugguard"
 	"github.com/sassafraslug/sassafraslug/internal/process/slugledger"
 	"github.com/sassafraslug/sassafraslug/internal/process/sluglimit"
 	"github.com/sassafraslug/sassafraslug/internal/process/slugmember"
@@ -129,7 +130,11 @@
 	if err != nil {
 		return err
 	}
-	g.operators, err = slugserve.New(slugserve.Config{Address: s.OperatorsListen, Handler: http.HandlerFunc(g.serveOperatorsHTTP), Log: g.log})
+	guard, err := slugguard.New(s.OperatorsTokenFile, http.HandlerFunc(g.serveOperatorsHTTP))
+	if err != nil {
+		return err
+	}
+	g.operators, err = slugserve.New(slugserve.Config{Address: s.OperatorsListen, Handler: guard, Log: g.log})
 	return err
 }
 
@@ -138,23 +143,14 @@
 	g.sender = slugsend.New(slugsend.Config{})
 	world, err := slugworld.New(slugworld.Config{
 		Settings: g.settings, Kind: slugmember.KindGate, Log: g.log, Metrics: g.metrics,
-		CallersAddress:   advertised(g.settings.CallersAdvertise, g.callers.Address()),
-		OperatorsAddress: advertised(g.settings.OperatorsAdvertise, g.operators.Address()),
+		CallersAddress:   slugworld.Advertised(g.settings.CallersAdvertise, g.callers.Address()),
+		OperatorsAddress: slugworld.Advertised(g.settings.OperatorsAdvertise, g.operators.Address()),
 		Heard:            g.heard,
 	})
 	g.World = world
 	return err
 }
 
-// advertised returns the address that others are told. A port of 0 is replaced
-// by the one that is listened on.
-func advertised(wanted, listening string) string {
-	if len(wanted) > 2 && wanted[len(wanted)-2:] == ":0" {
-		return listening
-	}
-	return wanted
-}
-
 // build makes the parts of the request path.
 func (g *Gate) build(_ context.Context, _ *errgroup.Group) error {
 	s := g.settings
@@ -163,7 +159,7 @@
 	g.limits = sluglimit.New()
 	g.suspects = slugsuspect.New(slugsuspect.Config{}, func(slugsuspect.Suspicion) { go g.tellSuspicions() })
 	g.claims = slugclaim.New(slugclaim.Config{Process: self.Process, Store: g.Store.For("claims")})
-	g.ledger = slugledger.New(slugledger.Config{Process: self.Process, Window: s.UsageWindow, Store: g.Store.For("usage")})
+	g.ledger = slugledger.New(slugledger.Config{Region: s.Region, Process: self.Process, Window: s.UsageWindow, Store: g.Store.For("usage")})
 	g.fleet = slugfleet.New(slugfleet.Config{
 		Host: s.Host, DataCentre: s.DataCentre, Store: g.Store.For("plans"), Get: g.sender.Get,
 		QueueLength: int(s.QueueLength), Changed: g.tellPlans,
--- a/internal/process/sluggate/http.go
+++ b/internal/process/sluggate/http.go
@@ -2,11 +2,10 @@
 
 import (
 	"encoding/json"
-	"expvar"
 	"net/http"
-	"runtime"
 	"time"
 
+	"github.com/sassafraslug/sassafraslug/internal/process/slugmetrics"
 	"github.com/sassafraslug/sassafraslug/internal/process/slugname"
 	"github.com/sassafraslug/sassafraslug/internal/request/slugadmit"
 	"github.com/sassafraslug/sassafraslug/internal/request/slugchat"
@@ -134,18 +133,8 @@
 	}
 }
 
-// getMetrics writes the metrics of this daemon and of the runtime.
 func (g *Gate) getMetrics(w http.ResponseWriter, _ *http.Request) {
-	var m runtime.MemStats
-	runtime.ReadMemStats(&m)
-	heap := new(expvar.Int)
-	heap.Set(int64(m.HeapInuse))
-	g.metrics.Set("heapBytes", heap)
-	peer := new(expvar.Int)
-	peer.Set(int64(g.Link.Bytes()))
-	g.metrics.Set("peerBytes", peer)
-	w.Header().Set("Content-Type", "application/json")
-	_, _ = w.Write([]byte(g.metrics.String()))
+	slugmetrics.Write(w, g.metrics, g.Link.Bytes())
 }
 
 func writeJSON(w http.ResponseWriter, v any) {
--- /dev/null
+++ b/internal/process/sluglease/right.go
@@ -0,0 +1,86 @@
+package sluglease
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sassafraslug/sassafraslug/internal/process/slugevent"
+	"github.com/sassafraslug/sassafraslug/internal/process/slugname"
+	"github.com/sassafraslug/sassafraslug/internal/process/slugstore"
+)
+
+// Right is the right to do a duty, as long as it lasts.
+type Right struct {
+	// Fence is the number of the claim.
+	Fence Fence
+	lease *Lease
+
+	mu sync.Mutex
+	// sent is when the last successful claim or renewal was sent.
+	sent time.Time
+}
+
+func (r *Right) extend(sent time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.sent = sent
+}
+
+// Remaining returns how long the right lasts, 0 or less when it has ended.
+func (r *Right) Remaining() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	_, since := elapsed(r.sent, r.lease.cfg.Now())
+	return r.lease.cfg.TTL - r.lease.margin() - since
+}
+
+// Do calls f if the right lasts for maxDuration. f's context ends then at the
+// latest. Error: ErrNoRight when f was not called.
+func (r *Right) Do(ctx context.Context, maxDuration time.Duration, f func(context.Context) error) error {
+	if r.Remaining() < maxDuration {
+		return errors.Wrapf(ErrNoRight, "duty %s", r.lease.cfg.Duty)
+	}
+	ctx, cancel := context.WithTimeout(ctx, maxDuration)
+	defer cancel()
+	return f(ctx)
+}
+
+// Unconfirmed returns the past holders that may not know of their loss.
+func (r *Right) Unconfirmed() []Predecessor {
+	r.lease.mu.Lock()
+	defer r.lease.mu.Unlock()
+	return append([]Predecessor(nil), r.lease.record.Unconfirmed...)
+}
+
+// Refresh reads the lease, to learn of acknowledgements.
+func (r *Right) Refresh(ctx context.Context) error {
+	if len(r.Unconfirmed()) == 0 {
+		return nil
+	}
+	if !r.lease.stillOurs(ctx, r) {
+		return errors.Wrapf(ErrNoRight, "duty %s", r.lease.cfg.Duty)
+	}
+	return nil
+}
+
+// Confirm records that a past holder has certainly ended.
+func (r *Right) Confirm(ctx context.Context, p slugname.Process) error {
+	l := r.lease
+	l.mu.Lock()
+	next, version := l.record.confirmed(p), l.version
+	l.mu.Unlock()
+	version, err := l.cfg.Store.Put(ctx, l.name(), version, next)
+	if errors.Is(err, slugstore.ErrConflict) {
+		return r.Refresh(ctx)
+	}
+	if err != nil {
+		return err
+	}
+	l.mu.Lock()
+	l.record, l.version = next, version
+	l.mu.Unlock()
+	l.cfg.Log.Emit(slugevent.PredecessorConfirmed, slugevent.Fields{"duty": l.cfg.Duty, "predecessor": p})
+	return nil
+}
--- a/internal/process/slugledger/ledger.go
+++ b/internal/process/slugledger/ledger.go
@@ -7,7 +7,7 @@
 //
 // # Usage
 //
-//	l := slugledger.New(slugledger.Config{Process: "gate-1", Window: time.Minute, Store: store})
+//	l := slugledger.New(slugledger.Config{Region: "north", Process: "gate-1", Window: time.Minute, Store: store})
 //	l.Add(key, slugledger.Totals{Requests: 1, OutputTokens: 12})
 //	err := l.Write(ctx)
 package slugledger
@@ -30,9 +30,14 @@
 // RecordPrefix begins the names of records.
 const RecordPrefix = "usage/records/"
 
+// WindowPrefix begins the names of a region's records of a window.
+func WindowPrefix(r slugname.Region, w Window) string {
+	return fmt.Sprintf("%s%s/%d/", RecordPrefix, r, w)
+}
+
 // RecordName returns the name of a process's record of a window.
-func RecordName(w Window, p slugname.Process) string {
-	return fmt.Sprintf("%s%d/%s", RecordPrefix, w, p)
+func RecordName(r slugname.Region, w Window, p slugname.Process) string {
+	return WindowPrefix(r, w) + string(p)
 }
 
 // WindowAt returns the window of length d that holds a time.
@@ -88,6 +93,7 @@
 
 // Config makes a Ledger.
 type Config struct {
+	Region  slugname.Region
 	Process slugname.Process
 	// Window is the length of a window, a whole number of seconds.
 	Window time.Duration
@@ -231,7 +237,7 @@
 	}
 	body := Record{Process: l.cfg.Process, Window: w, Lines: r.lines(), Closed: ended || closing}
 	r.attempted = body.Lines
-	version, err := l.cfg.Store.Put(ctx, RecordName(w, l.cfg.Process), r.version, body)
+	version, err := l.cfg.Store.Put(ctx, RecordName(l.cfg.Region, w, l.cfg.Process), r.version, body)
 	if errors.Is(err, slugstore.ErrConflict) {
 		return l.settle(ctx, w, now)
 	}
@@ -248,7 +254,7 @@
 // settle handles a record that another process wrote, or that an earlier write
 // of ours changed without telling us.
 func (l *Ledger) settle(ctx context.Context, w Window, now time.Time) error {
-	o, err := l.cfg.Store.Get(ctx, RecordName(w, l.cfg.Process))
+	o, err := l.cfg.Store.Get(ctx, RecordName(l.cfg.Region, w, l.cfg.Process))
 	if err != nil {
 		return err
 	}
--- /dev/null
+++ b/internal/process/slugorder/engine.go
@@ -0,0 +1,174 @@
+// Package slugorder sends orders to engines and reads what they say of
+// themselves.
+//
+// A connection that carries an order is reset when its time has passed, so that
+// the kernel does not deliver old bytes after a network partition heals.
+//
+// # Usage
+//
+//	c := slugorder.New(slugorder.Config{})
+//	g, err := c.Greet(ctx, address)
+//	err = c.Send(ctx, address, body)
+package slugorder
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sassafraslug/sassafraslug/internal/connection/slugsend"
+	"github.com/sassafraslug/sassafraslug/internal/process/slugfault"
+	"github.com/sassafraslug/sassafraslug/internal/process/slugjournal"
+	"github.com/sassafraslug/sassafraslug/internal/process/sluglease"
+	"github.com/sassafraslug/sassafraslug/internal/process/slugname"
+	"github.com/sassafraslug/sassafraslug/internal/process/slugplan"
+)
+
+// Action is what an order asks for.
+type Action string
+
+// The actions.
+const (
+	// ActionSetRole changes the role of an engine.
+	ActionSetRole Action = "setRole"
+	// ActionLoad loads a version of the model.
+	ActionLoad Action = "load"
+)
+
+// Order is the body of an order to an engine.
+type Order struct {
+	Number  slugjournal.Number `json:"number"`
+	Fence   sluglease.Fence    `json:"fence"`
+	Holder  slugname.Process   `json:"holder"`
+	Action  Action             `json:"action"`
+	Role    slugplan.Role      `json:"role,omitempty"`
+	Version string             `json:"version,omitempty"`
+}
+
+// Greeting is what an engine says of itself.
+type Greeting struct {
+	Endpoint       slugname.Endpoint `json:"endpoint"`
+	Incarnation    int               `json:"incarnation"`
+	ChecksFences   bool              `json:"checksFences"`
+	Model          slugname.Model    `json:"model"`
+	Version        string            `json:"version"`
+	Role           slugplan.Role     `json:"role"`
+	Pieces         int               `json:"pieces"`
+	TokensPerPiece int               `json:"tokensPerPiece"`
+	MaxStreams     int               `json:"maxStreams"`
+	Resumes        bool              `json:"resumes"`
+	// Idle tells that no request runs or waits.
+	Idle             bool    `json:"idle"`
+	PrefillPerSecond float64 `json:"prefillPerSecond"`
+	StepBaseUs       int64   `json:"stepBaseUs"`
+	StepPerStreamUs  int64   `json:"stepPerStreamUs"`
+}
+
+// Speed returns what work costs on the engine.
+func (g Greeting) Speed() slugplan.Speed {
+	return slugplan.Speed{
+		PrefillPerSecond: g.PrefillPerSecond,
+		StepBase:         time.Duration(g.StepBaseUs) * time.Microsecond,
+		StepPerStream:    time.Duration(g.StepPerStreamUs) * time.Microsecond,
+	}
+}
+
+// Errors of orders.
+var (
+	// ErrFenced says that the engine refused an order with an old fence.
+	ErrFenced = errors.New("order refused: old fence")
+	// ErrRefused says that the engine refused an order for another reason.
+	ErrRefused = errors.New("order refused")
+)
+
+const (
+	// orderUserTimeout is how long an order's bytes may stay unacknowledged.
+	orderUserTimeout = 2 * time.Second
+	// maxAnswerBytes bounds an answer.
+	maxAnswerBytes = 1 << 20
+)
+
+// Config makes a Client.
+type Config struct {
+	// Dial opens connections; nil opens TCP connections that are reset on close.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+}
+
+// Client sends orders.
+type Client struct {
+	client *http.Client
+}
+
+// New returns a Client. Every call has a connection of its own.
+func New(cfg Config) *Client {
+	if cfg.Dial == nil {
+		cfg.Dial = dialReset
+	}
+	return &Client{client: &http.Client{Transport: &http.Transport{DialContext: cfg.Dial, DisableKeepAlives: true}}}
+}
+
+// resetConn is reset when it is closed, which drops unsent bytes.
+type resetConn struct{ *net.TCPConn }
+
+// Close resets the connection.
+func (c resetConn) Close() error {
+	return errors.CombineErrors(c.SetLinger(0), c.TCPConn.Close())
+}
+
+func dialReset(ctx context.Context, network, address string) (net.Conn, error) {
+	c, err := slugsend.NewDialer(orderUserTimeout).DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	tcp, ok := c.(*net.TCPConn)
+	if !ok {
+		return c, nil
+	}
+	return resetConn{tcp}, nil
+}
+
+// Greet asks an engine what it is.
+func (c *Client) Greet(ctx context.Context, address string) (Greeting, error) {
+	var g Greeting
+	b, err := c.do(ctx, http.MethodGet, "http://"+address+"/engine/greeting", nil)
+	if err == nil {
+		err = json.Unmarshal(b, &g)
+	}
+	return g, slugfault.Wrap(err, "greet engine", address)
+}
+
+// Send sends the body of a journaled order and waits for its outcome.
+func (c *Client) Send(ctx context.Context, address string, body json.RawMessage) error {
+	_, err := c.do(ctx, http.MethodPost, "http://"+address+"/engine/orders", body)
+	return slugfault.Wrap(err, "send order", address)
+}
+
+func (c *Client) do(ctx context.Context, method, url string, body []byte) ([]byte, error) {
+	r, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	r.GetBody = nil
+	resp, err := c.client.Do(r)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	b, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
+	switch {
+	case err != nil:
+		return nil, err
+	case resp.StatusCode == http.StatusPreconditionFailed:
+		return nil, ErrFenced
+	case resp.StatusCode >= http.StatusBadRequest && resp.StatusCode < http.StatusInternalServerError:
+		return nil, errors.Wrapf(ErrRefused, "status %d: %s", resp.StatusCode, bytes.TrimSpace(b))
+	case resp.StatusCode != http.StatusOK:
+		return nil, errors.Newf("status %d", resp.StatusCode)
+	}
+	return b, nil
+}
--- a/internal/process/slugpeer/row.go
+++ b/internal/process/slugpeer/row.go
@@ -47,6 +47,8 @@
 	StoreLost bool `cbor:"11,keyasint,omitempty"`
 	// Busy maps draining endpoints to this process's requests there.
 	Busy map[slugname.Endpoint]uint32 `cbor:"12,keyasint,omitempty"`
+	// Released counts the duties that the process has released.
+	Released uint32 `cbor:"13,keyasint,omitempty"`
 }
 
 // Entry is one row's state in a digest.
--- /dev/null
+++ b/internal/process/slugreport/reporter.go
@@ -0,0 +1,351 @@
+// Package slugreport does the usage duty of one region: it seals the records of a
+// window that has ended, freezes the window's report, and sends it.
+//
+// A report is created once in the platform's store, and every send is the bytes
+// that stand there, so that no window is reported with different figures.
+//
+// # Usage
+//
+//	r := slugreport.New(slugreport.Config{Region: "north", Window: time.Minute, ...})
+//	err := lease.Run(ctx, r.Work)
+package slugreport
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"sort"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sassafraslug/sassafraslug/internal/process/slugbackoff"
+	"github.com/sassafraslug/sassafraslug/internal/process/slugevent"
+	"github.com/sassafraslug/sassafraslug/internal/process/sluglease"
+	"github.com/sassafraslug/sassafraslug/internal/process/slugledger"
+	"github.com/sassafraslug/sassafraslug/internal/process/slugmember"
+	"github.com/sassafraslug/sassafraslug/internal/process/slugname"
+	"github.com/sassafraslug/sassafraslug/internal/process/slugstore"
+)
+
+// Names of the objects.
+const (
+	reportPrefix = "usage/reports/"
+	// stateName holds how far the duty has come.
+	stateName = "usage/state"
+)
+
+const (
+	// roundEvery is the time between rounds.
+	roundEvery = time.Second
+	// grace is how long after its end a window's records may still be written. It
+	// covers the clocks of hosts and the last write of a process.
+	grace = 5 * time.Second
+	// closeWait is how long the reporter waits for processes that are alive.
+	closeWait = 30 * time.Second
+	// sendTime is the longest time of one send.
+	sendTime = 3 * time.Second
+	// keepWindows is the number of windows whose records are kept after the report.
+	keepWindows = 5
+	// sealTries bounds the conflicts with a process that still writes.
+	sealTries = 5
+)
+
+// Config makes a Reporter.
+type Config struct {
+	Region slugname.Region
+	Store  *slugstore.Store
+	Window time.Duration
+	// Gates returns the gates of the region that were ever published and not yet
+	// removed.
+	Gates func(ctx context.Context) ([]slugmember.Record, error)
+	// Alive reports whether a process is alive.
+	Alive func(slugname.Process) bool
+	// Send sends the report of a window.
+	Send func(ctx context.Context, r slugname.Region, w slugledger.Window, body []byte) error
+	Log  *slugevent.Log
+	// Step is called between the steps of a report, for tests; it may be nil.
+	Step func(string)
+}
+
+// Reporter does the duty while it is held.
+type Reporter struct {
+	cfg     Config
+	state   state
+	version slugstore.Version
+}
+
+// state is how far the duty has come.
+type state struct {
+	// Next is the first window that was not yet reported.
+	Next slugledger.Window `json:"next"`
+}
+
+// Report is the usage of a window.
+type Report struct {
+	Window        slugledger.Window `json:"window"`
+	Region        slugname.Region   `json:"region"`
+	LengthSeconds int               `json:"lengthSeconds"`
+	Lines         []slugledger.Line `json:"lines"`
+	// Sealed are processes whose records were closed for them.
+	Sealed []slugname.Process `json:"sealed"`
+}
+
+// New returns a Reporter.
+func New(cfg Config) *Reporter {
+	if cfg.Step == nil {
+		cfg.Step = func(string) {}
+	}
+	return &Reporter{cfg: cfg}
+}
+
+func (r *Reporter) stateName() string { return stateName + "/" + string(r.cfg.Region) }
+
+// ReportName returns the name of a window's report.
+func ReportName(region slugname.Region, w slugledger.Window) string {
+	return fmt.Sprintf("%s%s/%d", reportPrefix, region, w)
+}
+
+// Work does the duty until ctx ends or something fails.
+func (r *Reporter) Work(ctx context.Context, right *sluglease.Right) error {
+	if err := r.load(ctx); err != nil {
+		return err
+	}
+	for ctx.Err() == nil {
+		if err := r.round(ctx, right); err != nil {
+			return err
+		}
+		_ = slugbackoff.Sleep(ctx, roundEvery)
+	}
+	return nil
+}
+
+// load reads how far the duty has come. A new system begins with the present
+// window.
+func (r *Reporter) load(ctx context.Context) error {
+	o, err := r.cfg.Store.Get(ctx, r.stateName())
+	if err != nil {
+		return err
+	}
+	r.version = o.Version
+	r.state = state{Next: slugledger.WindowAt(time.Now().Add(-r.cfg.Window), r.cfg.Window)}
+	if o.Body != nil {
+		return o.Decode(&r.state)
+	}
+	return nil
+}
+
+// round reports every window that is due.
+func (r *Reporter) round(ctx context.Context, right *sluglease.Right) error {
+	for ctx.Err() == nil {
+		due := r.state.Next.End(r.cfg.Window).Add(grace)
+		if time.Now().Before(due) {
+			return nil
+		}
+		done, err := r.window(ctx, right, r.state.Next, due)
+		if err != nil || !done {
+			return err
+		}
+		next := state{Next: r.state.Next + slugledger.Window(r.cfg.Window/time.Second)}
+		version, err := r.cfg.Store.Put(ctx, r.stateName(), r.version, next)
+		if err != nil {
+			return err
+		}
+		r.state, r.version = next, version
+		r.forget(ctx, next.Next)
+	}
+	return nil
+}
+
+// window reports one window. done is false while records are awaited.
+func (r *Reporter) window(ctx context.Context, right *sluglease.Right, w slugledger.Window, due time.Time) (done bool, err error) {
+	body, err := r.frozen(ctx, w)
+	if err != nil {
+		return false, err
+	}
+	if body == nil {
+		if body, err = r.freeze(ctx, w, due); err != nil || body == nil {
+			return false, err
+		}
+	}
+	err = right.Do(ctx, sendTime, func(ctx context.Context) error {
+		r.cfg.Step("report.send")
+		return r.cfg.Send(ctx, r.cfg.Region, w, body)
+	})
+	if err != nil {
+		return false, err
+	}
+	r.cfg.Log.Emit(slugevent.WindowReported, slugevent.Fields{"window": w, "bytes": len(body)})
+	return true, nil
+}
+
+// frozen returns a report that was created before, or nil.
+func (r *Reporter) frozen(ctx context.Context, w slugledger.Window) (json.RawMessage, error) {
+	o, err := r.cfg.Store.Get(ctx, ReportName(r.cfg.Region, w))
+	return o.Body, err
+}
+
+// freeze closes the records of a window and creates its report. It returns nil
+// while a live process has not closed its record.
+func (r *Reporter) freeze(ctx context.Context, w slugledger.Window, due time.Time) (json.RawMessage, error) {
+	records, err := r.records(ctx, w)
+	if err != nil {
+		return nil, err
+	}
+	gates, err := r.cfg.Gates(ctx)
+	if err != nil {
+		return nil, err
+	}
+	for _, g := range gates {
+		if _, ok := records[g.Process]; !ok {
+			records[g.Process] = stored{Record: slugledger.Record{Process: g.Process, Window: w, Lines: []slugledger.Line{}}}
+		}
+	}
+	if r.awaits(records, due) {
+		return nil, nil
+	}
+	report := Report{Window: w, Region: r.cfg.Region, LengthSeconds: int(r.cfg.Window / time.Second), Sealed: []slugname.Process{}}
+	sums := map[slugledger.Key]slugledger.Totals{}
+	for _, p := range sorted(records) {
+		record, err := r.close(ctx, records[p])
+		if err != nil {
+			return nil, err
+		}
+		if record.Sealed && len(record.Lines) > 0 {
+			report.Sealed = append(report.Sealed, p)
+		}
+		for _, l := range record.Lines {
+			k := slugledger.Key{Workspace: l.Workspace, Service: l.Service}
+			sums[k] = sums[k].Plus(l.Totals)
+		}
+	}
+	report.Lines = lines(sums)
+	return r.create(ctx, w, report)
+}
+
+// create stores the report. If a predecessor did so first, that one counts.
+func (r *Reporter) create(ctx context.Context, w slugledger.Window, report Report) (json.RawMessage, error) {
+	body, err := json.Marshal(report)
+	if err != nil {
+		return nil, err
+	}
+	r.cfg.Step("report.create")
+	_, err = r.cfg.Store.Put(ctx, ReportName(r.cfg.Region, w), 0, json.RawMessage(body))
+	if err != nil && !errors.Is(err, slugstore.ErrConflict) {
+		return nil, err
+	}
+	return r.frozen(ctx, w)
+}
+
+func lines(sums map[slugledger.Key]slugledger.Totals) []slugledger.Line {
+	out := make([]slugledger.Line, 0, len(sums))
+	for k, t := range sums {
+		out = append(out, slugledger.Line{Workspace: k.Workspace, Service: k.Service, Totals: t})
+	}
+	slugledger.SortLines(out)
+	return out
+}
+
+func sorted(records map[slugname.Process]stored) []slugname.Process {
+	out := make([]slugname.Process, 0, len(records))
+	for p := range records {
+		out = append(out, p)
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i] < out[j] })
+	return out
+}
+
+// stored is a record with its version.
+type stored struct {
+	slugledger.Record
+	version slugstore.Version
+}
+
+func (r *Reporter) records(ctx context.Context, w slugledger.Window) (map[slugname.Process]stored, error) {
+	objects, err := r.cfg.Store.List(ctx, slugledger.WindowPrefix(r.cfg.Region, w))
+	if err != nil {
+		return nil, err
+	}
+	records := map[slugname.Process]stored{}
+	for _, o := range objects {
+		if o.Body == nil {
+			continue
+		}
+		s := stored{version: o.Version}
+		if err := o.Decode(&s.Record); err != nil {
+			return nil, err
+		}
+		records[s.Process] = s
+	}
+	return records, nil
+}
+
+// awaits reports whether a live process may still close its record.
+func (r *Reporter) awaits(records map[slugname.Process]stored, due time.Time) bool {
+	if time.Now().After(due.Add(closeWait)) {
+		return false
+	}
+	for p, s := range records {
+		if s.version != 0 && !s.Closed && !s.Sealed && r.cfg.Alive(p) {
+			return true
+		}
+	}
+	return false
+}
+
+// close seals a record that its process has not closed. A process without a record
+// gets an empty one, so that it carries what it has into the next window.
+func (r *Reporter) close(ctx context.Context, s stored) (slugledger.Record, error) {
+	for range sealTries {
+		if s.Closed || s.Sealed {
+			return s.Record, nil
+		}
+		next := s.Record
+		next.Sealed = true
+		r.cfg.Step("record.seal")
+		name := slugledger.RecordName(r.cfg.Region, s.Window, s.Process)
+		_, err := r.cfg.Store.Put(ctx, name, s.version, next)
+		if err == nil {
+			if len(next.Lines) > 0 {
+				r.cfg.Log.Emit(slugevent.RecordSealed, slugevent.Fields{"window": s.Window, "record": s.Process})
+			}
+			return next, nil
+		}
+		if !errors.Is(err, slugstore.ErrConflict) {
+			return slugledger.Record{}, err
+		}
+		o, err := r.cfg.Store.Get(ctx, name)
+		if err != nil {
+			return slugledger.Record{}, err
+		}
+		s.version = o.Version
+		if o.Body != nil {
+			if err := o.Decode(&s.Record); err != nil {
+				return slugledger.Record{}, err
+			}
+		}
+	}
+	return slugledger.Record{}, errors.Wrapf(slugstore.ErrConflict, "seal record of %s", s.Process)
+}
+
+// forget removes records of windows that were reported long ago.
+func (r *Reporter) forget(ctx context.Context, next slugledger.Window) {
+	old := next - slugledger.Window(keepWindows*int64(r.cfg.Window/time.Second))
+	objects, err := r.cfg.Store.List(ctx, slugledger.WindowPrefix(r.cfg.Region, old))
+	if err != nil {
+		return
+	}
+	for _, o := range objects {
+		if o.Body != nil {
+			_ = r.cfg.Store.Delete(ctx, o.Name, o.Version)
+		}
+	}
+}
+
+// ParseReportName returns the window of a report's object.
+func ParseReportName(name string) (slugledger.Window, bool) {
+	i := strings.LastIndexByte(name, '/')
+	n, err := strconv.ParseInt(name[i+1:], 10, 64)
+	return slugledger.Window(n), err == nil && strings.HasPrefix(name, reportPrefix)
+}
--- /dev/null
+++ b/internal/process/slugroster/roster.go
@@ -0,0 +1,432 @@
+// Package slugroster does the roles duty of one service in one data centre: it
+// lists the endpoints in the plan, drains those that are to change or to leave,
+// and orders engines to change their role or to load a version.
+//
+// An engine changes in this order: the plan says draining; all live gates
+// acknowledge and the engine is idle; the order goes into the journal; the order
+// is sent; the engine's greeting shows the change; the plan says serving.
+//
+// # Usage
+//
+//	r := slugroster.New(slugroster.Config{Service: "assistant", DataCentre: "dc-1", ...})
+//	err := lease.Run(ctx, r.Work)
+package slugroster
+
+import (
+	"context"
+	"encoding/json"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sassafraslug/sassafraslug/internal/process/slugbackoff"
+	"github.com/sassafraslug/sassafraslug/internal/process/slugevent"
+	"github.com/sassafraslug/sassafraslug/internal/process/slugjournal"
+	"github.com/sassafraslug/sassafraslug/internal/process/sluglease"
+	"github.com/sassafraslug/sassafraslug/internal/process/slugname"
+	"github.com/sassafraslug/sassafraslug/internal/process/slugorder"
+	"github.com/sassafraslug/sassafraslug/internal/process/slugpeer"
+	"github.com/sassafraslug/sassafraslug/internal/process/slugplan"
+	"github.com/sassafraslug/sassafraslug/internal/process/slugplatformapi"
+	"github.com/sassafraslug/sassafraslug/internal/process/slugstore"
+	"github.com/sassafraslug/sassafraslug/internal/version/slugmanifest"
+)
+
+const (
+	// roundEvery is the time between rounds.
+	roundEvery = time.Second
+	// greetTimeout bounds one greeting.
+	greetTimeout = time.Second
+	// greetEvery is the number of rounds between greetings of a known engine.
+	greetEvery = 5
+	// orderTime is the longest time of one order.
+	orderTime = 5 * time.Second
+	// planTime is the longest time of one write of the plan.
+	planTime = 2 * time.Second
+	// enginesPerChange is the number of engines for each change at a time.
+	enginesPerChange = 8
+	// plainStreams is the number of calls that a plain endpoint runs at a time.
+	plainStreams = 64
+)
+
+// Change is a wanted change of one engine.
+type Change struct {
+	Endpoint slugname.Endpoint
+	// Role is the wanted role, empty for no change of it.
+	Role slugplan.Role
+	// Version is the wanted version of the model, empty for no change of it.
+	Version string
+}
+
+// Config makes a Roster.
+type Config struct {
+	Duty       sluglease.Duty
+	Service    slugname.Service
+	DataCentre slugname.DataCentre
+	Self       slugname.Process
+	Store      *slugstore.Store
+	// Offering lists the endpoints of the data centre.
+	Offering func(ctx context.Context) (slugplatformapi.Offering, error)
+	// Greet asks an engine what it is.
+	Greet func(ctx context.Context, address string) (slugorder.Greeting, error)
+	// Send sends an order.
+	Send func(ctx context.Context, address string, body json.RawMessage) error
+	// Statuses returns the rows of all processes.
+	Statuses func() []slugpeer.Status
+	// Manifest returns the service as it is configured, nil when it is not.
+	Manifest func() *slugmanifest.Service
+	// Leaving reports whether an endpoint is to be drained.
+	Leaving func(slugname.Endpoint) bool
+	// Wanted returns the changes of roles that are wanted now; nil wants none.
+	Wanted func(slugplan.Plan, time.Time) []Change
+	// Ended reports whether a past holder has certainly ended.
+	Ended func(sluglease.Predecessor) bool
+	Log   *slugevent.Log
+	// Step is called between the steps of an order, for tests; it may be nil.
+	Step func(string)
+}
+
+// engine is what is known of one endpoint.
+type engine struct {
+	greeting slugorder.Greeting
+	greeted  bool
+	age      int
+	// drainedAt is the version of the plan that first said draining.
+	drainedAt slugstore.Version
+}
+
+// Roster does the duty while it is held.
+type Roster struct {
+	cfg Config
+
+	mu      sync.Mutex
+	plan    slugplan.Plan
+	version slugstore.Version
+	engines map[slugname.Endpoint]*engine
+	changes map[slugname.Endpoint]Change
+	journal *slugjournal.Journal
+}
+
+// New returns a Roster.
+func New(cfg Config) *Roster {
+	if cfg.Wanted == nil {
+		cfg.Wanted = func(slugplan.Plan, time.Time) []Change { return nil }
+	}
+	if cfg.Step == nil {
+		cfg.Step = func(string) {}
+	}
+	return &Roster{cfg: cfg}
+}
+
+// Plan returns the last plan.
+func (r *Roster) Plan() slugplan.Plan {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.plan
+}
+
+// Work does the duty until ctx ends or something fails.
+func (r *Roster) Work(ctx context.Context, right *sluglease.Right) error {
+	if err := r.start(ctx, right); err != nil {
+		return err
+	}
+	for ctx.Err() == nil {
+		if err := r.round(ctx, right); err != nil {
+			return err
+		}
+		_ = slugbackoff.Sleep(ctx, roundEvery)
+	}
+	return nil
+}
+
+// start reads everything again, and finishes what a predecessor wrote down.
+func (r *Roster) start(ctx context.Context, right *sluglease.Right) error {
+	r.engines = map[slugname.Endpoint]*engine{}
+	r.changes = map[slugname.Endpoint]Change{}
+	o, err := r.cfg.Store.Get(ctx, r.name())
+	if err != nil {
+		return err
+	}
+	var p slugplan.Plan
+	if o.Body != nil {
+		if err := o.Decode(&p); err != nil {
+			return err
+		}
+	}
+	r.mu.Lock()
+	r.plan, r.version = p, o.Version
+	r.mu.Unlock()
+	r.cfg.Step("journal.open")
+	if r.journal, err = slugjournal.Open(ctx, r.cfg.Store, r.cfg.Duty, right.Fence, r.cfg.Self); err != nil {
+		return err
+	}
+	return nil
+}
+
+func (r *Roster) name() string { return slugplan.Name(r.cfg.Service, r.cfg.DataCentre) }
+
+// round brings the plan up to date and moves the changes on.
+func (r *Roster) round(ctx context.Context, right *sluglease.Right) error {
+	offering, err := r.cfg.Offering(ctx)
+	if err != nil {
+		return err
+	}
+	endpoints := r.mine(offering)
+	r.greetAll(ctx, endpoints)
+	if err := r.finishOutstanding(ctx, right, endpoints); err != nil {
+		return err
+	}
+	r.confirmPredecessors(ctx, right)
+	r.choose(endpoints)
+	if err := r.writePlan(ctx, right, endpoints); err != nil {
+		return err
+	}
+	return r.orderDrained(ctx, right)
+}
+
+// mine returns the service's endpoints.
+func (r *Roster) mine(o slugplatformapi.Offering) []slugplatformapi.Endpoint {
+	return slices.DeleteFunc(o.Endpoints, func(e slugplatformapi.Endpoint) bool {
+		return e.Service != r.cfg.Service || e.Address == ""
+	})
+}
+
+// greetAll greets engines that are new, that are changing, and each now and then.
+func (r *Roster) greetAll(ctx context.Context, endpoints []slugplatformapi.Endpoint) {
+	var wg sync.WaitGroup
+	for _, e := range endpoints {
+		x := r.engines[e.Name]
+		if x == nil {
+			x = &engine{}
+			r.engines[e.Name] = x
+		}
+		x.age++
+		if e.Kind != slugmanifest.KindEngine || x.greeted && x.age%greetEvery != 0 && x.drainedAt == 0 {
+			continue
+		}
+		wg.Go(func() { r.greet(ctx, x, e.Address) })
+	}
+	wg.Wait()
+}
+
+func (r *Roster) greet(ctx context.Context, x *engine, address string) {
+	ctx, cancel := context.WithTimeout(ctx, greetTimeout)
+	defer cancel()
+	if g, err := r.cfg.Greet(ctx, address); err == nil {
+		x.greeting, x.greeted = g, true
+	}
+}
+
+// choose takes up wanted changes, a few at a time.
+func (r *Roster) choose(endpoints []slugplatformapi.Endpoint) {
+	limit := max(1, len(endpoints)/enginesPerChange)
+	for _, c := range r.wanted(endpoints) {
+		if _, busy := r.changes[c.Endpoint]; busy || len(r.changes) >= limit {
+			continue
+		}
+		x := r.engines[c.Endpoint]
+		if x == nil || !x.greeted || r.satisfied(c, x) {
+			continue
+		}
+		r.changes[c.Endpoint] = c
+		r.cfg.Log.Emit(slugevent.RoleChangePlanned, slugevent.Fields{
+			"endpoint": c.Endpoint, "role": c.Role, "version": c.Version,
+		})
+	}
+}
+
+// wanted returns the versions that the manifest wants, then the wanted roles.
+func (r *Roster) wanted(endpoints []slugplatformapi.Endpoint) []Change {
+	var out []Change
+	if s := r.cfg.Manifest(); s != nil && s.Version != "" {
+		for _, e := range endpoints {
+			out = append(out, Change{Endpoint: e.Name, Version: s.Version})
+		}
+	}
+	return append(out, r.cfg.Wanted(r.Plan(), time.Now())...)
+}
+
+// satisfied reports whether an engine is as a change wants it.
+func (r *Roster) satisfied(c Change, x *engine) bool {
+	return (c.Role == "" || c.Role == x.greeting.Role) && (c.Version == "" || c.Version == x.greeting.Version)
+}
+
+// writePlan writes the plan if it has changed.
+func (r *Roster) writePlan(ctx context.Context, right *sluglease.Right, endpoints []slugplatformapi.Endpoint) error {
+	next := slugplan.Plan{Service: r.cfg.Service, DataCentre: r.cfg.DataCentre, Fence: uint64(right.Fence), Endpoints: []slugplan.Endpoint{}}
+	for _, e := range endpoints {
+		if p, ok := r.planned(e); ok {
+			next.Endpoints = append(next.Endpoints, p)
+		}
+	}
+	if r.version != 0 && slices.Equal(next.Endpoints, r.plan.Endpoints) {
+		return nil
+	}
+	return right.Do(ctx, planTime, func(ctx context.Context) error {
+		version, err := r.cfg.Store.Put(ctx, r.name(), r.version, next)
+		if err != nil {
+			return err
+		}
+		r.mu.Lock()
+		r.plan, r.version = next, version
+		r.mu.Unlock()
+		r.noteDraining(version)
+		return nil
+	})
+}
+
+// planned returns an endpoint's line of the plan. An engine that never answered a
+// greeting is left out.
+func (r *Roster) planned(e slugplatformapi.Endpoint) (slugplan.Endpoint, bool) {
+	x := r.engines[e.Name]
+	p := slugplan.Endpoint{Name: e.Name, Address: e.Address, Kind: e.Kind, Cheap: e.Cheap, State: slugplan.StateServing, Streams: plainStreams}
+	if e.Kind == slugmanifest.KindEngine {
+		if !x.greeted {
+			return p, false
+		}
+		g := x.greeting
+		p.Role, p.Version, p.Streams, p.Pieces, p.TokensPerPiece, p.Speed = g.Role, g.Version, g.MaxStreams, g.Pieces, g.TokensPerPiece, g.Speed()
+	}
+	switch _, changing := r.changes[e.Name]; {
+	case e.Leaving || r.cfg.Leaving(e.Name):
+		p.State = slugplan.StateLeaving
+	case changing:
+		p.State = slugplan.StateDraining
+	}
+	return p, true
+}
+
+// noteDraining notes since which version of the plan each change is draining.
+func (r *Roster) noteDraining(version slugstore.Version) {
+	for _, e := range r.plan.Endpoints {
+		x := r.engines[e.Name]
+		switch {
+		case e.State == slugplan.StateServing:
+			x.drainedAt = 0
+		case x.drainedAt == 0:
+			x.drainedAt = version
+		}
+	}
+}
+
+// Drained reports whether all live gates act on a version of a plan and have no
+// request at the endpoint.
+func Drained(statuses []slugpeer.Status, plan string, version slugstore.Version, e slugname.Endpoint) bool {
+	for _, s := range statuses {
+		if s.Kind != "gate" || !s.Alive {
+			continue
+		}
+		if s.Plans[plan] < version || s.Busy[e] > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// orderDrained orders the changes whose engines are idle.
+func (r *Roster) orderDrained(ctx context.Context, right *sluglease.Right) error {
+	for _, e := range r.plan.Endpoints {
+		c, ok := r.changes[e.Name]
+		x := r.engines[e.Name]
+		if !ok || x.drainedAt == 0 {
+			continue
+		}
+		if r.satisfied(c, x) {
+			delete(r.changes, e.Name)
+			continue
+		}
+		if !Drained(r.cfg.Statuses(), r.name(), x.drainedAt, e.Name) {
+			continue
+		}
+		// The engine's own word must be newer than the acknowledgements.
+		if r.greet(ctx, x, e.Address); !x.greeting.Idle {
+			continue
+		}
+		if err := r.order(ctx, right, e, x, c); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// order writes one order down and sends it.
+func (r *Roster) order(ctx context.Context, right *sluglease.Right, e slugplan.Endpoint, x *engine, c Change) error {
+	if !r.maySend(right, x) {
+		r.cfg.Log.Emit(slugevent.OrderWithheld, slugevent.Fields{"endpoint": e.Name, "duty": r.cfg.Duty})
+		delete(r.changes, e.Name)
+		return nil
+	}
+	r.cfg.Step("order.journal")
+	o, err := r.journal.Add(ctx, slugjournal.Target(e.Name), e.Address, func(n slugjournal.Number) (json.RawMessage, error) {
+		order := slugorder.Order{Number: n, Fence: right.Fence, Holder: r.cfg.Self, Action: slugorder.ActionSetRole, Role: c.Role}
+		if c.Version != "" && c.Version != x.greeting.Version {
+			order.Action, order.Role, order.Version = slugorder.ActionLoad, "", c.Version
+		}
+		return json.Marshal(order)
+	})
+	if err != nil {
+		return err
+	}
+	r.cfg.Log.Emit(slugevent.OrderJournaled, slugevent.Fields{"order": o.Number, "endpoint": e.Name})
+	return r.send(ctx, right, o, x)
+}
+
+// maySend reports whether a new order may go to an engine. One that does not check
+// fences gets none while a past holder may still send.
+func (r *Roster) maySend(right *sluglease.Right, x *engine) bool {
+	return x.greeting.ChecksFences || len(right.Unconfirmed()) == 0
+}
+
+// send sends a journaled order and writes its outcome down.
+func (r *Roster) send(ctx context.Context, right *sluglease.Right, o slugjournal.Order, x *engine) error {
+	err := right.Do(ctx, orderTime, func(ctx context.Context) error {
+		r.cfg.Step("order.send")
+		return r.cfg.Send(ctx, o.Address, o.Body)
+	})
+	r.cfg.Step("order.sent")
+	switch {
+	case errors.Is(err, slugorder.ErrFenced) && o.Fence < right.Fence:
+		return r.journal.Finish(ctx, o, "superseded")
+	case errors.Is(err, slugorder.ErrFenced):
+		return err
+	case errors.Is(err, slugorder.ErrRefused):
+		r.cfg.Log.Error(slugevent.OrderFailed, err, slugevent.Fields{"order": o.Number, "peer": o.Address})
+		return r.journal.Finish(ctx, o, "refused")
+	case err != nil:
+		r.cfg.Log.Error(slugevent.OrderFailed, err, slugevent.Fields{"order": o.Number, "peer": o.Address})
+		return nil
+	}
+	r.cfg.Log.Emit(slugevent.OrderDone, slugevent.Fields{"order": o.Number, "peer": o.Address})
+	r.greet(ctx, x, o.Address)
+	return r.journal.Finish(ctx, o, "done")
+}
+
+// finishOutstanding sends orders without an outcome again, unchanged. An order for
+// an endpoint that is gone is given up.
+func (r *Roster) finishOutstanding(ctx context.Context, right *sluglease.Right, endpoints []slugplatformapi.Endpoint) error {
+	for _, o := range r.journal.Outstanding() {
+		x := r.engines[slugname.Endpoint(o.Target)]
+		listed := slices.ContainsFunc(endpoints, func(e slugplatformapi.Endpoint) bool { return slugjournal.Target(e.Name) == o.Target })
+		if !listed || x == nil {
+			if err := r.journal.Finish(ctx, o, "endpoint gone"); err != nil {
+				return err
+			}
+			continue
+		}
+		if err := r.send(ctx, right, o, x); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// confirmPredecessors records which past holders have ended.
+func (r *Roster) confirmPredecessors(ctx context.Context, right *sluglease.Right) {
+	_ = right.Refresh(ctx)
+	for _, p := range right.Unconfirmed() {
+		if r.cfg.Ended(p) {
+			_ = right.Confirm(ctx, p.Process)
+		}
+	}
+}
--- a/internal/process/slugworld/world.go
+++ b/internal/process/slugworld/world.go
@@ -107,7 +107,7 @@
 		Host:             s.Host,
 		DataCentre:       s.DataCentre,
 		Region:           s.Region,
-		PeerAddress:      peerAddress(s.PeersAdvertise, w.Link.Address()),
+		PeerAddress:      Advertised(s.PeersAdvertise, w.Link.Address()),
 		CallersAddress:   w.cfg.CallersAddress,
 		OperatorsAddress: w.cfg.OperatorsAddress,
 		CertificateHash:  w.Link.Hash(),
@@ -115,9 +115,9 @@
 	}
 }
 
-// peerAddress returns the address that peers are told, with the port that is
-// listened on when none was set.
-func peerAddress(wanted, listening string) string {
+// Advertised returns the address that others are told: the wanted one, with the
+// port that is listened on when none was set.
+func Advertised(wanted, listening string) string {
 	_, port, err := net.SplitHostPort(wanted)
 	if err != nil || port == "0" {
 		return listening
@@ -128,7 +128,8 @@
 func (w *World) newFollower() *slugfollow.Follower {
 	return slugfollow.New(slugfollow.Config{
 		Store: w.Store.For("config"), Log: w.cfg.Log, Wait: w.wait,
-		FromPeer: w.fetchBundle,
+		FromPeer:     w.fetchBundle,
+		StoreAnswers: func(ok bool) { w.Table.Update(func(r *slugpeer.Row) { r.StoreLost = !ok }) },
 		InForce: func(s *slugconfig.Snapshot) {
 			w.Table.Update(func(r *slugpeer.Row) { r.Revision = s.Revision })
 			go w.pushSoon()
