--- a/cmd/sassafraslug-control/main.go
+++ b/cmd/sassafraslug-control/main.go
@@ -8,11 +8,12 @@
 	"github.com/sassafraslug/sassafraslug/internal/process/slugcontrol"
 	"github.com/sassafraslug/sassafraslug/internal/process/slugdaemon"
 	"github.com/sassafraslug/sassafraslug/internal/process/slugevent"
+	"github.com/sassafraslug/sassafraslug/internal/process/slugnetwork"
 	"github.com/sassafraslug/sassafraslug/internal/process/slugsettings"
 )
 
 func main() {
 	os.Exit(slugdaemon.Main("control", slugsettings.Control, os.Args[1:], func(ctx context.Context, s *slugsettings.Settings, log *slugevent.Log) error {
-		return slugcontrol.New(s, log).Run(ctx)
+		return slugcontrol.New(s, slugnetwork.New(), log).Run(ctx)
 	}))
 }
--- a/cmd/sassafraslug-gate/main.go
+++ b/cmd/sassafraslug-gate/main.go
@@ -8,11 +8,12 @@
 	"github.com/sassafraslug/sassafraslug/internal/process/slugdaemon"
 	"github.com/sassafraslug/sassafraslug/internal/process/slugevent"
 	"github.com/sassafraslug/sassafraslug/internal/process/sluggate"
+	"github.com/sassafraslug/sassafraslug/internal/process/slugnetwork"
 	"github.com/sassafraslug/sassafraslug/internal/process/slugsettings"
 )
 
 func main() {
 	os.Exit(slugdaemon.Main("gate", slugsettings.Gate, os.Args[1:], func(ctx context.Context, s *slugsettings.Settings, log *slugevent.Log) error {
-		return sluggate.New(s, log).Run(ctx)
+		return sluggate.New(s, slugnetwork.New(), log).Run(ctx)
 	}))
 }
--- a/internal/connection/sluglink/link.go
+++ b/internal/connection/sluglink/link.go
@@ -97,6 +97,14 @@
 	l.cfg.Lookup = f
 }
 
+// Carrier returns the link as a carrier of messages.
+func (l *Link) Carrier() slugpeer.Carrier {
+	return slugpeer.Carrier{
+		Address: l.Address(), Hash: l.hash, SetLookup: l.SetLookup, Call: l.Call, Serve: l.Serve,
+		Bytes: l.Bytes, Close: l.Close,
+	}
+}
+
 // Address returns the address that the link listens on.
 func (l *Link) Address() string { return l.socket.LocalAddr().String() }
 
--- a/internal/process/slugcontrol/api.go
+++ b/internal/process/slugcontrol/api.go
@@ -359,7 +359,7 @@
 
 func (c *Control) gateReport(ctx context.Context, address string) ([]slugburn.Line, error) {
 	var lines []slugburn.Line
-	client := slugoperate.New(slugoperate.Config{Address: address, Token: c.token})
+	client := slugoperate.New(slugoperate.Config{Address: address, Token: c.token, Dial: c.network.Dial})
 	return lines, client.Get(ctx, "/burn", &lines)
 }
 
--- a/internal/process/slugcontrol/control.go
+++ b/internal/process/slugcontrol/control.go
@@ -3,7 +3,7 @@
 //
 // # Usage
 //
-//	c := slugcontrol.New(settings, log)
+//	c := slugcontrol.New(settings, slugnetwork.New(), log)
 //	err := c.Run(ctx) // the first end of ctx begins a graceful shutdown
 package slugcontrol
 
@@ -16,7 +16,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/sassafraslug/sassafraslug/internal/connection/slugsend"
 	"github.com/sassafraslug/sassafraslug/internal/process/slugbackoff"
 	"github.com/sassafraslug/sassafraslug/internal/process/slugduties"
 	"github.com/sassafraslug/sassafraslug/internal/process/slugevent"
@@ -24,6 +23,7 @@
 	"github.com/sassafraslug/sassafraslug/internal/process/slugintent"
 	"github.com/sassafraslug/sassafraslug/internal/process/slugmember"
 	"github.com/sassafraslug/sassafraslug/internal/process/slugname"
+	"github.com/sassafraslug/sassafraslug/internal/process/slugnetwork"
 	"github.com/sassafraslug/sassafraslug/internal/process/slugpeer"
 	"github.com/sassafraslug/sassafraslug/internal/process/slugplatformapi"
 	"github.com/sassafraslug/sassafraslug/internal/process/slugserve"
@@ -51,6 +51,7 @@
 	settings *slugsettings.Settings
 	log      *slugevent.Log
 	metrics  *expvar.Map
+	network  *slugnetwork.Network
 
 	*slugworld.World
 	client    *http.Client
@@ -77,8 +78,8 @@
 }
 
 // New returns a Control that does nothing yet.
-func New(s *slugsettings.Settings, log *slugevent.Log) *Control {
-	return &Control{settings: s, log: log, metrics: new(expvar.Map).Init(), started: make(chan struct{}), missing: map[slugname.Process]time.Time{}}
+func New(s *slugsettings.Settings, n *slugnetwork.Network, log *slugevent.Log) *Control {
+	return &Control{settings: s, network: n, log: log, metrics: new(expvar.Map).Init(), started: make(chan struct{}), missing: map[slugname.Process]time.Time{}}
 }
 
 // Run runs the daemon. When ctx ends it leaves gracefully: it finishes its orders,
@@ -121,7 +122,7 @@
 	if err != nil {
 		return err
 	}
-	c.operators, err = slugserve.New(slugserve.Config{Address: c.settings.OperatorsListen, Handler: guard, Log: c.log})
+	c.operators, err = slugserve.New(slugserve.Config{Address: c.settings.OperatorsListen, Handler: guard, Log: c.log, Listen: c.network.Listen})
 	return err
 }
 
@@ -129,17 +130,17 @@
 func (c *Control) join(_ context.Context, _ *errgroup.Group) error {
 	var err error
 	c.World, err = slugworld.New(slugworld.Config{
-		Settings: c.settings, Kind: slugmember.KindControl, Log: c.log, Metrics: c.metrics,
+		Settings: c.settings, Kind: slugmember.KindControl, Log: c.log, Metrics: c.metrics, Network: c.network,
 		OperatorsAddress: slugworld.Advertised(c.settings.OperatorsAdvertise, c.operators.Address()), Heard: c.heard,
 	})
 	if err != nil {
 		return err
 	}
-	c.client = &http.Client{Timeout: callTimeout, Transport: &http.Transport{DialContext: slugsend.NewDialer(slugsend.UserTimeout).DialContext}}
+	c.client = &http.Client{Timeout: callTimeout, Transport: &http.Transport{DialContext: c.network.Dial}}
 	c.platform = slugplatformapi.New(slugplatformapi.Config{BaseURL: c.settings.PlatformAddress, Do: c.client.Do})
 	c.intent = slugintent.New(c.Store.For("intents"))
 	c.duties = slugduties.New(slugduties.Config{
-		World: c.World, Settings: c.settings, Platform: c.platform, Intent: c.intent, Gone: c.gone, Log: c.log,
+		World: c.World, Settings: c.settings, Platform: c.platform, Intent: c.intent, Gone: c.gone, Log: c.log, Dial: c.network.DialReset,
 		Leaving: c.leaving.Load,
 	})
 	return nil
--- a/internal/process/slugdemo/demo.go
+++ b/internal/process/slugdemo/demo.go
@@ -14,6 +14,7 @@
 	"github.com/sassafraslug/sassafraslug/internal/process/slugsettings"
 	"github.com/sassafraslug/sassafraslug/internal/process/slugsystem"
 	"github.com/sassafraslug/sassafraslug/internal/standin/slugengine"
+	"github.com/sassafraslug/sassafraslug/internal/standin/slugplatform"
 	"github.com/sassafraslug/sassafraslug/internal/version/slugmanifest"
 )
 
@@ -118,7 +119,8 @@
 	var err error
 	d.system, err = slugsystem.New(ctx, slugsystem.Config{
 		Hosts: d.cfg.Hosts, Manifest: d.deployment.Manifest, Log: d.cfg.Log, UncheckedEvery: 3,
-		Engine: slugengine.Config{ReportLag: 500 * time.Millisecond, RestartAfter: 500 * time.Millisecond},
+		Platform: slugplatform.Config{HostListLag: time.Second, OrderingRequestNumbers: true},
+		Engine:   slugengine.Config{ReportLag: 500 * time.Millisecond, RestartAfter: 500 * time.Millisecond},
 		Settings: func(s *slugsettings.Settings) {
 			s.AnswerAge, s.UsageWindow, s.LeaseTime = demoAnswerAge, demoWindow, demoLease
 		},
--- a/internal/process/slugduties/duties.go
+++ b/internal/process/slugduties/duties.go
@@ -14,6 +14,7 @@
 import (
 	"cmp"
 	"context"
+	"net"
 	"slices"
 	"sync"
 	"time"
@@ -49,7 +50,9 @@
 	Gone func(slugmember.Record) bool
 	// Leaving reports whether this process gives all duties up.
 	Leaving func() bool
-	Log     *slugevent.Log
+	// Dial opens the connections of orders.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+	Log  *slugevent.Log
 }
 
 // job is one duty of this process.
@@ -85,7 +88,7 @@
 
 // New returns Duties without any.
 func New(cfg Config) *Duties {
-	return &Duties{cfg: cfg, orders: slugorder.New(slugorder.Config{}), jobs: map[sluglease.Duty]*job{}}
+	return &Duties{cfg: cfg, orders: slugorder.New(slugorder.Config{Dial: cfg.Dial}), jobs: map[sluglease.Duty]*job{}}
 }
 
 // Run starts and ends duties as the configuration wants them, until ctx ends.
--- a/internal/process/sluggate/gate.go
+++ b/internal/process/sluggate/gate.go
@@ -3,7 +3,7 @@
 //
 // # Usage
 //
-//	g := sluggate.New(settings, log)
+//	g := sluggate.New(settings, slugnetwork.New(), log)
 //	err := g.Run(ctx) // the first end of ctx begins a graceful shutdown
 package sluggate
 
@@ -28,6 +28,7 @@
 	"github.com/sassafraslug/sassafraslug/internal/process/sluglimit"
 	"github.com/sassafraslug/sassafraslug/internal/process/slugmember"
 	"github.com/sassafraslug/sassafraslug/internal/process/slugname"
+	"github.com/sassafraslug/sassafraslug/internal/process/slugnetwork"
 	"github.com/sassafraslug/sassafraslug/internal/process/slugpeer"
 	"github.com/sassafraslug/sassafraslug/internal/process/slugreach"
 	"github.com/sassafraslug/sassafraslug/internal/process/slugserve"
@@ -58,6 +59,7 @@
 	settings *slugsettings.Settings
 	log      *slugevent.Log
 	metrics  *expvar.Map
+	network  *slugnetwork.Network
 
 	*slugworld.World
 	sender    *slugsend.Sender
@@ -86,8 +88,8 @@
 }
 
 // New returns a Gate that does nothing yet.
-func New(s *slugsettings.Settings, log *slugevent.Log) *Gate {
-	return &Gate{settings: s, log: log, metrics: new(expvar.Map).Init(), started: make(chan struct{})}
+func New(s *slugsettings.Settings, n *slugnetwork.Network, log *slugevent.Log) *Gate {
+	return &Gate{settings: s, network: n, log: log, metrics: new(expvar.Map).Init(), started: make(chan struct{})}
 }
 
 // Run runs the daemon. When ctx ends it leaves gracefully: it tells peers and
@@ -141,7 +143,7 @@
 	s := g.settings
 	g.callers, err = slugserve.New(slugserve.Config{
 		Address: s.CallersListen, Handler: http.HandlerFunc(g.serveHTTP), Certificate: s.CallersCertificate, Key: s.CallersKey,
-		MaxHeaderBytes: int(s.MaxHeaderBytes), MaxConnections: int(s.MaxConnections), Log: g.log,
+		MaxHeaderBytes: int(s.MaxHeaderBytes), MaxConnections: int(s.MaxConnections), Log: g.log, Listen: g.network.Listen,
 	})
 	if err != nil {
 		return err
@@ -150,15 +152,15 @@
 	if err != nil {
 		return err
 	}
-	g.operators, err = slugserve.New(slugserve.Config{Address: s.OperatorsListen, Handler: guard, Log: g.log})
+	g.operators, err = slugserve.New(slugserve.Config{Address: s.OperatorsListen, Handler: guard, Log: g.log, Listen: g.network.Listen})
 	return err
 }
 
 // join makes this process known to itself: store, peers and configuration.
 func (g *Gate) join(_ context.Context, _ *errgroup.Group) error {
-	g.sender = slugsend.New(slugsend.Config{})
+	g.sender = slugsend.New(slugsend.Config{Dial: g.network.Dial})
 	world, err := slugworld.New(slugworld.Config{
-		Settings: g.settings, Kind: slugmember.KindGate, Log: g.log, Metrics: g.metrics,
+		Settings: g.settings, Kind: slugmember.KindGate, Log: g.log, Metrics: g.metrics, Network: g.network,
 		CallersAddress:   slugworld.Advertised(g.settings.CallersAdvertise, g.callers.Address()),
 		OperatorsAddress: slugworld.Advertised(g.settings.OperatorsAdvertise, g.operators.Address()),
 		Heard:            g.heard,
--- a/internal/process/slugledger/ledger.go
+++ b/internal/process/slugledger/ledger.go
@@ -232,7 +232,7 @@
 		l.carry(w, nil, now)
 		return nil
 	}
-	if !r.dirty && !(ended || closing) {
+	if !r.dirty && !ended && !closing {
 		return nil
 	}
 	body := Record{Process: l.cfg.Process, Window: w, Lines: r.lines(), Closed: ended || closing}
--- a/internal/process/slugoperate/client.go
+++ b/internal/process/slugoperate/client.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/url"
 	"time"
@@ -26,6 +27,8 @@
 	// Address is the operators' address of a control process.
 	Address string
 	Token   string
+	// Dial opens connections; nil opens TCP connections.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
 // Client calls the operators' API.
@@ -36,7 +39,7 @@
 
 // New returns a Client.
 func New(cfg Config) *Client {
-	return &Client{cfg: cfg, client: &http.Client{Timeout: callTimeout}}
+	return &Client{cfg: cfg, client: &http.Client{Timeout: callTimeout, Transport: &http.Transport{DialContext: cfg.Dial, DisableKeepAlives: true}}}
 }
 
 // AnswerError is an answer other than 200.
--- a/internal/process/slugorder/engine.go
+++ b/internal/process/slugorder/engine.go
@@ -95,7 +95,8 @@
 
 // Config makes a Client.
 type Config struct {
-	// Dial opens connections; nil opens TCP connections that are reset on close.
+	// Dial opens connections that drop unsent bytes when they are closed; nil opens
+	// TCP connections.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
@@ -107,31 +108,11 @@
 // New returns a Client. Every call has a connection of its own.
 func New(cfg Config) *Client {
 	if cfg.Dial == nil {
-		cfg.Dial = dialReset
+		cfg.Dial = slugsend.NewResetDialer(orderUserTimeout).DialContext
 	}
 	return &Client{client: &http.Client{Transport: &http.Transport{DialContext: cfg.Dial, DisableKeepAlives: true}}}
 }
 
-// resetConn is reset when it is closed, which drops unsent bytes.
-type resetConn struct{ *net.TCPConn }
-
-// Close resets the connection.
-func (c resetConn) Close() error {
-	return errors.CombineErrors(c.SetLinger(0), c.TCPConn.Close())
-}
-
-func dialReset(ctx context.Context, network, address string) (net.Conn, error) {
-	c, err := slugsend.NewDialer(orderUserTimeout).DialContext(ctx, network, address)
-	if err != nil {
-		return nil, err
-	}
-	tcp, ok := c.(*net.TCPConn)
-	if !ok {
-		return c, nil
-	}
-	return resetConn{tcp}, nil
-}
-
 // Greet asks an engine what it is.
 func (c *Client) Greet(ctx context.Context, address string) (Greeting, error) {
 	var g Greeting
--- a/internal/process/slugpeer/row.go
+++ b/internal/process/slugpeer/row.go
@@ -14,6 +14,7 @@
 package slugpeer
 
 import (
+	"context"
 	"time"
 
 	"github.com/sassafraslug/sassafraslug/internal/process/slugmember"
@@ -84,3 +85,20 @@
 	// Bundle is an encoded configuration.
 	Bundle []byte `cbor:"5,keyasint,omitempty"`
 }
+
+// Carrier carries messages between processes.
+type Carrier struct {
+	// Address is where the process takes messages.
+	Address string
+	// Hash is the hash of the process's certificate.
+	Hash slugmember.CertificateHash
+	// SetLookup sets how the certificates of peers are looked up.
+	SetLookup func(func(slugmember.CertificateHash) (slugmember.Record, bool))
+	// Call sends a message and returns its answer.
+	Call func(ctx context.Context, to slugmember.Record, m Message) (Message, error)
+	// Serve answers messages until ctx ends.
+	Serve func(ctx context.Context, f func(slugname.Process, Message) Message) error
+	// Bytes returns the payload bytes sent and received so far.
+	Bytes func() uint64
+	Close func() error
+}
--- a/internal/process/slugqueue/queue.go
+++ b/internal/process/slugqueue/queue.go
@@ -51,7 +51,6 @@
 	// Valid reports whether the request still has its right; nil means yes.
 	Valid func() bool
 
-	start float64
 	done  chan error
 	index int
 }
--- a/internal/process/slugserve/server.go
+++ b/internal/process/slugserve/server.go
@@ -52,6 +52,8 @@
 	// MaxConnections bounds the open connections; 0 means no bound.
 	MaxConnections int
 	Log            *slugevent.Log
+	// Listen opens the listener; nil means net.Listen.
+	Listen func(network, address string) (net.Listener, error)
 }
 
 // Server serves HTTP on one address.
@@ -68,6 +70,9 @@
 	if cfg.MaxHeaderBytes == 0 {
 		cfg.MaxHeaderBytes = defaultHeaderBytes
 	}
+	if cfg.Listen == nil {
+		cfg.Listen = net.Listen
+	}
 	s := &Server{cfg: cfg}
 	if cfg.Certificate != "" {
 		if err := s.load(); err != nil {
@@ -75,7 +80,7 @@
 		}
 	}
 	var err error
-	if s.listener, err = net.Listen("tcp", cfg.Address); err != nil {
+	if s.listener, err = cfg.Listen("tcp", cfg.Address); err != nil {
 		return nil, slugfault.Wrap(err, "listen", cfg.Address)
 	}
 	if cfg.MaxConnections > 0 {
--- /dev/null
+++ b/internal/process/slugsystem/mesh_test.go
@@ -0,0 +1,37 @@
+package slugsystem_test
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sassafraslug/sassafraslug/internal/process/slugcaller"
+	"github.com/sassafraslug/sassafraslug/internal/process/slugdemo"
+	"github.com/sassafraslug/sassafraslug/internal/process/slugsystem"
+	"github.com/sassafraslug/sassafraslug/internal/standin/slugengine"
+	"github.com/sassafraslug/sassafraslug/internal/standin/slugmesh"
+	"gotest.tools/v3/assert"
+)
+
+func TestThinPathInMemory(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+		defer cancel()
+		d := slugdemo.NewDeployment()
+		mesh := slugmesh.New()
+		s, err := slugsystem.New(ctx, slugsystem.Config{Hosts: 3, Manifest: d.Manifest, Mesh: mesh})
+		defer s.Close()
+		assert.NilError(t, err)
+		c := slugcaller.New(slugcaller.Config{
+			Seeds: s.Seeds(), Key: d.Keys["dojo-manila"],
+			Transport: &http.Transport{DialContext: mesh.Host("caller").Dial},
+		})
+		defer c.CloseIdle()
+		r := slugcaller.ChatRequest{Model: "lineage", Prompt: "review the lineage", MaxTokens: 20, Stream: true}
+		a, err := c.Chat(ctx, r)
+		assert.NilError(t, err)
+		assert.Equal(t, a.Text, slugengine.Answer(slugengine.Prompt(r.Body()), 20))
+	})
+}
--- a/internal/process/slugsystem/system.go
+++ b/internal/process/slugsystem/system.go
@@ -14,6 +14,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"sync"
 	"time"
 
@@ -24,10 +25,12 @@
 	"github.com/sassafraslug/sassafraslug/internal/process/slugfault"
 	"github.com/sassafraslug/sassafraslug/internal/process/sluggate"
 	"github.com/sassafraslug/sassafraslug/internal/process/slugname"
+	"github.com/sassafraslug/sassafraslug/internal/process/slugnetwork"
 	"github.com/sassafraslug/sassafraslug/internal/process/slugoperate"
 	"github.com/sassafraslug/sassafraslug/internal/process/slugsettings"
 	"github.com/sassafraslug/sassafraslug/internal/process/slugstore"
 	"github.com/sassafraslug/sassafraslug/internal/standin/slugengine"
+	"github.com/sassafraslug/sassafraslug/internal/standin/slugmesh"
 	"github.com/sassafraslug/sassafraslug/internal/standin/slugplatform"
 	"github.com/sassafraslug/sassafraslug/internal/standin/slugstand"
 	"github.com/sassafraslug/sassafraslug/internal/version/slugconfig"
@@ -44,8 +47,12 @@
 	Engine slugengine.Config
 	// UncheckedEvery makes every n-th engine ignore fences.
 	UncheckedEvery int
+	// Platform is the configuration of the platform.
+	Platform slugplatform.Config
 	// Log takes the log lines of all processes; nil drops them.
 	Log io.Writer
+	// Mesh takes the place of the operating system's network; nil uses that.
+	Mesh *slugmesh.Mesh
 	// Settings changes the settings of a host; nil keeps them.
 	Settings func(*slugsettings.Settings)
 }
@@ -70,7 +77,9 @@
 
 	mu    sync.Mutex
 	hosts []*Host
-	next  int
+	// killed are hosts whose processes may not have ended yet.
+	killed []*Host
+	next   int
 }
 
 const (
@@ -86,14 +95,15 @@
 	for _, s := range cfg.Manifest.Services {
 		models[string(s.Name)] = string(s.Model)
 	}
+	s := &System{cfg: cfg}
 	stand, err := slugstand.New(slugstand.Config{
 		Listen: "127.0.0.1:0", Models: models, Engine: cfg.Engine, UncheckedEvery: cfg.UncheckedEvery,
-		Platform: slugplatform.Config{HostListLag: time.Second, OrderingRequestNumbers: true},
+		Platform: cfg.Platform, ListenOn: s.listenOn(),
 	})
 	if err != nil {
 		return nil, err
 	}
-	s := &System{cfg: cfg, Stand: stand}
+	s.Stand = stand
 	for range cfg.Hosts {
 		if _, err := s.Add(ctx); err != nil {
 			return s, err
@@ -151,8 +161,8 @@
 
 func (s *System) start(ctx context.Context, h *Host, region slugname.Region) error {
 	settings := s.settings(h, region)
-	h.Gate = sluggate.New(settings, s.log(h, "gate"))
-	h.Control = slugcontrol.New(settings, s.log(h, "control"))
+	h.Gate = sluggate.New(settings, s.Network(string(h.Name)), s.log(h, "gate"))
+	h.Control = slugcontrol.New(settings, s.Network(string(h.Name)), s.log(h, "control"))
 	h.stopGate = h.run(h.Gate.Run)
 	h.stopOther = h.run(h.Control.Run)
 	ctx, cancel := context.WithTimeout(ctx, startTimeout)
@@ -222,6 +232,9 @@
 func (s *System) Kill(h *Host) {
 	h.Control.Abort()
 	h.Gate.Abort()
+	s.mu.Lock()
+	s.killed = append(s.killed, h)
+	s.mu.Unlock()
 	s.forget(h)
 }
 
@@ -249,7 +262,28 @@
 
 // Operators returns a client of the first running control process.
 func (s *System) Operators() *slugoperate.Client {
-	return slugoperate.New(slugoperate.Config{Address: s.Hosts()[0].Control.Address()})
+	return s.OperatorsOf(s.Hosts()[0])
+}
+
+// OperatorsOf returns a client of a host's control process.
+func (s *System) OperatorsOf(h *Host) *slugoperate.Client {
+	return slugoperate.New(slugoperate.Config{Address: h.Control.Address(), Dial: s.Network("operator").Dial})
+}
+
+// Network returns a host's way to the others.
+func (s *System) Network(host string) *slugnetwork.Network {
+	if s.cfg.Mesh != nil {
+		return s.cfg.Mesh.Host(host)
+	}
+	return slugnetwork.New()
+}
+
+// listenOn returns how the stand-ins listen.
+func (s *System) listenOn() func(host, address string) (net.Listener, error) {
+	if s.cfg.Mesh == nil {
+		return nil
+	}
+	return func(host, address string) (net.Listener, error) { return s.cfg.Mesh.Host(host).Listen("tcp", address) }
 }
 
 // Apply applies a manifest on a base.
@@ -293,11 +327,12 @@
 
 // Close ends everything at once.
 func (s *System) Close() {
-	for _, h := range s.Hosts() {
+	hosts := append(s.Hosts(), s.killed...)
+	for _, h := range hosts {
 		h.Control.Abort()
 		h.Gate.Abort()
 	}
-	for _, h := range s.Hosts() {
+	for _, h := range hosts {
 		h.ended.Wait()
 	}
 	_ = s.Stand.Close()
--- a/internal/process/slugworld/world.go
+++ b/internal/process/slugworld/world.go
@@ -18,13 +18,12 @@
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
-	"github.com/sassafraslug/sassafraslug/internal/connection/sluglink"
-	"github.com/sassafraslug/sassafraslug/internal/connection/slugsend"
 	"github.com/sassafraslug/sassafraslug/internal/process/slugbackoff"
 	"github.com/sassafraslug/sassafraslug/internal/process/slugevent"
 	"github.com/sassafraslug/sassafraslug/internal/process/slugfollow"
 	"github.com/sassafraslug/sassafraslug/internal/process/slugmember"
 	"github.com/sassafraslug/sassafraslug/internal/process/slugname"
+	"github.com/sassafraslug/sassafraslug/internal/process/slugnetwork"
 	"github.com/sassafraslug/sassafraslug/internal/process/slugpeer"
 	"github.com/sassafraslug/sassafraslug/internal/process/slugsettings"
 	"github.com/sassafraslug/sassafraslug/internal/process/slugstore"
@@ -53,6 +52,7 @@
 	CallersAddress   string
 	OperatorsAddress string
 	Log              *slugevent.Log
+	Network          *slugnetwork.Network
 	// Metrics takes the counts of store calls.
 	Metrics *expvar.Map
 	// Heard is called with each row of a peer that is new or changed.
@@ -62,8 +62,9 @@
 // World is a process's part in the system.
 type World struct {
 	cfg      Config
+	client   *http.Client
 	Store    *slugstore.Store
-	Link     *sluglink.Link
+	Link     slugpeer.Carrier
 	Member   *slugmember.Member
 	Table    *slugpeer.Table
 	Follower *slugfollow.Follower
@@ -73,7 +74,7 @@
 func New(cfg Config) (*World, error) {
 	w := &World{cfg: cfg}
 	w.Store = w.newStore()
-	link, err := sluglink.New(sluglink.Config{Address: cfg.Settings.PeersListen, Log: cfg.Log})
+	link, err := cfg.Network.Peers(cfg.Settings.PeersListen, cfg.Log)
 	if err != nil {
 		return nil, err
 	}
@@ -90,11 +91,11 @@
 	if w.cfg.Metrics != nil {
 		w.cfg.Metrics.Set("storeCalls", counts)
 	}
-	client := &http.Client{Transport: &http.Transport{
-		DialContext:         slugsend.NewDialer(slugsend.UserTimeout).DialContext,
+	w.client = &http.Client{Transport: &http.Transport{
+		DialContext:         w.cfg.Network.Dial,
 		MaxIdleConnsPerHost: storeConnections,
 	}}
-	return slugstore.New(slugstore.Config{BaseURL: w.cfg.Settings.PlatformAddress, Do: client.Do, Counts: counts})
+	return slugstore.New(slugstore.Config{BaseURL: w.cfg.Settings.PlatformAddress, Do: w.client.Do, Counts: counts})
 }
 
 func (w *World) record() slugmember.Record {
@@ -107,10 +108,10 @@
 		Host:             s.Host,
 		DataCentre:       s.DataCentre,
 		Region:           s.Region,
-		PeerAddress:      Advertised(s.PeersAdvertise, w.Link.Address()),
+		PeerAddress:      Advertised(s.PeersAdvertise, w.Link.Address),
 		CallersAddress:   w.cfg.CallersAddress,
 		OperatorsAddress: w.cfg.OperatorsAddress,
-		CertificateHash:  w.Link.Hash(),
+		CertificateHash:  w.Link.Hash,
 		StartedAtMs:      time.Now().UnixMilli(),
 	}
 }
@@ -208,6 +209,7 @@
 	g.Go(func() error { return w.Table.Run(ctx) })
 	g.Go(func() error {
 		<-ctx.Done()
+		w.client.CloseIdleConnections()
 		return w.Link.Close()
 	})
 	return nil
--- a/internal/request/slugchat/chat.go
+++ b/internal/request/slugchat/chat.go
@@ -100,7 +100,7 @@
 	if refusal == nil {
 		refusal = x.run(r.Context())
 	}
-	x.end(refusal, r.Context())
+	x.end(r.Context(), refusal)
 }
 
 // admit does the steps before the queue.
@@ -259,9 +259,9 @@
 }
 
 // end tells the caller how a request that was not answered ended, and counts.
-func (x *exchange) end(refusal *slugrefusal.Refusal, ctx context.Context) {
+func (x *exchange) end(ctx context.Context, refusal *slugrefusal.Refusal) {
 	x.bill(refusal == nil)
-	x.rate(refusal, ctx)
+	x.rate(ctx, refusal)
 	if refusal == nil {
 		return
 	}
--- a/internal/request/slugchat/meter.go
+++ b/internal/request/slugchat/meter.go
@@ -78,7 +78,7 @@
 
 // rate counts whether the answer met the objectives. Refusals that are the
 // caller's own fault and answers that the caller gave up do not count.
-func (x *exchange) rate(refusal *slugrefusal.Refusal, ctx context.Context) {
+func (x *exchange) rate(ctx context.Context, refusal *slugrefusal.Refusal) {
 	if x.call.Service == nil || ctx.Err() != nil || refusal != nil && refusal.Status() < 500 {
 		return
 	}
--- a/internal/standin/slugstand/stand.go
+++ b/internal/standin/slugstand/stand.go
@@ -33,6 +33,9 @@
 	Platform slugplatform.Config
 	// UncheckedEvery makes every n-th engine ignore fences; 0 makes none.
 	UncheckedEvery int
+	// ListenOn opens the listener of a host: "platform" or an endpoint's name. Nil
+	// opens TCP listeners on loopback addresses.
+	ListenOn func(host, address string) (net.Listener, error)
 }
 
 // endpoint is a running endpoint.
@@ -57,21 +60,24 @@
 
 // New starts the platform.
 func New(cfg Config) (*Stand, error) {
+	if cfg.ListenOn == nil {
+		cfg.ListenOn = func(_, address string) (net.Listener, error) { return net.Listen("tcp", address) }
+	}
 	s := &Stand{cfg: cfg, endpoints: map[string]*endpoint{}}
 	p := cfg.Platform
 	p.Launch, p.Stop = s.launch, s.stop
 	s.Platform = slugplatform.New(p)
 	var err error
-	s.server, s.address, err = serve(cfg.Listen, s.handler())
+	s.server, s.address, err = s.serve("platform", cfg.Listen, s.handler())
 	return s, err
 }
 
 // Address returns the address of the platform.
 func (s *Stand) Address() string { return s.address }
 
-// serve serves a handler on an address.
-func serve(address string, h http.Handler) (*http.Server, string, error) {
-	l, err := net.Listen("tcp", address)
+// serve serves a handler on an address of a host.
+func (s *Stand) serve(host, address string, h http.Handler) (*http.Server, string, error) {
+	l, err := s.cfg.ListenOn(host, address)
 	if err != nil {
 		return nil, "", slugfault.Wrap(err, "listen", address)
 	}
@@ -109,7 +115,7 @@
 	handler := s.newHandler(ctx, e, x)
 	var address string
 	var err error
-	if x.server, address, err = serve("127.0.0.1:0", handler); err != nil {
+	if x.server, address, err = s.serve(e.Name, "127.0.0.1:0", handler); err != nil {
 		cancel()
 		return "", err
 	}
