Prove orders and authority under pauses, cuts and crashes

Cause of two failures found by TestPromiseNoConflictingOrders and TestPromiseLostAuthority: a new holder never noted that its predecessor's plan already said draining, so the change stood still; and a loss that could not be acknowledged within 10 s was never acknowledged, so engines that do not check fences got no new order for good. A third: a change that the manifest no longer wanted was kept. Conclusion: a successor takes the plan as it stands, and an acknowledgement is tried until it is written.

--- a/internal/process/slugcontrol/control.go
+++ b/internal/process/slugcontrol/control.go
@@ -21,6 +21,7 @@
 	"github.com/sassafraslug/sassafraslug/internal/process/slugevent"
 	"github.com/sassafraslug/sassafraslug/internal/process/slugguard"
 	"github.com/sassafraslug/sassafraslug/internal/process/slugintent"
+	"github.com/sassafraslug/sassafraslug/internal/process/sluglease"
 	"github.com/sassafraslug/sassafraslug/internal/process/slugmember"
 	"github.com/sassafraslug/sassafraslug/internal/process/slugname"
 	"github.com/sassafraslug/sassafraslug/internal/process/slugnetwork"
@@ -60,6 +61,9 @@
 	duties    *slugduties.Duties
 	operators *slugserve.Server
 	leaving   atomic.Bool
+	// OnStep is called between the steps of a duty's work, for tests. It may be nil
+	// and is set before Run.
+	OnStep func(d sluglease.Duty, step string)
 
 	mu sync.Mutex
 	// hosts is the host list as last read; hostsAt is when.
@@ -141,7 +145,7 @@
 	c.intent = slugintent.New(c.Store.For("intents"))
 	c.duties = slugduties.New(slugduties.Config{
 		World: c.World, Settings: c.settings, Platform: c.platform, Intent: c.intent, Gone: c.gone, Log: c.log, Dial: c.network.DialReset,
-		Leaving: c.leaving.Load,
+		Leaving: c.leaving.Load, Step: c.OnStep,
 	})
 	return nil
 }
--- a/internal/process/slugdemo/demo.go
+++ b/internal/process/slugdemo/demo.go
@@ -178,6 +178,7 @@
 		{0.2, d.crashEngine},
 		{0.3, d.replaceHost},
 		{0.5, d.shiftLoad},
+		{0.55, d.rollVersion},
 		{0.6, d.withdrawKey},
 		{0.7, d.withdrawEndpoint},
 	} {
@@ -219,6 +220,37 @@
 	d.say("the load shifts from mostly output to mostly prompt")
 }
 
+// rollVersion applies a manifest with another version of a model, while requests
+// run.
+func (d *Demo) rollVersion(ctx context.Context) {
+	m := *d.deployment.Manifest
+	m.Services = append([]slugmanifest.Service(nil), m.Services...)
+	for i := range m.Services {
+		if m.Services[i].Name == "appraisal" {
+			m.Services[i].Version = "v2"
+		}
+	}
+	d.deployment.Manifest = &m
+	d.apply(ctx, &m, "the appraisal service rolls to version v2")
+}
+
+// apply applies a manifest on the revision in force.
+func (d *Demo) apply(ctx context.Context, m *slugmanifest.Manifest, what string) bool {
+	var present slugoperate.Manifest
+	err := d.system.Operators().Get(ctx, "/v1/manifest", &present)
+	if err != nil {
+		d.fail("%s: %s", what, err)
+		return false
+	}
+	x, err := d.system.Apply(ctx, m, present.Revision)
+	if err != nil || !x.Accepted {
+		d.fail("%s: %v, unconfirmed %v", what, err, x.Unconfirmed)
+		return false
+	}
+	d.say("%s with revision %d", what, x.Revision)
+	return true
+}
+
 // withdrawKey applies a manifest without the key of one workspace.
 func (d *Demo) withdrawKey(ctx context.Context) {
 	const workspace = "parishes"
@@ -229,15 +261,12 @@
 			m.Workspaces[i].Keys = nil
 		}
 	}
-	x, err := d.system.Apply(ctx, &m, 1)
-	if err != nil || !x.Accepted {
-		d.fail("withdrawal of a key: %v, unconfirmed %v", err, x.Unconfirmed)
+	if !d.apply(ctx, &m, "the key of workspace "+workspace+" is withdrawn") {
 		return
 	}
 	d.mu.Lock()
 	d.withdrawn[workspace] = time.Now()
 	d.mu.Unlock()
-	d.say("the key of workspace %s is withdrawn with revision %d", workspace, x.Revision)
 }
 
 // withdrawEndpoint withdraws an engine; the platform orders no replacement by
--- a/internal/process/slugdemo/promise.go
+++ b/internal/process/slugdemo/promise.go
@@ -65,27 +65,28 @@
 		n += len(e.Orders())
 		bad = append(bad, Conflicts(name, e.Orders())...)
 	}
-	return Promise{"an engine never receives conflicting orders, nor orders without authority", len(bad) == 0, fmt.Sprintf("%d orders, %d conflicts %v", n, len(bad), bad)}
+	return Promise{"an engine never receives conflicting orders, nor orders without authority", len(bad) == 0 && n > 0, fmt.Sprintf("%d orders, %d conflicts %v", n, len(bad), bad)}
 }
 
-// Conflicts returns the orders of an engine that conflict: an older fence after a
-// newer one, or one number with two bodies.
+// Conflicts returns the orders of an engine that conflict: an older one that took
+// effect after a newer one, or one number with two bodies. Orders that the engine
+// refused or answered from memory had no effect and are not among them.
 func Conflicts(name string, orders []slugengine.Order) []string {
 	var bad []string
 	bodies := map[string]slugengine.Order{}
-	var fence uint64
+	var latest slugengine.Order
 	for _, o := range orders {
-		if first, ok := bodies[o.Number]; ok {
-			if first != o {
-				bad = append(bad, fmt.Sprintf("%s: order %s came with two bodies", name, o.Number))
-			}
-			continue
+		first, repeated := bodies[o.Number]
+		switch {
+		case repeated && first != o:
+			bad = append(bad, fmt.Sprintf("%s: order %s came with two bodies", name, o.Number))
+		case repeated && o.Number != latest.Number:
+			bad = append(bad, fmt.Sprintf("%s: order %s took effect again after %s", name, o.Number, latest.Number))
+		case o.Fence < latest.Fence:
+			bad = append(bad, fmt.Sprintf("%s: order %s has fence %d after %d", name, o.Number, o.Fence, latest.Fence))
 		}
 		bodies[o.Number] = o
-		if o.Fence < fence {
-			bad = append(bad, fmt.Sprintf("%s: order %s has fence %d after %d", name, o.Number, o.Fence, fence))
-		}
-		fence = max(fence, o.Fence)
+		latest = o
 	}
 	return bad
 }
@@ -151,5 +152,5 @@
 			behind++
 		}
 	}
-	return Promise{name, behind == 0 && s.Revision == 2, fmt.Sprintf("revision %d, %d live processes behind", s.Revision, behind)}
+	return Promise{name, behind == 0 && s.Revision == 3, fmt.Sprintf("revision %d, %d live processes behind", s.Revision, behind)}
 }
--- a/internal/process/slugduties/build.go
+++ b/internal/process/slugduties/build.go
@@ -35,7 +35,8 @@
 	region := d.cfg.World.Member.Self().Region
 	ordering := sluglease.Duty(orderingPrefix + string(region))
 	out[ordering] = func(j *job) { d.buildOrdering(j, ordering, region) }
-	out[sluglease.Duty(usagePrefix+string(region))] = func(j *job) { d.buildUsage(j, region) }
+	usage := sluglease.Duty(usagePrefix + string(region))
+	out[usage] = func(j *job) { d.buildUsage(j, usage, region) }
 	local := map[slugname.DataCentre]bool{}
 	for _, x := range dataCentres(s, region) {
 		local[x] = true
@@ -69,10 +70,16 @@
 		Needs:       d.needs,
 		Offering:    d.cfg.Platform.Endpoints, Order: d.cfg.Platform.Order,
 		Intent: d.cfg.Intent, Drained: d.drained, Ended: d.ended, Log: d.cfg.Log,
+		Step: d.step(duty),
 	})
 	j.work = b.Work
 }
 
+// step returns what a duty's work calls between its steps.
+func (d *Duties) step(duty sluglease.Duty) func(string) {
+	return func(step string) { d.cfg.Step(duty, step) }
+}
+
 // needs returns what a data centre should have: the least number of endpoints of
 // each service there.
 func (d *Duties) needs(dc slugname.DataCentre, _ []slugplatformapi.Endpoint, _ time.Time) []slugbuy.Need {
@@ -132,12 +139,12 @@
 	return o.Decode(&r) == nil && d.cfg.Gone(r)
 }
 
-func (d *Duties) buildUsage(j *job, region slugname.Region) {
+func (d *Duties) buildUsage(j *job, duty sluglease.Duty, region slugname.Region) {
 	w := d.cfg.World
 	r := slugreport.New(slugreport.Config{
 		Region: region, Store: w.Store.For("usage"), Window: d.cfg.Settings.UsageWindow,
 		Gates: func(ctx context.Context) ([]slugmember.Record, error) { return d.gates(ctx, region) },
-		Alive: d.alive, Send: d.cfg.Platform.Report, Log: d.cfg.Log,
+		Alive: d.alive, Send: d.cfg.Platform.Report, Log: d.cfg.Log, Step: d.step(duty),
 	})
 	j.work = r.Work
 }
@@ -180,7 +187,7 @@
 		Offering: func(ctx context.Context) (slugplatformapi.Offering, error) { return d.cfg.Platform.Endpoints(ctx, dc) },
 		Greet:    d.orders.Greet, Send: d.orders.Send, Statuses: w.Table.Statuses,
 		Manifest: func() *slugmanifest.Service { return w.Follower.Snapshot().Service(service) },
-		Leaving:  d.cfg.Intent.Leaving, Ended: d.ended, Log: d.cfg.Log,
+		Leaving:  d.cfg.Intent.Leaving, Ended: d.ended, Log: d.cfg.Log, Step: d.step(duty),
 	})
 	j.work = r.Work
 }
--- a/internal/process/slugduties/duties.go
+++ b/internal/process/slugduties/duties.go
@@ -53,6 +53,8 @@
 	// Dial opens the connections of orders.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 	Log  *slugevent.Log
+	// Step is called between the steps of a duty's work, for tests; it may be nil.
+	Step func(d sluglease.Duty, step string)
 }
 
 // job is one duty of this process.
@@ -88,6 +90,9 @@
 
 // New returns Duties without any.
 func New(cfg Config) *Duties {
+	if cfg.Step == nil {
+		cfg.Step = func(sluglease.Duty, string) {}
+	}
 	return &Duties{cfg: cfg, orders: slugorder.New(slugorder.Config{Dial: cfg.Dial}), jobs: map[sluglease.Duty]*job{}}
 }
 
--- a/internal/process/sluglease/lease.go
+++ b/internal/process/sluglease/lease.go
@@ -248,7 +248,7 @@
 		return
 	}
 	l.cfg.Log.Emit(slugevent.DutyLost, slugevent.Fields{"duty": l.cfg.Duty, "fence": r.Fence})
-	l.acknowledge(context.WithoutCancel(ctx), r)
+	l.acknowledge(ctx, r)
 }
 
 // work calls work again while the right lasts.
@@ -350,8 +350,18 @@
 }
 
 // acknowledge tells the successor that this process knows of its loss and that
-// nothing it began is still under way.
+// nothing it began is still under way. It tries until that is written, since the
+// successor holds orders back until then.
 func (l *Lease) acknowledge(ctx context.Context, r *Right) {
+	for !l.acknowledged(context.WithoutCancel(ctx), r) {
+		if slugbackoff.Sleep(ctx, lookEvery) != nil {
+			return
+		}
+	}
+}
+
+// acknowledged tries once.
+func (l *Lease) acknowledged(ctx context.Context, r *Right) bool {
 	ctx, cancel := context.WithTimeout(ctx, acknowledgeTimeout)
 	defer cancel()
 	err := l.change(ctx, func(x Record) (Record, bool) {
@@ -364,6 +374,7 @@
 	if err != nil {
 		l.cfg.Log.Error(slugevent.DutyFailed, err, slugevent.Fields{"duty": l.cfg.Duty, "fence": r.Fence})
 	}
+	return err == nil
 }
 
 // changeTries bounds the conflicts of one change.
--- a/internal/process/slugroster/roster.go
+++ b/internal/process/slugroster/roster.go
@@ -218,10 +218,17 @@
 	}
 }
 
-// choose takes up wanted changes, a few at a time.
+// choose takes up wanted changes, a few at a time, and drops those that are no
+// longer wanted.
 func (r *Roster) choose(endpoints []slugplatformapi.Endpoint) {
 	limit := max(1, len(endpoints)/enginesPerChange)
-	for _, c := range r.wanted(endpoints) {
+	wanted := r.wanted(endpoints)
+	for e, c := range r.changes {
+		if !slices.Contains(wanted, c) {
+			delete(r.changes, e)
+		}
+	}
+	for _, c := range wanted {
 		if _, busy := r.changes[c.Endpoint]; busy || len(r.changes) >= limit {
 			continue
 		}
@@ -261,6 +268,8 @@
 		}
 	}
 	if r.version != 0 && slices.Equal(next.Endpoints, r.plan.Endpoints) {
+		// A predecessor may have written this plan.
+		r.noteDraining(r.version)
 		return nil
 	}
 	return right.Do(ctx, planTime, func(ctx context.Context) error {
--- /dev/null
+++ b/internal/process/slugsystem/promise_authority_test.go
@@ -0,0 +1,163 @@
+package slugsystem_test
+
+import (
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/sassafraslug/sassafraslug/internal/process/sluglease"
+	"github.com/sassafraslug/sassafraslug/internal/process/slugname"
+	"github.com/sassafraslug/sassafraslug/internal/process/slugsystem"
+	"github.com/sassafraslug/sassafraslug/internal/standin/slugplatform"
+	"gotest.tools/v3/assert"
+)
+
+const rolesDuty = sluglease.Duty("roles/assistant/dc-1")
+
+// paused cuts the holder of a duty off at a step of its work and holds it there,
+// as a pause of its process does, and lets it go on afterwards.
+func (r *rig) pauseAt(duty sluglease.Duty, step string, pause time.Duration) (paused func() slugname.Host) {
+	// A sync.Once would stop virtual time for those who wait for it.
+	var host atomic.Value
+	r.setStep(func(h slugname.Host, d sluglease.Duty, s string) {
+		if d != duty || s != step || !host.CompareAndSwap(nil, h) {
+			return
+		}
+		r.mesh.Isolate(string(h), true)
+		time.Sleep(pause)
+		r.mesh.Isolate(string(h), false)
+	})
+	return func() slugname.Host {
+		h, _ := host.Load().(slugname.Host)
+		return h
+	}
+}
+
+// other returns a host that is not the given one.
+func (r *rig) other(not slugname.Host) *slugsystem.Host {
+	for _, h := range r.Hosts() {
+		if h.Name != not {
+			return h
+		}
+	}
+	return nil
+}
+
+func TestPromiseNoConflictingOrders(t *testing.T) {
+	for _, unchecked := range []int{0, 1} {
+		for _, step := range []string{"journal.open", "order.journal", "order.send", "order.sent"} {
+			for _, pause := range []time.Duration{4 * time.Second, 40 * time.Second} {
+				t.Run(named("unchecked %d %s paused %s", unchecked, step, pause), func(t *testing.T) {
+					inRig(t, options{unchecked: unchecked}, func(r *rig) {
+						if step == "journal.open" {
+							first := r.holder(rolesDuty)
+							paused := r.pauseAt(rolesDuty, step, pause)
+							r.Kill(first)
+							r.await(time.Minute, "the step", func() bool { return paused() != "" })
+						} else {
+							paused := r.pauseAt(rolesDuty, step, pause)
+							_, err := r.change(r.Hosts()[0], setVersion("assistant", "v2"))
+							assert.NilError(t, err)
+							r.await(time.Minute, "the step", func() bool { return paused() != "" })
+							// A change is wanted while the old holder is away.
+							_, err = r.change(r.other(paused()), setVersion("assistant", "v3"))
+							assert.NilError(t, err)
+						}
+						time.Sleep(2 * time.Minute)
+						_, err := r.change(r.Hosts()[0], setVersion("assistant", "v4"))
+						assert.NilError(t, err)
+						r.await(5*time.Minute, "the roll to v4", func() bool { return r.versions("assistant")["v4"] == 6 })
+						assert.DeepEqual(t, r.conflicts(), []string(nil))
+					})
+				})
+			}
+		}
+	}
+}
+
+func TestPromiseNoConflictingOrdersEngineCrash(t *testing.T) {
+	inRig(t, options{unchecked: 2}, func(r *rig) {
+		var once sync.Once
+		r.setStep(func(_ slugname.Host, d sluglease.Duty, s string) {
+			if d == rolesDuty && s == "order.send" {
+				once.Do(func() {
+					for _, e := range r.Stand.Engines() {
+						e.Crash()
+					}
+				})
+			}
+		})
+		_, err := r.change(r.Hosts()[0], setVersion("assistant", "v2"))
+		assert.NilError(t, err)
+		r.await(5*time.Minute, "the roll to v2", func() bool { return r.versions("assistant")["v2"] == 6 })
+		assert.DeepEqual(t, r.conflicts(), []string(nil))
+	})
+}
+
+func TestPromiseLostAuthority(t *testing.T) {
+	for _, cut := range []string{"from the store", "from all"} {
+		t.Run(named("cut %s", cut), func(t *testing.T) {
+			inRig(t, options{unchecked: 2}, func(r *rig) {
+				old := r.holder(rolesDuty)
+				if cut == "from all" {
+					r.mesh.Isolate(string(old.Name), true)
+				} else {
+					r.mesh.Cut(string(old.Name), "platform", true)
+				}
+				lost := time.Now()
+				r.await(15*time.Second, "the take-over", func() bool {
+					h := r.holder(rolesDuty)
+					return h != nil && h != old
+				})
+				assert.Assert(t, time.Since(lost) < 15*time.Second)
+				_, err := r.change(r.other(old.Name), setVersion("assistant", "v2"))
+				assert.NilError(t, err)
+				time.Sleep(30 * time.Second)
+				r.mesh.Isolate(string(old.Name), false)
+				r.mesh.Cut(string(old.Name), "platform", false)
+				r.await(5*time.Minute, "the roll to v2", func() bool { return r.versions("assistant")["v2"] == 6 })
+				for _, e := range r.Stand.Engines() {
+					for _, o := range e.Orders() {
+						assert.Assert(t, string(o.Holder)[:len(old.Name)] != string(old.Name), "order %s of the old holder", o.Number)
+					}
+				}
+				assert.DeepEqual(t, r.conflicts(), []string(nil))
+			})
+		})
+	}
+}
+
+func TestPromiseOneOrderer(t *testing.T) {
+	const duty = sluglease.Duty("ordering/home")
+	for _, platform := range []slugplatform.Config{
+		{HostListLag: 2 * time.Second},
+		{HostListLag: 2 * time.Second, OrderingRequestNumbers: true, OrderingUnchecked: true},
+		{HostListLag: 2 * time.Second, OrderingUnchecked: true},
+	} {
+		for _, step := range []string{"order.journal", "order.send", "order.sent"} {
+			t.Run(named("numbers %t unchecked %t %s", platform.OrderingRequestNumbers, platform.OrderingUnchecked, step), func(t *testing.T) {
+				inRig(t, options{platform: platform}, func(r *rig) {
+					before := len(r.Stand.Engines())
+					paused := r.pauseAt(duty, step, 40*time.Second)
+					for name := range r.Stand.Engines() {
+						r.Stand.Platform.Withdraw(name)
+						break
+					}
+					r.await(time.Minute, "the step", func() bool { return paused() != "" })
+					time.Sleep(3 * time.Minute)
+					assert.Equal(t, len(r.Stand.Engines()), before+1, "one endpoint was withdrawn and one ordered in its place")
+					holders := map[uint64]string{}
+					var fence uint64
+					for _, o := range r.Stand.Platform.Orders() {
+						assert.Assert(t, o.Fence >= fence, "order %s has fence %d after %d", o.Number, o.Fence, fence)
+						if h, ok := holders[o.Fence]; ok {
+							assert.Equal(t, h, o.Holder, "two holders with fence %d", o.Fence)
+						}
+						holders[o.Fence], fence = o.Holder, o.Fence
+					}
+				})
+			})
+		}
+	}
+}
--- /dev/null
+++ b/internal/process/slugsystem/rig_test.go
@@ -0,0 +1,291 @@
+package slugsystem_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sassafraslug/sassafraslug/internal/process/slugcaller"
+	"github.com/sassafraslug/sassafraslug/internal/process/slugdemo"
+	"github.com/sassafraslug/sassafraslug/internal/process/sluglease"
+	"github.com/sassafraslug/sassafraslug/internal/process/slugledger"
+	"github.com/sassafraslug/sassafraslug/internal/process/slugname"
+	"github.com/sassafraslug/sassafraslug/internal/process/slugoperate"
+	"github.com/sassafraslug/sassafraslug/internal/process/slugreport"
+	"github.com/sassafraslug/sassafraslug/internal/process/slugsettings"
+	"github.com/sassafraslug/sassafraslug/internal/process/slugsystem"
+	"github.com/sassafraslug/sassafraslug/internal/standin/slugengine"
+	"github.com/sassafraslug/sassafraslug/internal/standin/slugknown"
+	"github.com/sassafraslug/sassafraslug/internal/standin/slugmesh"
+	"github.com/sassafraslug/sassafraslug/internal/standin/slugplatform"
+	"github.com/sassafraslug/sassafraslug/internal/version/slugmanifest"
+	"gotest.tools/v3/assert"
+)
+
+// rig is a system in virtual time with what a test needs of it.
+type rig struct {
+	*slugsystem.System
+	t          *testing.T
+	ctx        context.Context
+	mesh       *slugmesh.Mesh
+	deployment slugdemo.Deployment
+	logs       *syncBuffer
+
+	mu   sync.Mutex
+	step func(h slugname.Host, d sluglease.Duty, step string)
+	// relayed is the number of output tokens that callers got.
+	relayed int64
+}
+
+// syncBuffer is a buffer that many goroutines write.
+type syncBuffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (b *syncBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.b.Write(p)
+}
+
+func (b *syncBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.b.String()
+}
+
+// options change a rig before it starts.
+type options struct {
+	hosts     int
+	engine    slugengine.Config
+	unchecked int
+	platform  slugplatform.Config
+	manifest  func(*slugmanifest.Manifest)
+	settings  func(*slugsettings.Settings)
+}
+
+// inRig runs a test with a system in virtual time.
+func inRig(t *testing.T, o options, f func(*rig)) {
+	t.Helper()
+	slugknown.Skip(t)
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithTimeout(context.Background(), 24*time.Hour)
+		defer cancel()
+		r := &rig{t: t, ctx: ctx, mesh: slugmesh.New(), deployment: slugdemo.NewDeployment(), logs: &syncBuffer{}}
+		if o.hosts == 0 {
+			o.hosts = 3
+		}
+		if o.platform.HostListLag == 0 {
+			o.platform = slugplatform.Config{HostListLag: 2 * time.Second, OrderingRequestNumbers: true}
+		}
+		if o.manifest != nil {
+			o.manifest(r.deployment.Manifest)
+		}
+		var err error
+		r.System, err = slugsystem.New(ctx, slugsystem.Config{
+			Hosts: o.hosts, Manifest: r.deployment.Manifest, Mesh: r.mesh, Engine: o.engine, UncheckedEvery: o.unchecked,
+			Platform: o.platform, Log: r.logs, OnStep: r.onStep, Settings: o.settings,
+		})
+		defer r.end()
+		defer func() {
+			if t.Failed() && os.Getenv("SASSAFRASLUG_TEST_LOG") != "" {
+				t.Log(r.logs.String())
+			}
+		}()
+		assert.NilError(t, err)
+		f(r)
+	})
+}
+
+// end ends the system and waits for what is still under way.
+func (r *rig) end() {
+	r.Close()
+	time.Sleep(2 * time.Minute)
+}
+
+func (r *rig) onStep(h slugname.Host, d sluglease.Duty, step string) {
+	r.mu.Lock()
+	f := r.step
+	r.mu.Unlock()
+	if f != nil {
+		f(h, d, step)
+	}
+}
+
+func (r *rig) setStep(f func(h slugname.Host, d sluglease.Duty, step string)) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.step = f
+}
+
+// caller returns a caller of a workspace that begins at the given hosts, or at all.
+func (r *rig) caller(w slugname.Workspace, tries int, seeds ...string) *slugcaller.Caller {
+	if len(seeds) == 0 {
+		seeds = r.Seeds()
+	}
+	c := slugcaller.New(slugcaller.Config{
+		Seeds: seeds, Key: r.deployment.Keys[w], Tries: tries,
+		Transport: &http.Transport{DialContext: r.mesh.Host("caller").Dial, MaxIdleConnsPerHost: 64},
+	})
+	r.t.Cleanup(c.CloseIdle)
+	return c
+}
+
+// transport returns a client without a look-up.
+func (r *rig) transport() *http.Client {
+	t := &http.Transport{DialContext: r.mesh.Host("caller").Dial, MaxIdleConnsPerHost: 64}
+	r.t.Cleanup(t.CloseIdleConnections)
+	return &http.Client{Transport: t}
+}
+
+func prompt(n int, text string) slugcaller.ChatRequest {
+	return slugcaller.ChatRequest{Model: "lineage", Prompt: text, MaxTokens: n, Stream: true}
+}
+
+// expect returns the whole answer to a request.
+func expect(x slugcaller.ChatRequest) string {
+	return slugengine.Answer(slugengine.Prompt(x.Body()), x.MaxTokens)
+}
+
+// chat sends a request and checks that its answer is whole.
+func (r *rig) chat(c *slugcaller.Caller, x slugcaller.ChatRequest) {
+	r.t.Helper()
+	a, err := c.Chat(r.ctx, x)
+	assert.NilError(r.t, err)
+	assert.Equal(r.t, a.Text, expect(x))
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.relayed += int64(x.MaxTokens)
+}
+
+// change applies a changed copy of the manifest through a host's control.
+func (r *rig) change(h *slugsystem.Host, f func(*slugmanifest.Manifest)) (slugoperate.Change, error) {
+	client := r.OperatorsOf(h)
+	var present slugoperate.Manifest
+	if err := client.Get(r.ctx, "/v1/manifest", &present); err != nil {
+		return slugoperate.Change{}, err
+	}
+	f(present.Manifest)
+	b, err := json.Marshal(present.Manifest)
+	assert.NilError(r.t, err)
+	return client.Apply(r.ctx, b, present.Revision, "")
+}
+
+func setVersion(service slugname.Service, version string) func(*slugmanifest.Manifest) {
+	return func(m *slugmanifest.Manifest) {
+		for i := range m.Services {
+			if m.Services[i].Name == service {
+				m.Services[i].Version = version
+			}
+		}
+	}
+}
+
+func withoutKeys(w slugname.Workspace) func(*slugmanifest.Manifest) {
+	return func(m *slugmanifest.Manifest) {
+		for i := range m.Workspaces {
+			if m.Workspaces[i].Name == w {
+				m.Workspaces[i].Keys = []slugmanifest.Key{}
+			}
+		}
+	}
+}
+
+// conflicts returns the conflicting orders of all engines.
+func (r *rig) conflicts() []string {
+	var bad []string
+	for name, e := range r.Stand.Engines() {
+		bad = append(bad, slugdemo.Conflicts(name, e.Orders())...)
+	}
+	return bad
+}
+
+// await waits in virtual time until a condition holds.
+func (r *rig) await(within time.Duration, what string, ok func() bool) time.Duration {
+	r.t.Helper()
+	began := time.Now()
+	for !ok() {
+		if time.Since(began) > within {
+			r.t.Fatalf("%s did not happen within %s", what, within)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	return time.Since(began)
+}
+
+// holder returns the host that holds a duty, or nil.
+func (r *rig) holder(d sluglease.Duty) *slugsystem.Host {
+	for _, h := range r.Hosts() {
+		var x slugoperate.Duties
+		ctx, cancel := context.WithTimeout(r.ctx, 100*time.Millisecond)
+		err := r.OperatorsOf(h).Get(ctx, "/v1/duties", &x)
+		cancel()
+		if err != nil {
+			continue
+		}
+		for _, s := range x.Duties {
+			if s.Duty == d && s.Held {
+				return h
+			}
+		}
+	}
+	return nil
+}
+
+// versions counts the engines of a service by version.
+func (r *rig) versions(service string) map[string]int {
+	out := map[string]int{}
+	for name, e := range r.Stand.Engines() {
+		if strings.HasPrefix(name, service+"-") {
+			out[e.Version()]++
+		}
+	}
+	return out
+}
+
+// billed sums the reports of all windows. Reports of one window that differ, or
+// that come from two reporters with different figures, fail the test.
+func (r *rig) billed() slugledger.Totals {
+	var sum slugledger.Totals
+	for w, bodies := range r.Stand.Platform.AllWindows() {
+		for _, b := range bodies[1:] {
+			assert.Equal(r.t, string(b), string(bodies[0]), "window %s", w)
+		}
+		var report slugreport.Report
+		assert.NilError(r.t, json.Unmarshal(bodies[0], &report))
+		for _, l := range report.Lines {
+			sum = sum.Plus(l.Totals)
+		}
+	}
+	return sum
+}
+
+// executions counts how often each body took effect at plain services.
+func (r *rig) executions() map[string]int {
+	out := map[string]int{}
+	for _, s := range r.Stand.Plains() {
+		for _, x := range s.Executions() {
+			out[x.Body]++
+		}
+	}
+	return out
+}
+
+// gateAddress returns a host's address for callers.
+func gateAddress(h *slugsystem.Host) string {
+	callers, _ := h.Gate.Addresses()
+	return callers
+}
+
+func named(format string, args ...any) string {
+	return strings.ReplaceAll(fmt.Sprintf(format, args...), " ", "_")
+}
--- a/internal/process/slugsystem/system.go
+++ b/internal/process/slugsystem/system.go
@@ -24,6 +24,7 @@
 	"github.com/sassafraslug/sassafraslug/internal/process/slugevent"
 	"github.com/sassafraslug/sassafraslug/internal/process/slugfault"
 	"github.com/sassafraslug/sassafraslug/internal/process/sluggate"
+	"github.com/sassafraslug/sassafraslug/internal/process/sluglease"
 	"github.com/sassafraslug/sassafraslug/internal/process/slugname"
 	"github.com/sassafraslug/sassafraslug/internal/process/slugnetwork"
 	"github.com/sassafraslug/sassafraslug/internal/process/slugoperate"
@@ -51,6 +52,8 @@
 	Platform slugplatform.Config
 	// Log takes the log lines of all processes; nil drops them.
 	Log io.Writer
+	// OnStep is called between the steps of every duty's work; it may be nil.
+	OnStep func(h slugname.Host, d sluglease.Duty, step string)
 	// Mesh takes the place of the operating system's network; nil uses that.
 	Mesh *slugmesh.Mesh
 	// Settings changes the settings of a host; nil keeps them.
@@ -163,6 +166,9 @@
 	settings := s.settings(h, region)
 	h.Gate = sluggate.New(settings, s.Network(string(h.Name)), s.log(h, "gate"))
 	h.Control = slugcontrol.New(settings, s.Network(string(h.Name)), s.log(h, "control"))
+	if s.cfg.OnStep != nil {
+		h.Control.OnStep = func(d sluglease.Duty, step string) { s.cfg.OnStep(h.Name, d, step) }
+	}
 	h.stopGate = h.run(h.Gate.Run)
 	h.stopOther = h.run(h.Control.Run)
 	ctx, cancel := context.WithTimeout(ctx, startTimeout)
--- a/internal/standin/slugengine/engine.go
+++ b/internal/standin/slugengine/engine.go
@@ -388,3 +388,10 @@
 	}
 	return n
 }
+
+// Version returns the version of the model that is loaded.
+func (e *Engine) Version() string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.version
+}
