Prove configuration, keys and leaving endpoints under cuts, races and outages

Found by TestPromiseConfigInForceMinority: with most peers cut off, an exchange that waits for them held up the rounds, and hosts that could reach each other counted as silent (4 unconfirmed instead of 3, 1 run of 1). Found by TestPromiseConfigInForceStoreOutage: a gate tried to write each unwritten window's record in an outage; it now stops at the first failure.

--- a/internal/process/slugledger/ledger.go
+++ b/internal/process/slugledger/ledger.go
@@ -169,14 +169,17 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.collect()
-	var failed error
-	// A sealed record moves its rest into the present window, which comes last.
-	for pass := 0; pass < 2; pass++ {
+	// A sealed record moves its rest into the present window, which the second pass
+	// writes. The first failure ends the call: the store does not take the others
+	// either, and an outage leaves many.
+	for range 2 {
 		for _, w := range l.windows() {
-			failed = errors.CombineErrors(failed, l.writeRecord(ctx, w, now, closing))
+			if err := l.writeRecord(ctx, w, now, closing); err != nil {
+				return err
+			}
 		}
 	}
-	return failed
+	return nil
 }
 
 // collect moves the counts of the shards into the records.
--- a/internal/process/slugpeer/table.go
+++ b/internal/process/slugpeer/table.go
@@ -134,9 +134,12 @@
 
 // Run exchanges rows until ctx ends.
 func (t *Table) Run(ctx context.Context) error {
+	var wg sync.WaitGroup
+	defer wg.Wait()
 	for ctx.Err() == nil {
 		t.beat()
-		t.round(ctx, t.cfg.Fanout)
+		// A peer that does not answer must not hold the next round up.
+		wg.Go(func() { t.round(ctx, t.cfg.Fanout) })
 		jitter := Round*9/10 + time.Duration(rand.Int64N(int64(Round/5)))
 		_ = slugbackoff.Sleep(ctx, jitter)
 	}
@@ -164,11 +167,17 @@
 	}
 }
 
+// round exchanges with a few random peers that are alive, and with one that is not,
+// so that parts of a system that were cut off find each other again.
 func (t *Table) round(ctx context.Context, fanout int) {
-	peers := slices.DeleteFunc(t.cfg.Peers(), func(r slugmember.Record) bool { return r.Process == t.cfg.Self.Process })
-	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+	alive, silent := t.split()
+	rand.Shuffle(len(alive), func(i, j int) { alive[i], alive[j] = alive[j], alive[i] })
+	chosen := alive[:min(fanout, len(alive))]
+	if len(silent) > 0 {
+		chosen = append(chosen, silent[rand.IntN(len(silent))])
+	}
 	g, ctx := errgroup.WithContext(ctx)
-	for _, p := range peers[:min(fanout, len(peers))] {
+	for _, p := range chosen {
 		g.Go(func() error {
 			t.exchange(ctx, p)
 			return nil
@@ -177,6 +186,26 @@
 	_ = g.Wait()
 }
 
+// split returns the other processes by whether they are alive.
+func (t *Table) split() (alive, silent []slugmember.Record) {
+	now := time.Now()
+	peers := t.cfg.Peers()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, p := range peers {
+		id := slugmember.IDOf(p.Process)
+		h := t.rows[id]
+		switch {
+		case id == t.self:
+		case h != nil && h.row.Process != "" && now.Sub(h.heardAt) < AliveFor:
+			alive = append(alive, p)
+		default:
+			silent = append(silent, p)
+		}
+	}
+	return alive, silent
+}
+
 // exchange sends the digest, takes newer rows, and sends the rows that the peer
 // lacks.
 func (t *Table) exchange(ctx context.Context, p slugmember.Record) {
--- /dev/null
+++ b/internal/process/slugsystem/promise_config_test.go
@@ -0,0 +1,359 @@
+package slugsystem_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/sassafraslug/sassafraslug/internal/process/slugoperate"
+	"github.com/sassafraslug/sassafraslug/internal/process/slugsystem"
+	"github.com/sassafraslug/sassafraslug/internal/standin/slugplatform"
+	"github.com/sassafraslug/sassafraslug/internal/version/slugconfig"
+	"github.com/sassafraslug/sassafraslug/internal/version/slugmanifest"
+	"gotest.tools/v3/assert"
+)
+
+// inForceBound is the time from the answer "accepted" until no host acts on an
+// older revision.
+const inForceBound = 10 * time.Second
+
+// serves reports whether a host serves a request of a workspace.
+func (r *rig) serves(h *slugsystem.Host, key string) bool {
+	x := prompt(1, "short")
+	ctx, cancel := context.WithTimeout(r.ctx, 2*time.Second)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+gateAddress(h)+"/v1/chat/completions", bytes.NewReader(x.Body()))
+	assert.NilError(r.t, err)
+	req.Header.Set("Authorization", "Bearer "+key)
+	client := r.transport()
+	defer client.CloseIdleConnections()
+	resp, err := client.Do(req)
+	if err != nil {
+		return false
+	}
+	defer func() { _ = resp.Body.Close() }()
+	return resp.StatusCode == http.StatusOK
+}
+
+// cuts are the ways in which one host is separated from the rest.
+var cuts = map[string]func(r *rig, h *slugsystem.Host, cut bool){
+	"no cut": func(*rig, *slugsystem.Host, bool) {},
+	"from the store": func(r *rig, h *slugsystem.Host, cut bool) {
+		r.mesh.Cut(string(h.Name), "platform", cut)
+	},
+	"from its peers": func(r *rig, h *slugsystem.Host, cut bool) {
+		for _, x := range r.Hosts() {
+			if x != h {
+				r.mesh.Cut(string(h.Name), string(x.Name), cut)
+			}
+		}
+	},
+	"from both": func(r *rig, h *slugsystem.Host, cut bool) {
+		r.mesh.Cut(string(h.Name), "platform", cut)
+		for _, x := range r.Hosts() {
+			if x != h {
+				r.mesh.Cut(string(h.Name), string(x.Name), cut)
+			}
+		}
+	},
+}
+
+func TestPromiseConfigInForce(t *testing.T) {
+	for name, cut := range cuts {
+		t.Run(named("%s", name), func(t *testing.T) {
+			inRig(t, options{hosts: 5}, func(r *rig) {
+				away := r.Hosts()[4]
+				key := r.deployment.Keys["dojo-cebu"]
+				assert.Assert(t, r.serves(away, key))
+				cut(r, away, true)
+				x, err := r.change(r.Hosts()[0], withoutKeys("dojo-cebu"))
+				assert.NilError(t, err)
+				assert.Assert(t, x.Accepted, "unconfirmed %v", x.Unconfirmed)
+				accepted := time.Now()
+				for _, h := range r.Hosts() {
+					r.await(inForceBound-time.Since(accepted), "the end of the key at "+string(h.Name), func() bool { return !r.serves(h, key) })
+				}
+				cut(r, away, false)
+				r.await(inForceBound, "service at the host after the cut", func() bool { return r.serves(away, r.deployment.Keys["dojo-manila"]) })
+				assert.Assert(t, !r.serves(away, key), "a revision never goes down")
+			})
+		})
+	}
+}
+
+func TestPromiseConfigInForceMinority(t *testing.T) {
+	inRig(t, options{hosts: 5}, func(r *rig) {
+		// Two hosts with the store on one side, three without it on the other.
+		for _, a := range r.Hosts()[2:] {
+			r.mesh.Cut(string(a.Name), "platform", true)
+			for _, b := range r.Hosts()[:2] {
+				r.mesh.Cut(string(a.Name), string(b.Name), true)
+			}
+		}
+		time.Sleep(10 * time.Second)
+		x, err := r.change(r.Hosts()[0], withoutKeys("dojo-cebu"))
+		assert.NilError(t, err)
+		assert.Assert(t, !x.Accepted, "a minority cannot accept a change")
+		assert.Equal(t, len(x.Unconfirmed), 3)
+		key := r.deployment.Keys["dojo-manila"]
+		assert.Assert(t, r.serves(r.Hosts()[4], key), "a majority without the store serves on")
+	})
+}
+
+func TestPromiseConfigInForceRacingApplies(t *testing.T) {
+	inRig(t, options{hosts: 3}, func(r *rig) {
+		var accepted atomic.Int64
+		var wg sync.WaitGroup
+		var mu sync.Mutex
+		revisions := map[slugconfig.Revision]int{}
+		for n := range 12 {
+			wg.Go(func() {
+				h := r.Hosts()[n%3]
+				x, err := r.change(h, func(m *slugmanifest.Manifest) { m.Budget.CentsPerHour = 1000 + n })
+				if err == nil && x.Accepted {
+					accepted.Add(1)
+					mu.Lock()
+					revisions[x.Revision]++
+					mu.Unlock()
+				}
+			})
+		}
+		wg.Wait()
+		assert.Assert(t, accepted.Load() >= 1)
+		for revision, n := range revisions {
+			assert.Equal(t, n, 1, "revision %d was given to two changes", revision)
+		}
+	})
+}
+
+func TestPromiseConfigInForceLostAnswers(t *testing.T) {
+	inRig(t, options{hosts: 3}, func(r *rig) {
+		r.Stand.Platform.SetFaults(slugplatform.Faults{LoseAnswers: true})
+		x, err := r.change(r.Hosts()[0], withoutKeys("dojo-cebu"))
+		assert.NilError(t, err)
+		assert.Assert(t, x.Accepted)
+		assert.Equal(t, x.Revision, slugconfig.Revision(2))
+		r.Stand.Platform.SetFaults(slugplatform.Faults{})
+		var settled slugoperate.Change
+		assert.NilError(t, r.Operators().Get(r.ctx, "/v1/changes/"+string(x.ID), &settled))
+		assert.Equal(t, settled.Revision, x.Revision)
+	})
+}
+
+func TestPromiseConfigInForceStaleBase(t *testing.T) {
+	inRig(t, options{hosts: 3}, func(r *rig) {
+		_, err := r.change(r.Hosts()[0], withoutKeys("dojo-cebu"))
+		assert.NilError(t, err)
+		b, err := json.Marshal(r.deployment.Manifest)
+		assert.NilError(t, err)
+		_, err = r.Operators().Apply(r.ctx, b, 1, "stale")
+		assert.ErrorContains(t, err, "base 1 is not the present revision, which is 2; nothing was changed")
+		assert.Assert(t, !r.serves(r.Hosts()[1], r.deployment.Keys["dojo-cebu"]))
+	})
+}
+
+// onlyAssistant leaves one service with one engine, so that hours pass quickly.
+func onlyAssistant(m *slugmanifest.Manifest) {
+	m.Services = m.Services[:1]
+	m.Services[0].Replicas = []slugmanifest.Replicas{{DataCentre: "dc-1", Min: 1, Max: 1}}
+	var rules []slugmanifest.Rule
+	for _, x := range m.Rules {
+		if len(x.Models) == 1 && x.Models[0] == "lineage" {
+			rules = append(rules, slugmanifest.Rule{Workspace: x.Workspace, Models: x.Models})
+		}
+	}
+	m.Rules = rules
+}
+
+func TestPromiseConfigInForceStoreOutage(t *testing.T) {
+	inRig(t, options{hosts: 3, manifest: onlyAssistant}, func(r *rig) {
+		key := r.deployment.Keys["dojo-manila"]
+		r.Stand.Platform.SetFaults(slugplatform.Faults{Down: true})
+		for range 12 {
+			time.Sleep(5 * time.Minute)
+			for _, h := range r.Hosts() {
+				assert.Assert(t, r.serves(h, key), "host %s in the outage", h.Name)
+			}
+		}
+		_, err := r.change(r.Hosts()[0], withoutKeys("dojo-cebu"))
+		assert.ErrorContains(t, err, "outcome unknown")
+		r.Stand.Platform.SetFaults(slugplatform.Faults{})
+		r.await(30*time.Second, "a change after the outage", func() bool {
+			x, err := r.change(r.Hosts()[0], withoutKeys("parents"))
+			return err == nil && x.Accepted
+		})
+		for _, h := range r.Hosts() {
+			r.await(inForceBound, "the end of the key at "+string(h.Name), func() bool { return !r.serves(h, r.deployment.Keys["parents"]) })
+		}
+	})
+}
+
+func TestPromiseWithdrawnKey(t *testing.T) {
+	for _, name := range []string{"no cut", "from both"} {
+		t.Run(named("%s", name), func(t *testing.T) {
+			inRig(t, options{hosts: 5}, func(r *rig) {
+				away := r.Hosts()[4]
+				cuts[name](r, away, true)
+				// A long answer runs while the key is withdrawn, and ends whole.
+				long := prompt(600, "a long review")
+				done := make(chan error, 1)
+				go func() {
+					a, err := r.caller("dojo-cebu", 1, gateAddress(r.Hosts()[1])).Chat(r.ctx, long)
+					if err == nil && a.Text != expect(long) {
+						err = context.Canceled
+					}
+					done <- err
+				}()
+				time.Sleep(time.Second)
+				x, err := r.change(r.Hosts()[0], withoutKeys("dojo-cebu"))
+				assert.NilError(t, err)
+				assert.Assert(t, x.Accepted)
+				accepted := time.Now()
+				last := accepted
+				for time.Since(accepted) < 12*time.Second {
+					for _, h := range r.Hosts() {
+						if r.serves(h, r.deployment.Keys["dojo-cebu"]) {
+							last = time.Now()
+						}
+					}
+					time.Sleep(100 * time.Millisecond)
+				}
+				assert.Assert(t, last.Sub(accepted) < 5*time.Second, "the key worked for %s", last.Sub(accepted))
+				t.Logf("last use %s after acceptance", last.Sub(accepted))
+				assert.NilError(t, <-done, "the running answer ends whole")
+				for name, e := range r.Stand.Engines() {
+					assert.Equal(t, len(e.SeenKeys()), 0, "engine %s saw a key", name)
+				}
+			})
+		})
+	}
+}
+
+func TestPromiseWithdrawnKeyQueued(t *testing.T) {
+	inRig(t, options{hosts: 3}, func(r *rig) {
+		for _, e := range r.Stand.Engines() {
+			e.SetStreams(1)
+		}
+		// Long answers fill the engines; the requests of one workspace wait.
+		var wg sync.WaitGroup
+		c := r.caller("dojo-manila", 1, gateAddress(r.Hosts()[0]))
+		for range 400 {
+			wg.Go(func() { _, _ = c.Chat(r.ctx, prompt(200, "fills the engines")) })
+		}
+		time.Sleep(2 * time.Second)
+		codes := make(chan error, 10)
+		q := r.caller("dojo-cebu", 1, gateAddress(r.Hosts()[0]))
+		for range cap(codes) {
+			go func() {
+				_, err := q.Chat(r.ctx, prompt(2, "waits in the queue"))
+				codes <- err
+			}()
+		}
+		time.Sleep(100 * time.Millisecond)
+		_, err := r.change(r.Hosts()[0], withoutKeys("dojo-cebu"))
+		assert.NilError(t, err)
+		refused := 0
+		for range cap(codes) {
+			if err := <-codes; err != nil {
+				assert.Assert(t, strings.Contains(err.Error(), "keyUnknown (ran no)"), "%s", err)
+				refused++
+			}
+		}
+		assert.Assert(t, refused > 0, "the queue was never long")
+		wg.Wait()
+	})
+}
+
+func TestPromiseNoEndpointSeesKey(t *testing.T) {
+	inRig(t, options{hosts: 3}, func(r *rig) {
+		key := r.deployment.Keys["dojo-manila"]
+		address := "http://" + gateAddress(r.Hosts()[0])
+		for _, tt := range []struct {
+			name string
+			set  func(*http.Request)
+			want int
+		}{
+			{"bearer", func(q *http.Request) { q.Header.Set("Authorization", "Bearer "+key) }, 200},
+			{"x-api-key", func(q *http.Request) { q.Header.Set("X-Api-Key", key) }, 200},
+			{"query", func(q *http.Request) { q.URL.RawQuery = "a=1&api_key=" + key + "&b=2" }, 200},
+			{"encoded query", func(q *http.Request) { q.URL.RawQuery = "api_key=" + strings.ReplaceAll(key, "-", "%2D") }, 200},
+			{"another header", func(q *http.Request) {
+				q.Header.Set("Authorization", "Bearer "+key)
+				q.Header.Set("X-Debug", "my key is "+key)
+			}, 200},
+			{"cookie", func(q *http.Request) {
+				q.Header.Set("X-Api-Key", key)
+				q.Header.Set("Cookie", "k="+key)
+			}, 200},
+			{"path", func(q *http.Request) {
+				q.Header.Set("X-Api-Key", key)
+				q.URL.Path += "/" + key
+			}, 400},
+			{"body", func(q *http.Request) {
+				q.Header.Set("X-Api-Key", key)
+				b := []byte(`{"note":"` + key + `"}`)
+				q.Body, q.ContentLength = body(b), int64(len(b))
+			}, 400},
+			{"open route", func(q *http.Request) {
+				q.URL.Path = "/services/records/status"
+				q.Header.Set("X-Api-Key", key)
+			}, 200},
+		} {
+			req, err := http.NewRequestWithContext(r.ctx, http.MethodPost, address+"/services/records/certificates", http.NoBody)
+			assert.NilError(t, err)
+			tt.set(req)
+			resp, err := r.transport().Do(req)
+			assert.NilError(t, err, tt.name)
+			assert.Equal(t, resp.StatusCode, tt.want, tt.name)
+			_ = resp.Body.Close()
+		}
+		for name, s := range r.Stand.Plains() {
+			assert.DeepEqual(t, s.SeenKeys(), []string(nil))
+			for _, x := range s.Executions() {
+				assert.Assert(t, !strings.Contains(x.Path+x.Body, key), "%s saw the key in %s", name, x.Path)
+			}
+		}
+	})
+}
+
+func TestPromiseLeavingEndpoint(t *testing.T) {
+	inRig(t, options{hosts: 5}, func(r *rig) {
+		stop := make(chan struct{})
+		var wg sync.WaitGroup
+		for n := range 20 {
+			c := r.caller("dojo-manila", 1, gateAddress(r.Hosts()[n%5]))
+			wg.Go(func() {
+				for {
+					select {
+					case <-stop:
+						return
+					default:
+						r.chat(c, prompt(10, "load"))
+					}
+				}
+			})
+		}
+		time.Sleep(3 * time.Second)
+		var leaving string
+		for name, e := range r.Stand.Engines() {
+			if strings.HasPrefix(name, "assistant") && e.Started() > 0 {
+				leaving = name
+			}
+		}
+		e := r.Stand.Engine(leaving)
+		r.Stand.Platform.Withdraw(leaving)
+		time.Sleep(3 * time.Second)
+		before := e.Started()
+		time.Sleep(10 * time.Second)
+		assert.Equal(t, e.Started(), before, "the leaving endpoint %s got new work", leaving)
+		assert.Assert(t, before > 0)
+		close(stop)
+		wg.Wait()
+	})
+}
--- a/internal/process/slugsystem/rig_test.go
+++ b/internal/process/slugsystem/rig_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"os"
 	"strings"
@@ -289,3 +290,5 @@
 func named(format string, args ...any) string {
 	return strings.ReplaceAll(fmt.Sprintf(format, args...), " ", "_")
 }
+
+func body(b []byte) io.ReadCloser { return io.NopCloser(bytes.NewReader(b)) }
--- a/internal/standin/slugengine/engine.go
+++ b/internal/standin/slugengine/engine.go
@@ -395,3 +395,10 @@
 	defer e.mu.Unlock()
 	return e.version
 }
+
+// SetStreams changes the greatest batch.
+func (e *Engine) SetStreams(n int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.cfg.MaxStreams = n
+}
--- a/internal/standin/slugmesh/mesh.go
+++ b/internal/standin/slugmesh/mesh.go
@@ -16,6 +16,7 @@
 	"fmt"
 	"net"
 	"sync"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/sassafraslug/sassafraslug/internal/process/slugevent"
@@ -159,9 +160,14 @@
 	return l, nil
 }
 
+// dialTimeout bounds the setup of a connection.
+const dialTimeout = time.Second
+
 // dial opens a connection. It waits while the hosts are cut off, as a connection
 // whose first packet is lost does.
 func (m *Mesh) dial(ctx context.Context, host, address string, reset bool) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
 	for {
 		m.mu.Lock()
 		l := m.listeners[address]
