--- a/internal/process/sluggate/gate.go
+++ b/internal/process/sluggate/gate.go
@@ -327,15 +327,21 @@
 func (g *Gate) recordUsage(ctx context.Context, group *errgroup.Group) error {
 	group.Go(func() error {
 		for slugbackoff.Sleep(ctx, g.writeInterval()) == nil {
-			if err := g.ledger.Write(ctx); err != nil && ctx.Err() == nil {
-				g.log.Error(slugevent.UsageUnwritten, err, nil)
-			}
+			g.writeUsage(ctx)
 		}
 		return nil
 	})
 	return nil
 }
 
+func (g *Gate) writeUsage(ctx context.Context) {
+	writeCtx, cancel := context.WithTimeout(ctx, closeTimeout)
+	defer cancel()
+	if err := g.ledger.Write(writeCtx); err != nil && ctx.Err() == nil {
+		g.log.Error(slugevent.UsageUnwritten, err, nil)
+	}
+}
+
 // writeInterval grows with the number of gates, so that the writes of all stay
 // within the store's budget.
 func (g *Gate) writeInterval() time.Duration {
--- a/internal/process/slugledger/ledger.go
+++ b/internal/process/slugledger/ledger.go
@@ -111,6 +111,8 @@
 	// mu guards the records and is held over a write.
 	mu      sync.Mutex
 	records map[Window]*state
+	// closed is the newest window whose record is closed.
+	closed Window
 }
 
 // shard holds counts that were not yet put into a window.
@@ -156,16 +158,16 @@
 // Write stores every record that changed, and closes those whose windows have
 // ended. What could not be written is kept for the next call.
 func (l *Ledger) Write(ctx context.Context) error {
-	return l.write(ctx, time.Now(), false)
+	return l.write(ctx, false)
 }
 
 // Close stores and closes all records, the present window's too. The process
 // must not count afterwards.
 func (l *Ledger) Close(ctx context.Context) error {
-	return l.write(ctx, time.Now(), true)
+	return l.write(ctx, true)
 }
 
-func (l *Ledger) write(ctx context.Context, now time.Time, closing bool) error {
+func (l *Ledger) write(ctx context.Context, closing bool) error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.collect()
@@ -174,7 +176,7 @@
 	// either, and an outage leaves many.
 	for range 2 {
 		for _, w := range l.windows() {
-			if err := l.writeRecord(ctx, w, now, closing); err != nil {
+			if err := l.writeRecord(ctx, w, closing); err != nil {
 				return err
 			}
 		}
@@ -182,7 +184,8 @@
 	return nil
 }
 
-// collect moves the counts of the shards into the records.
+// collect moves the counts of the shards into the records. Counts that come after
+// their window's record was closed go into the present window.
 func (l *Ledger) collect() {
 	for i := range l.shards {
 		s := &l.shards[i]
@@ -191,6 +194,9 @@
 		s.totals = map[Window]map[Key]Totals{}
 		s.mu.Unlock()
 		for w, keys := range totals {
+			if w <= l.closed {
+				w = l.after(w)
+			}
 			l.record(w).add(keys)
 		}
 	}
@@ -228,11 +234,12 @@
 // process. Later counts go into the present window.
 const lateAfter = 3 * time.Second
 
-func (l *Ledger) writeRecord(ctx context.Context, w Window, now time.Time, closing bool) error {
+func (l *Ledger) writeRecord(ctx context.Context, w Window, closing bool) error {
 	r := l.records[w]
+	now := time.Now()
 	ended := !now.Before(w.End(l.cfg.Window))
 	if r.attempted == nil && now.After(w.End(l.cfg.Window).Add(lateAfter)) {
-		l.carry(w, nil, now)
+		l.carry(w, nil)
 		return nil
 	}
 	if !r.dirty && !ended && !closing {
@@ -242,21 +249,21 @@
 	r.attempted = body.Lines
 	version, err := l.cfg.Store.Put(ctx, RecordName(l.cfg.Region, w, l.cfg.Process), r.version, body)
 	if errors.Is(err, slugstore.ErrConflict) {
-		return l.settle(ctx, w, now)
+		return l.settle(ctx, w)
 	}
 	if err != nil {
 		return err
 	}
 	r.version, r.dirty = version, false
 	if body.Closed {
-		delete(l.records, w)
+		l.forget(w)
 	}
 	return nil
 }
 
 // settle handles a record that another process wrote, or that an earlier write
 // of ours changed without telling us.
-func (l *Ledger) settle(ctx context.Context, w Window, now time.Time) error {
+func (l *Ledger) settle(ctx context.Context, w Window) error {
 	o, err := l.cfg.Store.Get(ctx, RecordName(l.cfg.Region, w, l.cfg.Process))
 	if err != nil {
 		return err
@@ -265,29 +272,41 @@
 	if o.Body == nil {
 		// The record was removed after its report. What the last write held may
 		// have been reported, so it is not billed again.
-		l.carry(w, l.records[w].attempted, now)
+		l.carry(w, l.records[w].attempted)
 		return nil
 	}
 	if err := o.Decode(&stored); err != nil {
 		return err
 	}
 	if stored.Sealed || stored.Closed {
-		l.carry(w, stored.Lines, now)
+		l.carry(w, stored.Lines)
 		return nil
 	}
 	l.records[w].version = o.Version
 	return nil
 }
 
+// after returns the window that takes what came too late for another: the present
+// one, by the time now, since a write may have taken long, and never the same.
+func (l *Ledger) after(w Window) Window {
+	return max(WindowAt(time.Now(), l.cfg.Window), w+Window(l.cfg.Window/time.Second))
+}
+
 // carry moves what the stored record lacks into the present window.
-func (l *Ledger) carry(w Window, stored []Line, now time.Time) {
+func (l *Ledger) carry(w Window, stored []Line) {
 	rest := l.records[w].totals
 	for _, x := range stored {
 		k := Key{x.Workspace, x.Service}
 		rest[k] = rest[k].Minus(x.Totals)
 	}
+	l.forget(w)
+	l.record(l.after(w)).add(rest)
+}
+
+// forget drops a record that is closed.
+func (l *Ledger) forget(w Window) {
 	delete(l.records, w)
-	l.record(WindowAt(now, l.cfg.Window)).add(rest)
+	l.closed = max(l.closed, w)
 }
 
 func (r *state) lines() []Line {
--- a/internal/process/slugpick/picker.go
+++ b/internal/process/slugpick/picker.go
@@ -50,7 +50,7 @@
 
 // Defaults of the configuration.
 const (
-	defaultRemotePenalty = 2 * time.Millisecond
+	defaultRemotePenalty = time.Millisecond
 	defaultCacheAge      = 5 * time.Minute
 	defaultCrashPause    = 500 * time.Millisecond
 	// suspectShare is the greatest part of endpoints that may hold suspects.
@@ -76,6 +76,11 @@
 	Avoid []slugname.Endpoint
 	// Suspect work runs with no other suspect beside it.
 	Suspect bool
+	// Affinity is equal for equal requests. It chooses among endpoints that are about
+	// as good.
+	Affinity uint64
+	// Prefer is an endpoint that runs an equal request now.
+	Prefer slugname.Endpoint
 	// Force ignores the endpoint's room, for work that must not wait.
 	Force bool
 }
@@ -148,6 +153,8 @@
 	prefixes   *prefixIndex
 	// cached is scratch space for one pick, by candidate.
 	cached map[slugname.Endpoint]Tokens
+	// predicted is scratch space for one pick, by position.
+	predicted []time.Duration
 	// turn spreads picks among equal endpoints.
 	turn uint64
 }
@@ -175,6 +182,7 @@
 	defer p.mu.Unlock()
 	index := make(map[slugname.Endpoint]*candidate, len(endpoints))
 	p.candidates = p.candidates[:0]
+	p.predicted = make([]time.Duration, len(endpoints))
 	for _, e := range endpoints {
 		c := p.index[e.Name]
 		if c == nil || c.Address != e.Address {
@@ -258,22 +266,48 @@
 	split := p.hasSplit()
 	var best *candidate
 	var least time.Duration
-	first := p.first(w)
-	for i := range p.candidates {
-		c := p.candidates[(first+i)%len(p.candidates)]
+	for i, c := range p.candidates {
+		p.predicted[i] = ineligible
 		if !p.eligible(c, w, split, now) {
 			continue
 		}
-		if d := p.predict(c, w); best == nil || d < least {
+		d := p.predict(c, w)
+		p.predicted[i] = d
+		if best == nil || d < least || c.Name == w.Prefer {
 			best, least = c, d
 		}
+		if c.Name == w.Prefer {
+			break
+		}
 	}
 	if best == nil {
 		return Ticket{}, false
 	}
+	if best.Name != w.Prefer {
+		best, least = p.amongEquals(w, least)
+	}
 	return p.take(best, w, least, now), true
 }
 
+// ineligible stands for the prediction of an endpoint that may not take the work.
+const ineligible = time.Duration(-1)
+
+// equalSlack is how much worse an endpoint may be that counts as equal.
+const equalSlack = 3 * time.Millisecond
+
+// amongEquals returns the first endpoint, in an order that depends on the request,
+// that is about as good as the best.
+func (p *Picker) amongEquals(w Work, least time.Duration) (*candidate, time.Duration) {
+	first := p.first(w)
+	for i := range p.candidates {
+		k := (first + i) % len(p.candidates)
+		if d := p.predicted[k]; d != ineligible && d <= least+equalSlack {
+			return p.candidates[k], d
+		}
+	}
+	return nil, 0
+}
+
 // first returns the candidate to look at first, which gets the work if no other
 // is better. Equal prompts begin at the same one, so that a prefix stays where it
 // was and a request that crashes engines meets few of them.
@@ -282,8 +316,8 @@
 	if n == 0 {
 		return 0
 	}
-	if len(w.Blocks) > 0 {
-		return int(w.Blocks[len(w.Blocks)-1] % n)
+	if w.Affinity != 0 {
+		return int(w.Affinity % n)
 	}
 	p.turn++
 	return int(p.turn % n)
--- a/internal/process/slugreport/reporter.go
+++ b/internal/process/slugreport/reporter.go
@@ -46,8 +46,9 @@
 	closeWait = 30 * time.Second
 	// sendTime is the longest time of one send.
 	sendTime = 3 * time.Second
-	// keepWindows is the number of windows whose records are kept after the report.
-	keepWindows = 5
+	// keepRecords is how long records are kept after their window. A process that
+	// was away from the store for less finds its record and bills exactly.
+	keepRecords = time.Hour
 	// sealTries bounds the conflicts with a process that still writes.
 	sealTries = 5
 )
@@ -121,8 +122,9 @@
 	return nil
 }
 
-// load reads how far the duty has come. A new system begins with the present
-// window.
+// load reads how far the duty has come. A new system begins with the window before
+// the present one, and writes that down first, so that a successor does not begin
+// later.
 func (r *Reporter) load(ctx context.Context) error {
 	o, err := r.cfg.Store.Get(ctx, r.stateName())
 	if err != nil {
@@ -133,7 +135,8 @@
 	if o.Body != nil {
 		return o.Decode(&r.state)
 	}
-	return nil
+	r.version, err = r.cfg.Store.Put(ctx, r.stateName(), 0, r.state)
+	return err
 }
 
 // round reports every window that is due.
@@ -331,7 +334,7 @@
 
 // forget removes records of windows that were reported long ago.
 func (r *Reporter) forget(ctx context.Context, next slugledger.Window) {
-	old := next - slugledger.Window(keepWindows*int64(r.cfg.Window/time.Second))
+	old := next - slugledger.Window(keepRecords/time.Second)
 	objects, err := r.cfg.Store.List(ctx, slugledger.WindowPrefix(r.cfg.Region, old))
 	if err != nil {
 		return
--- a/internal/process/slugsuspect/tracker.go
+++ b/internal/process/slugsuspect/tracker.go
@@ -1,19 +1,22 @@
 // Package slugsuspect finds requests that crash the endpoints which run them.
 //
 // When an endpoint crashes, everything in flight there becomes suspect. A suspect
-// runs again only alone among suspects. A request that was in flight at two
-// crashes is quarantined for a time in its workspace.
+// runs again only alone among suspects. If that crashes an endpoint again, the
+// request is quarantined for a time in its workspace. What merely ran beside it
+// stays a suspect and finishes.
 //
 // # Usage
 //
 //	t := slugsuspect.New(slugsuspect.Config{})
 //	if t.State(fingerprint, now) == slugsuspect.Quarantined { refuse }
-//	done := t.Begin(endpoint, fingerprint)
+//	done := t.Begin(endpoint, fingerprint, false)
 //	...
 //	t.Crashed(endpoint, now)
 package slugsuspect
 
 import (
+	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -63,6 +66,8 @@
 	Endpoint slugname.Endpoint
 	// Second is the time of the crash in units of crashUnit since 1970.
 	Second int64
+	// Alone tells that the request was the only suspect there.
+	Alone bool
 }
 
 // Config sets the times.
@@ -76,8 +81,9 @@
 const (
 	defaultQuarantine = 10 * time.Minute
 	defaultMemory     = 5 * time.Minute
-	// quarantineCrashes is the number of crashes that quarantine a request.
-	quarantineCrashes = 2
+	// quarantineCrashes is the number of crashes that quarantine a request though
+	// it was never the only suspect.
+	quarantineCrashes = 5
 	// sameCrash is the time within which crashes of an endpoint count as one.
 	sameCrash = 2
 	// maxSuspicions bounds the memory of the tracker.
@@ -89,13 +95,27 @@
 	until   time.Time
 }
 
+// quarantined reports whether the crashes are the request's own doing.
+func (e *entry) quarantined() bool {
+	return len(e.crashes) >= quarantineCrashes || slices.ContainsFunc(e.crashes, func(c Crash) bool { return c.Alone })
+}
+
+// run is an equal request at an endpoint.
+type run struct {
+	count int
+	// suspects is how many of them run as suspects.
+	suspects int
+}
+
 // Tracker knows the requests in flight and the suspicions of one process.
 type Tracker struct {
 	cfg Config
 
 	mu       sync.Mutex
-	inFlight map[slugname.Endpoint]map[Fingerprint]int
+	inFlight map[slugname.Endpoint]map[Fingerprint]run
 	suspects map[Fingerprint]*entry
+	// alone holds the suspects that run now; the channel is closed at their end.
+	alone map[Fingerprint]chan struct{}
 	// changed is called after a new crash with the lock released; it may be nil.
 	changed func(Suspicion)
 }
@@ -109,7 +129,7 @@
 	if cfg.Memory == 0 {
 		cfg.Memory = defaultMemory
 	}
-	return &Tracker{cfg: cfg, inFlight: map[slugname.Endpoint]map[Fingerprint]int{}, suspects: map[Fingerprint]*entry{}, changed: changed}
+	return &Tracker{cfg: cfg, inFlight: map[slugname.Endpoint]map[Fingerprint]run{}, suspects: map[Fingerprint]*entry{}, alone: map[Fingerprint]chan struct{}{}, changed: changed}
 }
 
 // State returns how a request may run now.
@@ -121,7 +141,7 @@
 	case e == nil || !now.Before(e.until):
 		delete(t.suspects, f)
 		return Clear
-	case len(e.crashes) >= quarantineCrashes:
+	case e.quarantined():
 		return Quarantined
 	default:
 		return Suspected
@@ -138,28 +158,80 @@
 	return time.Time{}
 }
 
+// Alone waits until no equal suspect runs here, and holds others back until the
+// returned function is called. Equal requests that wait then learn from the outcome
+// of the first.
+func (t *Tracker) Alone(ctx context.Context, f Fingerprint) (release func(), err error) {
+	for {
+		t.mu.Lock()
+		running, ok := t.alone[f]
+		if !ok {
+			done := make(chan struct{})
+			t.alone[f] = done
+			t.mu.Unlock()
+			return func() { t.endAlone(f, done) }, nil
+		}
+		t.mu.Unlock()
+		select {
+		case <-running:
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+}
+
+func (t *Tracker) endAlone(f Fingerprint, done chan struct{}) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.alone, f)
+	close(done)
+}
+
+// Where returns an endpoint that runs an equal request now, or "".
+func (t *Tracker) Where(f Fingerprint) slugname.Endpoint {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for e, running := range t.inFlight {
+		if running[f].count > 0 {
+			return e
+		}
+	}
+	return ""
+}
+
 // Begin records that a request runs at an endpoint until the returned function
 // is called. A request that ended well is no longer suspect.
-func (t *Tracker) Begin(e slugname.Endpoint, f Fingerprint) func(well bool) {
+func (t *Tracker) Begin(e slugname.Endpoint, f Fingerprint, suspect bool) func(well bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.inFlight[e] == nil {
-		t.inFlight[e] = map[Fingerprint]int{}
+		t.inFlight[e] = map[Fingerprint]run{}
 	}
-	t.inFlight[e][f]++
-	return func(well bool) { t.end(e, f, well) }
+	t.count(e, f, 1, suspect)
+	return func(well bool) { t.end(e, f, suspect, well) }
 }
 
-func (t *Tracker) end(e slugname.Endpoint, f Fingerprint, well bool) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if t.inFlight[e][f]--; t.inFlight[e][f] <= 0 {
+// count changes the number of equal requests at an endpoint; t.mu is held.
+func (t *Tracker) count(e slugname.Endpoint, f Fingerprint, n int, suspect bool) {
+	r := t.inFlight[e][f]
+	r.count += n
+	if suspect {
+		r.suspects += n
+	}
+	t.inFlight[e][f] = r
+	if r.count <= 0 {
 		delete(t.inFlight[e], f)
 	}
+}
+
+func (t *Tracker) end(e slugname.Endpoint, f Fingerprint, suspect, well bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.count(e, f, -1, suspect)
 	if len(t.inFlight[e]) == 0 {
 		delete(t.inFlight, e)
 	}
-	if s := t.suspects[f]; well && s != nil && len(s.crashes) < quarantineCrashes {
+	if s := t.suspects[f]; well && s != nil && !s.quarantined() {
 		delete(t.suspects, f)
 	}
 }
@@ -168,9 +240,8 @@
 func (t *Tracker) Crashed(e slugname.Endpoint, now time.Time) {
 	t.mu.Lock()
 	var told []Suspicion
-	c := Crash{e, now.Unix()}
-	for f := range t.inFlight[e] {
-		if t.suspect(f, c, now) {
+	for f, r := range t.inFlight[e] {
+		if t.suspect(f, Crash{e, now.Unix(), r.suspects > 0}, now) {
 			told = append(told, t.suspicion(f, now))
 		}
 	}
@@ -191,19 +262,28 @@
 		s = &entry{}
 		t.suspects[f] = s
 	}
-	for _, x := range s.crashes {
-		if x.Endpoint == c.Endpoint && abs(x.Second-c.Second) <= sameCrash {
-			return false
-		}
+	if !s.add(c) {
+		return false
 	}
-	s.crashes = append(s.crashes, c)
 	s.until = now.Add(t.cfg.Memory)
-	if len(s.crashes) >= quarantineCrashes {
+	if s.quarantined() {
 		s.until = now.Add(t.cfg.Quarantine)
 	}
 	return true
 }
 
+// add adds a crash and reports whether it tells anything new.
+func (e *entry) add(c Crash) bool {
+	for i, x := range e.crashes {
+		if x.Endpoint == c.Endpoint && abs(x.Second-c.Second) <= sameCrash {
+			e.crashes[i].Alone = x.Alone || c.Alone
+			return c.Alone && !x.Alone
+		}
+	}
+	e.crashes = append(e.crashes, c)
+	return true
+}
+
 func abs(n int64) int64 { return max(n, -n) }
 
 func (t *Tracker) makeRoom(now time.Time) {
@@ -211,7 +291,7 @@
 		return
 	}
 	for f, e := range t.suspects {
-		if !now.Before(e.until) || len(e.crashes) < quarantineCrashes {
+		if !now.Before(e.until) || !e.quarantined() {
 			delete(t.suspects, f)
 		}
 	}
--- /dev/null
+++ b/internal/process/slugsystem/promise_usage_test.go
@@ -0,0 +1,96 @@
+package slugsystem_test
+
+import (
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/sassafraslug/sassafraslug/internal/process/slugname"
+	"github.com/sassafraslug/sassafraslug/internal/process/slugsettings"
+	"github.com/sassafraslug/sassafraslug/internal/standin/slugplatform"
+	"gotest.tools/v3/assert"
+)
+
+// load sends requests to every host until the returned function is called, which
+// waits for the last answers.
+func (r *rig) load(callers int, ws slugname.Workspace, tokens int) (stop func()) {
+	done := make(chan struct{})
+	var wg sync.WaitGroup
+	hosts := r.Hosts()
+	for n := range callers {
+		c := r.caller(ws, 1, gateAddress(hosts[n%len(hosts)]))
+		wg.Go(func() {
+			for {
+				select {
+				case <-done:
+					return
+				default:
+				}
+				x := prompt(tokens, "usage")
+				if a, err := c.Chat(r.ctx, x); err == nil && a.Text == expect(x) {
+					r.mu.Lock()
+					r.relayed += int64(tokens)
+					r.mu.Unlock()
+				}
+				time.Sleep(100 * time.Millisecond)
+			}
+		})
+	}
+	return func() {
+		close(done)
+		wg.Wait()
+	}
+}
+
+func TestPromiseUsageOnce(t *testing.T) {
+	const duty = "usage/home"
+	for _, tt := range []struct {
+		name  string
+		fault func(r *rig)
+		// killed tells that a process died with unrecorded counts.
+		killed bool
+	}{
+		{name: "no fault", fault: func(*rig) {}},
+		{name: "reporter paused before sealing", fault: func(r *rig) { r.pauseAt(duty, "record.seal", 40*time.Second) }},
+		{name: "reporter paused before freezing", fault: func(r *rig) { r.pauseAt(duty, "report.create", 40*time.Second) }},
+		{name: "reporter paused before sending", fault: func(r *rig) { r.pauseAt(duty, "report.send", 40*time.Second) }},
+		{name: "reporter killed", fault: func(r *rig) { r.holder(duty).Control.Abort() }},
+		{name: "answers of reports lost", fault: func(r *rig) { r.Stand.Platform.LoseReportAnswers(3) }},
+		{name: "answers of writes lost", fault: func(r *rig) {
+			r.Stand.Platform.SetFaults(slugplatform.Faults{LoseAnswers: true})
+			time.AfterFunc(25*time.Second, func() { r.Stand.Platform.SetFaults(slugplatform.Faults{}) })
+		}},
+		{name: "store down over windows' ends", fault: func(r *rig) {
+			r.Stand.Platform.SetFaults(slugplatform.Faults{Down: true})
+			time.AfterFunc(25*time.Second, func() { r.Stand.Platform.SetFaults(slugplatform.Faults{}) })
+		}},
+		{name: "gate cut from the store over a seal", fault: func(r *rig) {
+			r.mesh.Cut(string(r.Hosts()[1].Name), "platform", true)
+			time.AfterFunc(50*time.Second, func() { r.mesh.Cut(string(r.Hosts()[1].Name), "platform", false) })
+		}},
+		{name: "gate killed", killed: true, fault: func(r *rig) { r.Kill(r.Hosts()[1]) }},
+	} {
+		t.Run(named("%s", tt.name), func(t *testing.T) {
+			inRig(t, options{settings: func(s *slugsettings.Settings) { s.UsageWindow = 10 * time.Second }}, func(r *rig) {
+				stop := r.load(6, "dojo-manila", 10)
+				time.Sleep(13 * time.Second)
+				tt.fault(r)
+				time.Sleep(40 * time.Second)
+				stop()
+				time.Sleep(3 * time.Minute)
+				billed := r.billed().OutputTokens
+				t.Logf("relayed %d, billed %d", r.relayed, billed)
+				assert.Assert(t, r.relayed > 1000, "relayed %d", r.relayed)
+				if !tt.killed {
+					assert.Equal(t, billed, r.relayed)
+					return
+				}
+				// Two callers of the killed gate get at most 10 tokens each 0.2 s; the
+				// unwritten counts are those of one write interval and of cut answers.
+				const bound = 2 * 10 * 5 * 4
+				assert.Assert(t, billed >= r.relayed-bound, "relayed %d, billed %d", r.relayed, billed)
+				assert.Assert(t, billed <= r.relayed+20, "relayed %d whole and 2 cut, billed %d", r.relayed, billed)
+			})
+		})
+	}
+}
--- a/internal/process/slugsystem/rig_test.go
+++ b/internal/process/slugsystem/rig_test.go
@@ -78,6 +78,7 @@
 func inRig(t *testing.T, o options, f func(*rig)) {
 	t.Helper()
 	slugknown.Skip(t)
+	outer := t
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithTimeout(context.Background(), 24*time.Hour)
 		defer cancel()
@@ -98,7 +99,7 @@
 		})
 		defer r.end()
 		defer func() {
-			if t.Failed() && os.Getenv("SASSAFRASLUG_TEST_LOG") != "" {
+			if (t.Failed() || outer.Failed()) && os.Getenv("SASSAFRASLUG_TEST_LOG") != "" {
 				t.Log(r.logs.String())
 			}
 		}()
--- a/internal/request/slugchat/attempt.go
+++ b/internal/request/slugchat/attempt.go
@@ -40,7 +40,7 @@
 // attempt sends the request to one endpoint and relays its answer. again tells
 // that another endpoint should be tried.
 func (x *exchange) attempt(ctx context.Context, pass slugadmit.Pass) (again bool, refusal *slugrefusal.Refusal) {
-	finished := x.cfg.Suspects.Begin(pass.Endpoint, x.fingerprint)
+	finished := x.cfg.Suspects.Begin(pass.Endpoint, x.fingerprint, x.work.Suspect)
 	a := &attempt{exchange: x, pass: pass}
 	outcome, again, refusal := a.run(ctx)
 	finished(outcome == slugpick.OutcomeWhole)
--- a/internal/request/slugchat/chat.go
+++ b/internal/request/slugchat/chat.go
@@ -171,6 +171,7 @@
 		BlockTokens:  slugprefix.BlockTokens,
 	}
 	x.fingerprint = slugsuspect.NewFingerprint(x.call.Workspace, x.path, x.call.Body)
+	x.work.Affinity = x.fingerprint.Hash
 }
 
 // checkSuspicion refuses quarantined requests.
@@ -202,18 +203,11 @@
 	defer stop()
 	var last *slugrefusal.Refusal
 	for n := 0; n < maxAttempts && ctx.Err() == nil; n++ {
-		pass, refusal := x.cfg.Admitter.Wait(ctx, x.call, x.work)
-		if refusal != nil {
-			return x.truthful(refusal, last)
-		}
-		var again bool
-		again, last = x.attempt(ctx, pass)
+		again, refusal := x.try(ctx, last)
 		if !again {
-			return last
-		}
-		if refusal := x.checkSuspicion(); refusal != nil {
 			return refusal
 		}
+		last = refusal
 	}
 	if last == nil {
 		last = slugrefusal.NotRun(slugrefusal.CodeEndpointFailed, "no endpoint finished the request")
@@ -221,6 +215,30 @@
 	return x.truthful(last, nil)
 }
 
+// try sends the request to one more endpoint. A suspect waits until no equal one
+// runs, and learns from its outcome.
+func (x *exchange) try(ctx context.Context, last *slugrefusal.Refusal) (again bool, refusal *slugrefusal.Refusal) {
+	if x.suspect {
+		release, err := x.cfg.Suspects.Alone(ctx, x.fingerprint)
+		if err != nil {
+			return false, x.truthful(slugrefusal.NotRun(slugrefusal.CodeDeadline, "the caller went away"), last)
+		}
+		defer release()
+	}
+	if refusal := x.checkSuspicion(); refusal != nil {
+		return false, refusal
+	}
+	x.work.Prefer = ""
+	if !x.suspect {
+		x.work.Prefer = x.cfg.Suspects.Where(x.fingerprint)
+	}
+	pass, refusal := x.cfg.Admitter.Wait(ctx, x.call, x.work)
+	if refusal != nil {
+		return false, x.truthful(refusal, last)
+	}
+	return x.attempt(ctx, pass)
+}
+
 // truthful corrects what a refusal says of earlier attempts. An earlier refusal
 // tells more than a failure to find another endpoint.
 func (x *exchange) truthful(r, earlier *slugrefusal.Refusal) *slugrefusal.Refusal {
--- a/internal/standin/slugengine/engine.go
+++ b/internal/standin/slugengine/engine.go
@@ -83,6 +83,8 @@
 	seenKeys    []string
 	silent      map[string]bool
 	refuse      bool
+	// cachedTokens is the number of prompt tokens found in the cache.
+	cachedTokens int
 }
 
 // New returns an idle engine.
@@ -347,6 +349,7 @@
 		s := e.queue[best]
 		e.queue = append(e.queue[:best], e.queue[best+1:]...)
 		s.cachedTokens = e.cache.use(s.salt, s.prompt)
+		e.cachedTokens += s.cachedTokens
 		s.prefillLeft = max(1, promptTokens(s.prompt)+s.done-s.cachedTokens)
 		e.running = append(e.running, s)
 	}
@@ -402,3 +405,17 @@
 	defer e.mu.Unlock()
 	e.cfg.MaxStreams = n
 }
+
+// Running returns the number of streams in the batch.
+func (e *Engine) Running() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return len(e.running)
+}
+
+// CachedTokens returns the number of prompt tokens that were found in the cache.
+func (e *Engine) CachedTokens() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.cachedTokens
+}
--- a/internal/standin/slugengine/stream.go
+++ b/internal/standin/slugengine/stream.go
@@ -223,8 +223,10 @@
 // emitToken appends the next token and reports whether the stream ended; the
 // engine's lock is held.
 func (e *Engine) emitToken(s *stream) bool {
-	s.append(s.chunk(Token(s.prompt, s.done), "", nil))
-	s.done++
+	if s.done < s.maxTokens {
+		s.append(s.chunk(Token(s.prompt, s.done), "", nil))
+		s.done++
+	}
 	if s.done < s.maxTokens {
 		s.wake()
 		return false
--- a/internal/standin/slugplatform/ordering.go
+++ b/internal/standin/slugplatform/ordering.go
@@ -225,6 +225,18 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.windows[r.PathValue("window")] = append(p.windows[r.PathValue("window")], body)
+	if p.loseReports > 0 {
+		p.loseReports--
+		http.Error(w, "answer lost", http.StatusGatewayTimeout)
+	}
+}
+
+// LoseReportAnswers drops the answers of the next n usage reports after they took
+// effect.
+func (p *Platform) LoseReportAnswers(n int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.loseReports = n
 }
 
 // WeightChunkBytes is the unit in which the weight store serves.
--- a/internal/standin/slugplatform/platform.go
+++ b/internal/standin/slugplatform/platform.go
@@ -57,6 +57,8 @@
 	ordering orderingState
 
 	windows map[string][][]byte
+	// loseReports is the number of reports whose answers get lost.
+	loseReports int
 }
 
 // object is one stored value; a deleted one keeps its version.
