Measure decisions and keep prompts and outputs apart by the mix of the last seconds

Cause: on engines whose chunk of prefill (4096 tokens, 205 ms) takes longer than the objective between tokens (78 ms), prompts beside outputs make gaps late.

--- a/internal/process/slugcaller/caller.go
+++ b/internal/process/slugcaller/caller.go
@@ -178,13 +178,12 @@
 // refusal says that the request did not run, or that trying again is safe, as it
 // is for completions.
 func (c *Caller) Chat(ctx context.Context, x ChatRequest) (ChatAnswer, error) {
-	var last error
+	var a ChatAnswer
+	var err error
 	for n := range c.cfg.Tries {
-		a, err := c.chat(ctx, x)
-		if err == nil {
+		if a, err = c.chat(ctx, x); err == nil {
 			return a, nil
 		}
-		last = err
 		var refusal *Refusal
 		if errors.As(err, &refusal) && refusal.Status < 500 && refusal.Status != http.StatusTooManyRequests {
 			return a, err
@@ -193,7 +192,7 @@
 			return a, err
 		}
 	}
-	return ChatAnswer{}, last
+	return a, err
 }
 
 // pause waits before the next try.
@@ -285,6 +284,7 @@
 	s := bufio.NewScanner(r)
 	s.Buffer(nil, 1<<20)
 	var text strings.Builder
+	defer func() { a.Text = text.String() }()
 	last := start
 	failed := false
 	for s.Scan() {
@@ -297,7 +297,6 @@
 		case failed:
 			return parseRefusal(http.StatusBadGateway, []byte(data))
 		case data == "[DONE]":
-			a.Text = text.String()
 			return nil
 		}
 		now := time.Now()
--- a/internal/process/slugfleet/fleet.go
+++ b/internal/process/slugfleet/fleet.go
@@ -49,6 +49,9 @@
 	Store      *slugstore.Store
 	// Get reads a document from an endpoint.
 	Get func(ctx context.Context, url string) ([]byte, error)
+	// Gap returns the longest time between tokens that a service's objective allows,
+	// 0 when it has none; nil means none.
+	Gap func(slugname.Service) time.Duration
 	// QueueLength bounds the waiting requests of a service.
 	QueueLength int
 	// Changed is called after plans changed; it may be nil.
@@ -74,6 +77,9 @@
 
 // New returns a Fleet without endpoints.
 func New(cfg Config) *Fleet {
+	if cfg.Gap == nil {
+		cfg.Gap = func(slugname.Service) time.Duration { return 0 }
+	}
 	return &Fleet{
 		cfg: cfg, services: map[slugname.Service]*Service{}, plans: map[string]slugplan.Plan{},
 		versions: map[string]slugstore.Version{}, cursors: map[slugname.Endpoint]int{},
@@ -91,7 +97,7 @@
 	x := f.services[s]
 	if x == nil {
 		x = &Service{
-			Picker: slugpick.New(slugpick.Config{Local: f.cfg.DataCentre}),
+			Picker: slugpick.New(slugpick.Config{Local: f.cfg.DataCentre, Gap: func() time.Duration { return f.cfg.Gap(s) }}),
 			Queue:  slugqueue.New(slugqueue.Config{Length: f.cfg.QueueLength}),
 		}
 		f.services[s] = x
--- a/internal/process/sluggate/gate.go
+++ b/internal/process/sluggate/gate.go
@@ -180,7 +180,7 @@
 	g.ledger = slugledger.New(slugledger.Config{Region: s.Region, Process: self.Process, Window: s.UsageWindow, Store: g.Store.For("usage")})
 	g.fleet = slugfleet.New(slugfleet.Config{
 		Host: s.Host, DataCentre: s.DataCentre, Store: g.Store.For("plans"), Get: g.sender.Get,
-		QueueLength: int(s.QueueLength), Changed: g.tellPlans,
+		QueueLength: int(s.QueueLength), Changed: g.tellPlans, Gap: g.gap,
 	})
 	g.reach = slugreach.New(slugreach.Config{Word: g.Follower.Word, Statuses: g.Table.Statuses, Records: g.Member.Records, Log: g.log})
 	g.directory = slugaddress.New(slugaddress.Config{
@@ -193,6 +193,15 @@
 	return nil
 }
 
+// gap returns the longest time between tokens that a service's objective allows.
+func (g *Gate) gap(name slugname.Service) time.Duration {
+	s := g.Follower.Snapshot()
+	if s == nil || s.Service(name) == nil {
+		return 0
+	}
+	return time.Duration(s.Service(name).Objectives.BetweenTokensMs) * time.Millisecond
+}
+
 // cutOff refuses requests while this host is cut off.
 func (g *Gate) cutOff() *slugrefusal.Refusal {
 	if !g.reach.CutOff() {
--- a/internal/process/slugorder/engine.go
+++ b/internal/process/slugorder/engine.go
@@ -67,6 +67,8 @@
 	PrefillPerSecond float64 `json:"prefillPerSecond"`
 	StepBaseUs       int64   `json:"stepBaseUs"`
 	StepPerStreamUs  int64   `json:"stepPerStreamUs"`
+	// PrefillChunk is the number of prompt tokens that one step processes.
+	PrefillChunk int `json:"prefillChunk"`
 }
 
 // Speed returns what work costs on the engine.
@@ -75,6 +77,7 @@
 		PrefillPerSecond: g.PrefillPerSecond,
 		StepBase:         time.Duration(g.StepBaseUs) * time.Microsecond,
 		StepPerStream:    time.Duration(g.StepPerStreamUs) * time.Microsecond,
+		Chunk:            g.PrefillChunk,
 	}
 }
 
--- a/internal/process/slugpick/picker.go
+++ b/internal/process/slugpick/picker.go
@@ -44,6 +44,9 @@
 	// Overcommit is the number of requests sent beyond an endpoint's streams, as
 	// a part of the streams.
 	Overcommit float64
+	// Gap returns the longest time between tokens that the service's objective
+	// allows, 0 when it has none; nil means none.
+	Gap func() time.Duration
 	// CrashPause is how long an endpoint gets no work after a crash.
 	CrashPause time.Duration
 }
@@ -155,6 +158,7 @@
 	cached map[slugname.Endpoint]Tokens
 	// predicted is scratch space for one pick, by position.
 	predicted []time.Duration
+	mix       mix
 	// turn spreads picks among equal endpoints.
 	turn uint64
 }
@@ -167,6 +171,9 @@
 	if cfg.CacheAge == 0 {
 		cfg.CacheAge = defaultCacheAge
 	}
+	if cfg.Gap == nil {
+		cfg.Gap = func() time.Duration { return 0 }
+	}
 	if cfg.CrashPause == 0 {
 		cfg.CrashPause = defaultCrashPause
 	}
@@ -183,6 +190,7 @@
 	index := make(map[slugname.Endpoint]*candidate, len(endpoints))
 	p.candidates = p.candidates[:0]
 	p.predicted = make([]time.Duration, len(endpoints))
+	p.mix.harmful = p.harmful(endpoints)
 	for _, e := range endpoints {
 		c := p.index[e.Name]
 		if c == nil || c.Address != e.Address {
@@ -264,11 +272,12 @@
 	defer p.mu.Unlock()
 	p.lookUpPrefixes(w, now)
 	split := p.hasSplit()
+	side := p.side(w, split)
 	var best *candidate
 	var least time.Duration
 	for i, c := range p.candidates {
 		p.predicted[i] = ineligible
-		if !p.eligible(c, w, split, now) {
+		if !p.eligible(c, w, split, now) || !side.takes(i, c) {
 			continue
 		}
 		d := p.predict(c, w)
@@ -386,13 +395,20 @@
 	return holding < max(1, int(suspectShare*float64(len(p.candidates))))
 }
 
+// maxBacklog is the prefill that may wait at an endpoint. Longer waits are spent in
+// the queue, where workspaces share fairly and the least urgent give way.
+const maxBacklog = time.Second
+
 // hasRoom reports whether the endpoint can start the work, by its streams and by
 // its KV pieces.
 func (c *candidate) hasRoom(w Work, overcommit float64) bool {
-	running, _ := c.load()
+	running, backlog := c.load()
 	if running >= c.Streams+int(overcommit*float64(c.Streams)) {
 		return false
 	}
+	if rate := c.Speed.PrefillPerSecond; rate > 0 && float64(backlog)/rate > maxBacklog.Seconds() {
+		return false
+	}
 	if !c.reported || c.Pieces == 0 || c.TokensPerPiece == 0 || running == 0 {
 		return true
 	}
@@ -434,19 +450,62 @@
 	if over := running - c.Streams; over >= 0 && c.Streams > 0 {
 		d += time.Duration(float64(over+1) / float64(c.Streams) * float64(w.OutputTokens) * float64(step))
 	}
-	d = time.Duration(float64(d) * c.error)
+	d = time.Duration(float64(d)*c.error) + p.harm(c, w, speed, running, backlog)
 	if c.DataCentre != p.cfg.Local {
 		d += p.cfg.RemotePenalty
 	}
 	return d
 }
 
+// lateGapCost is what a gap over the objective counts in the prediction.
+const lateGapCost = 60 * time.Millisecond
+
+// harm returns what the work would do to the gaps between tokens of others, and
+// they to its own, on engines whose prefill holds decoding up for longer than the
+// objective allows. It parts long prompts from long outputs without a change of
+// roles, and follows a shift of the mix at once.
+func (p *Picker) harm(c *candidate, w Work, s slugplan.Speed, running int, backlog Tokens) time.Duration {
+	gap := p.cfg.Gap()
+	if s.Chunk == 0 || gap == 0 {
+		return 0
+	}
+	if chunkTime(s)+s.StepBase <= gap {
+		return 0
+	}
+	own := max(0, w.PromptTokens-p.cached[c.Name])
+	late := chunks(own, s.Chunk)*running + min(chunks(backlog, s.Chunk), int(w.OutputTokens))
+	return time.Duration(late) * lateGapCost
+}
+
+// chunks returns the number of steps in which a prompt holds decoding up for long.
+func chunks(n Tokens, chunk int) int { return int(n) / chunk }
+
+// Shortest returns how long the work takes at an idle endpoint that has nothing of
+// it cached, the least of all endpoints.
+func (p *Picker) Shortest(w Work) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	least := time.Duration(0)
+	for _, c := range p.candidates {
+		s := c.Speed
+		if s.PrefillPerSecond == 0 || c.Kind != slugmanifest.KindEngine {
+			continue
+		}
+		d := time.Duration(float64(w.PromptTokens)/s.PrefillPerSecond*float64(time.Second)) + time.Duration(w.OutputTokens)*(s.StepBase+s.StepPerStream)
+		if least == 0 || d < least {
+			least = d
+		}
+	}
+	return least
+}
+
 // maxOwnEvents bounds the sends remembered for an endpoint that does not report.
 const maxOwnEvents = 512
 
 func (p *Picker) take(c *candidate, w Work, predicted time.Duration, now time.Time) Ticket {
 	t := Ticket{Endpoint: c.Name, Address: c.Address, Cached: p.cached[c.Name], Predicted: predicted, work: w, at: now}
 	c.outstanding++
+	p.count(w, t.Cached, c.Speed, now)
 	c.note(ownEvent{now, 1, max(0, w.PromptTokens-t.Cached)})
 	if w.Suspect {
 		c.suspects++
--- a/internal/process/slugplan/plan.go
+++ b/internal/process/slugplan/plan.go
@@ -63,6 +63,9 @@
 	StepBase time.Duration `json:"stepBaseNs,omitempty"`
 	// StepPerStream is added to a decode step for each stream.
 	StepPerStream time.Duration `json:"stepPerStreamNs,omitempty"`
+	// Chunk is the number of prompt tokens that one step processes. While it does,
+	// the streams of the batch wait for their next token.
+	Chunk int `json:"chunk,omitempty"`
 }
 
 // Endpoint is one line of a plan.
--- a/internal/process/slugqueue/queue.go
+++ b/internal/process/slugqueue/queue.go
@@ -42,19 +42,29 @@
 type Ticket struct {
 	Workspace slugname.Workspace
 	// Weight is the workspace's part, at least 1.
-	Weight   int
-	Cost     Cost
+	Weight int
+	Cost   Cost
+	// Deadline is the latest time at which the request may still be started.
 	Deadline time.Time
 	// Try starts the request and reports false when there is no room for it. It
 	// is called with the queue's lock held.
 	Try func() bool
 	// Valid reports whether the request still has its right; nil means yes.
 	Valid func() bool
+	// Ended is called once, with the queue's lock held, when the request has been
+	// started (nil) or shed.
+	Ended func(error)
 
-	done  chan error
+	ended bool
 	index int
 }
 
+// end tells how the wait ended.
+func (t *Ticket) end(err error) {
+	t.ended = true
+	t.Ended(err)
+}
+
 // Queue holds the waiting requests of one service.
 type Queue struct {
 	cfg Config
@@ -72,6 +82,8 @@
 type flow struct {
 	tickets ticketHeap
 	weight  int
+	// sum is the cost of all tickets.
+	sum Cost
 	// finish is the virtual time at which the last started request ends.
 	finish float64
 }
@@ -87,20 +99,20 @@
 // Wait returns nil once the request has been started by its Try. Errors:
 // ErrFull, ErrDeadline, ErrWithdrawn or the context's.
 func (q *Queue) Wait(ctx context.Context, t *Ticket) error {
-	t.Weight = max(1, t.Weight)
-	t.done = make(chan error, 1)
-	if err := q.enter(t); err != nil {
+	done := make(chan error, 1)
+	t.Ended = func(err error) { done <- err }
+	if err := q.Enter(t, time.Now()); err != nil {
 		return err
 	}
 	timer := time.NewTimer(time.Until(t.Deadline))
 	defer timer.Stop()
 	select {
-	case err := <-t.done:
+	case err := <-done:
 		return err
 	case <-timer.C:
-		return q.abandon(t, ErrDeadline)
+		return q.abandon(t, ErrDeadline, done)
 	case <-ctx.Done():
-		return q.abandon(t, ctx.Err())
+		return q.abandon(t, ctx.Err(), done)
 	}
 }
 
@@ -112,16 +124,21 @@
 }
 
 // Wake starts as many requests as there is room for.
-func (q *Queue) Wake() {
+func (q *Queue) Wake() { q.Dispatch(time.Now()) }
+
+// Dispatch is Wake at a time.
+func (q *Queue) Dispatch(now time.Time) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.dispatch(time.Now())
+	q.dispatch(now)
 }
 
-func (q *Queue) enter(t *Ticket) error {
+// Enter puts a request into the queue, and starts it if there is room. Its Ended is
+// called when the wait ends, unless Enter returns an error.
+func (q *Queue) Enter(t *Ticket, now time.Time) error {
+	t.Weight = max(1, t.Weight)
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	now := time.Now()
 	if !t.Deadline.After(now) {
 		return ErrDeadline
 	}
@@ -133,6 +150,7 @@
 	}
 	f := q.flow(t)
 	heap.Push(&f.tickets, t)
+	f.sum += t.Cost
 	q.length++
 	q.waiting += t.Cost
 	q.dispatch(now)
@@ -165,19 +183,17 @@
 	for w, f := range q.flows {
 		if w != t.Workspace {
 			part := own * Cost(f.weight) / Cost(t.Weight)
-			ahead += min(part, f.total())
+			ahead += min(part, f.sum)
 		}
 	}
 	return time.Duration(float64(ahead) / r * float64(time.Second))
 }
 
-func (f *flow) total() Cost { return f.cost(time.Time{}) }
-
-// cost returns the cost of the requests due before a deadline; zero means all.
+// cost returns the cost of the requests due before a deadline.
 func (f *flow) cost(before time.Time) Cost {
 	var sum Cost
 	for _, t := range f.tickets {
-		if before.IsZero() || !t.Deadline.After(before) {
+		if !t.Deadline.After(before) {
 			sum += t.Cost
 		}
 	}
@@ -209,13 +225,14 @@
 		}
 	}
 	q.remove(longest, last)
-	last.done <- ErrFull
+	last.end(ErrFull)
 	return true
 }
 
 // remove takes a ticket out of its flow; q.mu is held.
 func (q *Queue) remove(f *flow, t *Ticket) {
 	heap.Remove(&f.tickets, t.index)
+	f.sum -= t.Cost
 	q.length--
 	q.waiting -= t.Cost
 	if len(f.tickets) == 0 && f.finish <= q.virtual {
@@ -223,13 +240,11 @@
 	}
 }
 
-func (q *Queue) abandon(t *Ticket, err error) error {
+func (q *Queue) abandon(t *Ticket, err error, done <-chan error) error {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	select {
-	case settled := <-t.done:
-		return settled
-	default:
+	if t.ended {
+		return <-done
 	}
 	if f := q.flows[t.Workspace]; f != nil && t.index >= 0 {
 		q.remove(f, t)
@@ -244,7 +259,7 @@
 		t := f.tickets[0]
 		if err := expired(t, now); err != nil {
 			q.remove(f, t)
-			t.done <- err
+			t.end(err)
 			continue
 		}
 		if !t.Try() {
@@ -255,7 +270,7 @@
 		q.virtual = start
 		q.rate.add(float64(t.Cost), now)
 		q.remove(f, t)
-		t.done <- nil
+		t.end(nil)
 	}
 }
 
--- a/internal/process/slugsystem/mesh_test.go
+++ b/internal/process/slugsystem/mesh_test.go
@@ -22,8 +22,8 @@
 		d := slugdemo.NewDeployment()
 		mesh := slugmesh.New()
 		s, err := slugsystem.New(ctx, slugsystem.Config{Hosts: 3, Manifest: d.Manifest, Mesh: mesh})
-		defer s.Close()
 		assert.NilError(t, err)
+		defer s.Close()
 		c := slugcaller.New(slugcaller.Config{
 			Seeds: s.Seeds(), Key: d.Keys["dojo-manila"],
 			Transport: &http.Transport{DialContext: mesh.Host("caller").Dial},
--- a/internal/process/slugsystem/system_test.go
+++ b/internal/process/slugsystem/system_test.go
@@ -17,8 +17,8 @@
 	defer cancel()
 	d := slugdemo.NewDeployment()
 	s, err := slugsystem.New(ctx, slugsystem.Config{Hosts: 3, Manifest: d.Manifest})
-	defer s.Close()
 	assert.NilError(t, err)
+	defer s.Close()
 	c := slugcaller.New(slugcaller.Config{Seeds: s.Seeds(), Key: d.Keys["dojo-manila"]})
 	for _, stream := range []bool{true, false} {
 		r := slugcaller.ChatRequest{Model: "lineage", Prompt: "review the lineage", MaxTokens: 20, Stream: stream}
--- a/internal/request/slugadmit/admitter.go
+++ b/internal/request/slugadmit/admitter.go
@@ -300,7 +300,7 @@
 	}
 	work.Avoid = avoid(work.Avoid, len(picker.Endpoints()))
 	t := &slugqueue.Ticket{
-		Workspace: c.Workspace, Weight: a.weight(c), Cost: costOf(work), Deadline: c.Deadline,
+		Workspace: c.Workspace, Weight: a.weight(c), Cost: costOf(work), Deadline: startBy(c.Deadline, picker.Shortest(work)),
 		Valid: func() bool { return a.Valid(c) },
 	}
 	if c.Started {
@@ -317,6 +317,12 @@
 	return pass, waitRefusal(pass.service.Queue.Wait(ctx, t), c)
 }
 
+// startBy returns the latest start of work that takes a time. As the length of an
+// answer is an estimate, at least half of the time left may be spent in the queue.
+func startBy(deadline time.Time, takes time.Duration) time.Time {
+	return deadline.Add(-min(takes, time.Until(deadline)/2))
+}
+
 func (a *Admitter) weight(c *Call) int {
 	if w := a.cfg.Snapshot().Workspace(c.Workspace); w != nil {
 		return w.Weight
--- a/internal/standin/slugengine/engine.go
+++ b/internal/standin/slugengine/engine.go
@@ -262,6 +262,12 @@
 	MaxStreams     int  `json:"maxStreams"`
 	Resumes        bool `json:"resumes"`
 	Idle           bool `json:"idle"`
+	// PrefillPerSecond, StepBaseUs, StepPerStreamUs and PrefillChunk tell what work
+	// costs.
+	PrefillPerSecond float64 `json:"prefillPerSecond"`
+	StepBaseUs       int64   `json:"stepBaseUs"`
+	StepPerStreamUs  int64   `json:"stepPerStreamUs"`
+	PrefillChunk     int     `json:"prefillChunk"`
 }
 
 func (e *Engine) getGreeting(w http.ResponseWriter, _ *http.Request) {
@@ -270,6 +276,8 @@
 		Endpoint: e.cfg.Name, Incarnation: e.incarnation, ChecksFences: e.cfg.ChecksFences,
 		Model: e.cfg.Model, Version: e.version, Role: e.role, Pieces: e.cfg.Pieces, TokensPerPiece: e.cfg.TokensPerPiece,
 		MaxStreams: e.cfg.MaxStreams, Resumes: true, Idle: len(e.running)+len(e.queue) == 0,
+		PrefillPerSecond: float64(e.cfg.PrefillPerSecond), StepBaseUs: e.cfg.StepBase.Microseconds(),
+		StepPerStreamUs: e.cfg.StepPerStream.Microseconds(), PrefillChunk: e.chunk(),
 	}
 	e.mu.Unlock()
 	writeJSON(w, http.StatusOK, g)
@@ -306,7 +314,7 @@
 	}
 	cost := e.cfg.StepBase
 	kept := e.running[:0]
-	budget := max(1, int(float64(e.cfg.PrefillPerSecond)*e.cfg.StepBase.Seconds()))
+	budget := e.chunk()
 	for _, s := range e.running {
 		if s.canceled {
 			e.finish(s)
@@ -333,6 +341,11 @@
 	return cost
 }
 
+// chunk returns the number of prompt tokens that one step processes.
+func (e *Engine) chunk() int {
+	return max(1, int(float64(e.cfg.PrefillPerSecond)*e.cfg.StepBase.Seconds()))
+}
+
 func (e *Engine) poisoned(s *stream) bool {
 	return e.cfg.PoisonMarker != "" && strings.Contains(s.prompt, e.cfg.PoisonMarker)
 }
--- /dev/null
+++ b/internal/standin/slugscene/load.go
@@ -0,0 +1,184 @@
+package slugscene
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/sassafraslug/sassafraslug/internal/process/slugname"
+	"github.com/sassafraslug/sassafraslug/internal/process/slugpick"
+	"github.com/sassafraslug/sassafraslug/internal/process/slugplan"
+	"github.com/sassafraslug/sassafraslug/internal/version/slugmanifest"
+)
+
+// Kind is one kind of request in a load.
+type Kind struct {
+	Class  slugmanifest.Class
+	Prompt [2]int
+	Output [2]int
+	// Shared is the number of prompt tokens that a workspace's requests share.
+	Shared int
+	Within time.Duration
+}
+
+// Phase is a time with one mix of kinds.
+type Phase struct {
+	For time.Duration
+	// Parts are the parts of the work, by kind.
+	Parts []float64
+}
+
+// LoadConfig makes a load.
+type LoadConfig struct {
+	Seed uint64
+	// Weights are the workspaces' parts of the load and of the capacity.
+	Weights map[slugname.Workspace]int
+	Kinds   []Kind
+	Phases  []Phase
+	// Utilization is the work offered as a part of what the engines can do.
+	Utilization float64
+	Engines     []*Engine
+	Duration    time.Duration
+	// Flood multiplies the requests of one workspace from a time on.
+	Flood          slugname.Workspace
+	FloodFactor    float64
+	FloodFrom, For time.Duration
+}
+
+// typicalBatch is the number of streams by which the work of a request is judged.
+const typicalBatch = 12
+
+// Work returns the engine time of a request in a typical batch, in seconds.
+func Work(prompt, output float64, s slugplan.Speed) float64 {
+	return prompt/s.PrefillPerSecond + output*(s.StepPerStream+s.StepBase/typicalBatch).Seconds()
+}
+
+// Load returns the requests of a load in order of arrival.
+func Load(c LoadConfig) []*Request {
+	rng := rand.New(rand.NewPCG(c.Seed, 7))
+	var out []*Request
+	capacity := float64(len(c.Engines)) * c.Utilization
+	at := time.Duration(0)
+	for at < c.Duration {
+		phase := c.phase(at)
+		kind := c.Kinds[pickPart(rng, phase.Parts, c.rates(phase))]
+		r := c.request(rng, kind, at, len(out))
+		out = append(out, r)
+		mean := c.meanWork(phase) / capacity
+		if c.flooding(at) {
+			mean /= c.floodRate()
+		}
+		at += time.Duration(rng.ExpFloat64() * mean * float64(time.Second))
+	}
+	return out
+}
+
+func (c LoadConfig) flooding(at time.Duration) bool {
+	return c.Flood != "" && at >= c.FloodFrom && at < c.FloodFrom+c.For
+}
+
+// floodRate returns by how much all requests grow while one workspace floods.
+func (c LoadConfig) floodRate() float64 {
+	total := 0
+	for _, w := range c.Weights {
+		total += w
+	}
+	return 1 + (c.FloodFactor-1)*float64(c.Weights[c.Flood])/float64(total)
+}
+
+func (c LoadConfig) phase(at time.Duration) Phase {
+	total := time.Duration(0)
+	for _, p := range c.Phases {
+		total += p.For
+	}
+	at %= total
+	for _, p := range c.Phases {
+		if at < p.For {
+			return p
+		}
+		at -= p.For
+	}
+	return c.Phases[0]
+}
+
+func mean(x [2]int) float64 { return float64(x[0]+x[1]) / 2 }
+
+func (c LoadConfig) workOf(k Kind) float64 {
+	return Work(mean(k.Prompt), mean(k.Output), c.Engines[0].Speed)
+}
+
+// rates returns the requests of each kind for one unit of work.
+func (c LoadConfig) rates(p Phase) []float64 {
+	out := make([]float64, len(p.Parts))
+	for i, part := range p.Parts {
+		out[i] = part / c.workOf(c.Kinds[i])
+	}
+	return out
+}
+
+// meanWork returns the mean work of a request in a phase.
+func (c LoadConfig) meanWork(p Phase) float64 {
+	sum := 0.0
+	for _, r := range c.rates(p) {
+		sum += r
+	}
+	return 1 / sum
+}
+
+func pickPart(rng *rand.Rand, _, rates []float64) int {
+	sum := 0.0
+	for _, r := range rates {
+		sum += r
+	}
+	x := rng.Float64() * sum
+	for i, r := range rates {
+		if x -= r; x < 0 {
+			return i
+		}
+	}
+	return len(rates) - 1
+}
+
+func (c LoadConfig) request(rng *rand.Rand, k Kind, at time.Duration, id int) *Request {
+	w := c.workspace(rng, at)
+	between := func(x [2]int) int { return x[0] + rng.IntN(x[1]-x[0]+1) }
+	r := &Request{
+		ID: id, Workspace: w, Class: k.Class, At: at, Within: k.Within,
+		Prompt: slugpick.Tokens(between(k.Prompt) + k.Shared), Output: slugpick.Tokens(between(k.Output)),
+	}
+	if k.Shared > 0 {
+		r.Prefix, r.PrefixTokens = prefixOf(w, rng.IntN(3)), slugpick.Tokens(k.Shared)
+	}
+	return r
+}
+
+// prefixOf returns the name of one of a workspace's shared prefixes.
+func prefixOf(w slugname.Workspace, n int) uint64 {
+	h := uint64(14695981039346656037)
+	for _, c := range []byte(fmt.Sprintf("%s-%d", w, n)) {
+		h = (h ^ uint64(c)) * 1099511628211
+	}
+	return h
+}
+
+func (c LoadConfig) workspace(rng *rand.Rand, at time.Duration) slugname.Workspace {
+	total := 0.0
+	weight := func(w slugname.Workspace) float64 {
+		x := float64(c.Weights[w])
+		if c.flooding(at) && w == c.Flood {
+			x *= c.FloodFactor
+		}
+		return x
+	}
+	names := sortedWorkspaces(c.Weights)
+	for _, w := range names {
+		total += weight(w)
+	}
+	x := rng.Float64() * total
+	for _, w := range names {
+		if x -= weight(w); x < 0 {
+			return w
+		}
+	}
+	return names[len(names)-1]
+}
