--- /dev/null
+++ b/internal/connection/slugsend/sender_test.go
@@ -0,0 +1,64 @@
+package slugsend
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// dying is a server that answers one request on each connection and executes the
+// next one without answering it.
+func dying(t *testing.T) (address string, executed *atomic.Int64) {
+	t.Helper()
+	executed = &atomic.Int64{}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	first := &atomic.Int64{}
+	s := &http.Server{ReadHeaderTimeout: time.Second, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		if r.Method == http.MethodGet {
+			first.Add(1)
+			return
+		}
+		executed.Add(1)
+		c, _, err := http.NewResponseController(w).Hijack()
+		if err == nil {
+			_ = c.Close()
+		}
+	})}
+	go func() { _ = s.Serve(l) }()
+	t.Cleanup(func() { _ = s.Close() })
+	return l.Addr().String(), executed
+}
+
+// The transport of net/http sends a request with an Idempotency-Key again when a
+// reused connection dies. A request that must not be repeated must not be.
+func TestSendDoesNotRepeat(t *testing.T) {
+	for _, body := range []string{"", "{}"} {
+		address, executed := dying(t)
+		s := New(Config{})
+		resp, _, err := s.Send(t.Context(), Request{Method: http.MethodGet, URL: "http://" + address + "/", Repeatable: true})
+		assert.NilError(t, err)
+		_ = resp.Body.Close()
+		_, sent, err := s.Send(t.Context(), Request{
+			Method: http.MethodPost, URL: "http://" + address + "/", Body: []byte(body),
+			Header: http.Header{"Idempotency-Key": {"k"}},
+		})
+		assert.Assert(t, err != nil)
+		assert.Assert(t, sent)
+		assert.Equal(t, executed.Load(), int64(1))
+	}
+}
+
+func TestSendTellsNotSent(t *testing.T) {
+	s := New(Config{Dial: func(context.Context, string, string) (net.Conn, error) { return nil, io.ErrUnexpectedEOF }})
+	_, sent, err := s.Send(t.Context(), Request{Method: http.MethodPost, URL: "http://127.0.0.1:1/"})
+	assert.ErrorContains(t, err, "send request (127.0.0.1:1)")
+	assert.Assert(t, !sent)
+}
--- /dev/null
+++ b/internal/connection/slugstream/reader_test.go
@@ -0,0 +1,86 @@
+package slugstream
+
+import (
+	"bytes"
+	"io"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+func TestNext(t *testing.T) {
+	for _, tt := range []struct {
+		name, text string
+		after      int
+		data       []string
+		err        error
+	}{
+		{"whole", "id: r:1\ndata: a\n\nid: r:2\ndata: [DONE]\n\n", 0, []string{"a", "[DONE]"}, nil},
+		{"comments", ": x\n\nid: r:1\r\ndata: a\r\n\r\n", 0, []string{"a"}, ErrTruncated},
+		{"duplicate", "id: r:1\ndata: a\n\nid: r:1\ndata: a\n\nid: r:2\ndata: b\n\n", 0, []string{"a", "b"}, ErrTruncated},
+		{"resumed", "id: r:5\ndata: e\n\n", 4, []string{"e"}, ErrTruncated},
+		{"gap", "id: r:1\ndata: a\n\nid: r:3\ndata: c\n\n", 0, []string{"a"}, ErrGap},
+		{"crossed", "id: q:1\ndata: a\n\n", 0, nil, ErrCrossed},
+		{"longer request", "id: rr:1\ndata: a\n\n", 0, nil, ErrCrossed},
+		{"no number", "id: r:x\ndata: a\n\n", 0, nil, ErrCrossed},
+		{"cut in an event", "id: r:1\ndata: a", 0, nil, ErrTruncated},
+		{"too long", "id: r:1\ndata: " + strings.Repeat("a", MaxEventBytes+1) + "\n\n", 0, nil, ErrTooLong},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			s := New(strings.NewReader(tt.text), "r", tt.after)
+			var data []string
+			for {
+				e, err := s.Next()
+				if err != nil {
+					assert.ErrorIs(t, err, tt.err)
+					break
+				}
+				data = append(data, string(e.Data))
+				if e.Done {
+					break
+				}
+			}
+			assert.DeepEqual(t, data, tt.data)
+		})
+	}
+}
+
+func FuzzNext(f *testing.F) {
+	f.Add([]byte("id: r:1\ndata: a\n\nid: r:2\ndata: [DONE]\n\n"))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		s := New(bytes.NewReader(b), "r", 0)
+		for last := 0; ; {
+			e, err := s.Next()
+			if err != nil {
+				return
+			}
+			assert.Equal(t, e.Sequence, last+1, "events come in order and once")
+			last = e.Sequence
+		}
+	})
+}
+
+// endless repeats one block of events.
+type endless struct {
+	block []byte
+	off   int
+}
+
+func (e *endless) Read(p []byte) (int, error) {
+	n := copy(p, e.block[e.off:])
+	e.off = (e.off + n) % len(e.block)
+	return n, nil
+}
+
+func BenchmarkNext(b *testing.B) {
+	event := []byte(`data: {"id":"r","object":"chat.completion.chunk","choices":[{"index":0,"delta":{"content":"word "},"finish_reason":null}]}` + "\n\n")
+	s := New(&endless{block: append([]byte("id: r:1\n"), event...)}, "r", 0)
+	b.ReportAllocs()
+	for b.Loop() {
+		s.last = 0
+		if _, err := s.Next(); err != nil && err != io.EOF {
+			b.Fatal(err)
+		}
+	}
+}
--- /dev/null
+++ b/internal/process/slugevent/event_test.go
@@ -0,0 +1,51 @@
+package slugevent
+
+import (
+	"bytes"
+	"cmp"
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/sirupsen/logrus"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/golden"
+)
+
+// catalogue is docs/EVENTS.md as it must be; -update writes it.
+func catalogue() string {
+	var b strings.Builder
+	b.WriteString("# Log events\n\nEvery log line is a JSON object with the fields `event`, `process`, `level`, `msg` and `time`, and the fields of its event. This page is made from the code by `go test ./internal/process/slugevent -update`, and a test holds it to the code.\n\n| event | level | message | what to do |\n| --- | --- | --- | --- |\n")
+	var events []Event
+	for e := range All() {
+		events = append(events, e)
+	}
+	slices.SortFunc(events, func(a, b Event) int { return cmp.Compare(a, b) })
+	for _, e := range events {
+		d := e.Describe()
+		fmt.Fprintf(&b, "| %d | %s | %s | %s |\n", e, d.Level, d.Message, d.Action)
+	}
+	return b.String()
+}
+
+func TestCatalogue(t *testing.T) {
+	golden.Assert(t, catalogue(), "../../../../docs/EVENTS.md")
+}
+
+func TestEveryEventIsDescribed(t *testing.T) {
+	for _, r := range [][2]Event{{StepDone, CertificateUnusable}, {ConfigurationInForce, StaleReadIgnored}, {DutyTaken, DutyFailed}, {RequestRefused, ClaimUnsettled}} {
+		for e := r[0]; e <= r[1]; e++ {
+			_, ok := All()[e]
+			assert.Assert(t, ok, "event %d", e)
+		}
+	}
+}
+
+func TestEmit(t *testing.T) {
+	var b bytes.Buffer
+	New(&b, logrus.InfoLevel, "gate").Emit(DutyTaken, Fields{"duty": "usage/north"})
+	for _, part := range []string{`"event":300`, `"duty":"usage/north"`, `"process":"gate"`, `"msg":"duty taken"`} {
+		assert.Assert(t, strings.Contains(b.String(), part), "%s in %s", part, b.String())
+	}
+}
--- a/internal/process/slugpick/picker.go
+++ b/internal/process/slugpick/picker.go
@@ -13,7 +13,7 @@
 //	p.SetEndpoints(endpoints)
 //	t, ok := p.Pick(work, time.Now())
 //	...
-//	p.Done(t, slugpick.OutcomeWhole, time.Now())
+//	p.Done(&t, slugpick.OutcomeWhole, time.Now())
 package slugpick
 
 import (
@@ -98,6 +98,8 @@
 	Predicted time.Duration
 	work      Work
 	at        time.Time
+	// prefilled tells that the prefill is done.
+	prefilled bool
 }
 
 // Outcome says how a request ended at its endpoint.
@@ -131,7 +133,9 @@
 	report   Report
 	reported bool
 	// own are this process's sends and returns, newest last.
-	own         []ownEvent
+	own []ownEvent
+	// sum is the sum of own.
+	sum         ownEvent
 	outstanding int
 	suspects    int
 	pausedUntil time.Time
@@ -252,6 +256,10 @@
 	}
 	c.report, c.reported = r, true
 	c.own = slices.DeleteFunc(c.own, func(x ownEvent) bool { return !x.at.After(r.TakenAt) })
+	c.sum = ownEvent{}
+	for _, x := range c.own {
+		c.sum.add(x)
+	}
 }
 
 // CacheEvent takes word that an endpoint cached or dropped a prefix.
@@ -419,17 +427,10 @@
 // load returns the estimated streams and the tokens waiting for prefill.
 func (c *candidate) load() (running int, prefill Tokens) {
 	if !c.reported {
-		for _, x := range c.own {
-			prefill += x.prefill
-		}
-		return c.outstanding, max(0, prefill)
-	}
-	running = c.report.Running + c.report.Queued
-	prefill = c.report.PrefillTokens
-	for _, x := range c.own {
-		running += x.running
-		prefill += x.prefill
+		return c.outstanding, max(0, c.sum.prefill)
 	}
+	running = c.report.Running + c.report.Queued + c.sum.running
+	prefill = c.report.PrefillTokens + c.sum.prefill
 	return max(running, c.outstanding), max(0, prefill)
 }
 
@@ -518,25 +519,41 @@
 
 func (c *candidate) note(x ownEvent) {
 	if len(c.own) >= maxOwnEvents {
+		c.sum.add(ownEvent{running: -c.own[0].running, prefill: -c.own[0].prefill})
 		c.own = c.own[1:]
 	}
 	c.own = append(c.own, x)
+	c.sum.add(x)
+}
+
+func (x *ownEvent) add(y ownEvent) {
+	x.running += y.running
+	x.prefill += y.prefill
 }
 
 // FirstToken takes word that the prefill of a request is done.
-func (p *Picker) FirstToken(t Ticket, now time.Time) {
+func (p *Picker) FirstToken(t *Ticket, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if c := p.index[t.Endpoint]; c != nil {
-		c.note(ownEvent{now, 0, -max(0, t.work.PromptTokens-t.Cached)})
+		c.note(ownEvent{now, 0, -t.waiting()})
+	}
+	t.prefilled = true
+}
+
+// waiting returns the prompt tokens that were counted as waiting for prefill.
+func (t *Ticket) waiting() Tokens {
+	if t.prefilled {
+		return 0
 	}
+	return max(0, t.work.PromptTokens-t.Cached)
 }
 
 // errorSmoothing is the weight of a new observation of the prediction's error.
 const errorSmoothing = 0.1
 
 // Done gives a ticket back.
-func (p *Picker) Done(t Ticket, o Outcome, now time.Time) {
+func (p *Picker) Done(t *Ticket, o Outcome, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	c := p.index[t.Endpoint]
@@ -544,7 +561,7 @@
 		return
 	}
 	c.outstanding = max(0, c.outstanding-1)
-	c.note(ownEvent{now, -1, 0})
+	c.note(ownEvent{now, -1, -t.waiting()})
 	if t.work.Suspect {
 		c.suspects = max(0, c.suspects-1)
 	}
@@ -553,7 +570,7 @@
 		c.pausedUntil = now.Add(p.cfg.CrashPause)
 		p.prefixes.forget(c.Name)
 	case OutcomeWhole:
-		c.learn(t, now)
+		c.learn(*t, now)
 	}
 }
 
--- /dev/null
+++ b/internal/process/slugqueue/queue_test.go
@@ -0,0 +1,107 @@
+package slugqueue
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sassafraslug/sassafraslug/internal/process/slugname"
+	"gotest.tools/v3/assert"
+)
+
+func TestFairByWeight(t *testing.T) {
+	q := New(Config{Length: 1000})
+	now := time.Unix(0, 0)
+	room := 0
+	started := map[slugname.Workspace]int{}
+	for i := range 200 {
+		for w, weight := range map[slugname.Workspace]int{"large": 3, "small": 1} {
+			assert.NilError(t, q.Enter(&Ticket{
+				Workspace: w, Weight: weight, Cost: 1, Deadline: now.Add(time.Hour + time.Duration(i)),
+				Try: func() bool {
+					if room == 0 {
+						return false
+					}
+					room--
+					started[w]++
+					return true
+				},
+				Ended: func(error) {},
+			}, now))
+		}
+	}
+	room = 80
+	q.Dispatch(now)
+	assert.Equal(t, started["large"], 60)
+	assert.Equal(t, started["small"], 20)
+}
+
+func TestFloodDoesNotCrowdOut(t *testing.T) {
+	q := New(Config{Length: 10})
+	now := time.Unix(0, 0)
+	shed := 0
+	enter := func(w slugname.Workspace) error {
+		return q.Enter(&Ticket{Workspace: w, Cost: 1, Deadline: now.Add(time.Hour), Try: func() bool { return false }, Ended: func(err error) {
+			assert.ErrorIs(t, err, ErrFull)
+			shed++
+		}}, now)
+	}
+	for range 10 {
+		assert.NilError(t, enter("flood"))
+	}
+	assert.ErrorIs(t, enter("flood"), ErrFull)
+	assert.NilError(t, enter("calm"))
+	assert.Equal(t, shed, 1, "the flood gives way")
+	assert.Equal(t, q.Len(), 10)
+}
+
+func TestWait(t *testing.T) {
+	for _, tt := range []struct {
+		name string
+		set  func(*Ticket, context.CancelFunc)
+		want error
+	}{
+		{"started", func(*Ticket, context.CancelFunc) {}, nil},
+		{"deadline in the past", func(x *Ticket, _ context.CancelFunc) { x.Deadline = time.Now().Add(-1) }, ErrDeadline},
+		{"deadline passes", func(x *Ticket, _ context.CancelFunc) { x.Try = func() bool { return false } }, ErrDeadline},
+		{"right withdrawn", func(x *Ticket, _ context.CancelFunc) { x.Valid = func() bool { return false } }, ErrWithdrawn},
+		{"caller goes away", func(x *Ticket, cancel context.CancelFunc) {
+			x.Try = func() bool { return false }
+			time.AfterFunc(time.Second, cancel)
+		}, context.Canceled},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				q := New(Config{})
+				x := &Ticket{Workspace: "w", Cost: 1, Deadline: time.Now().Add(time.Minute), Try: func() bool { return true }}
+				tt.set(x, cancel)
+				err := q.Wait(ctx, x)
+				if tt.want == nil {
+					assert.NilError(t, err)
+				} else {
+					assert.ErrorIs(t, err, tt.want)
+				}
+				assert.Equal(t, q.Len(), 0)
+			})
+		})
+	}
+}
+
+func BenchmarkEnter(b *testing.B) {
+	q := New(Config{Length: 1 << 20})
+	now := time.Unix(0, 0)
+	for i := range 400 {
+		w := slugname.Workspace(fmt.Sprintf("w-%d", i))
+		_ = q.Enter(&Ticket{Workspace: w, Cost: 1, Deadline: now.Add(time.Hour), Try: func() bool { return false }, Ended: func(error) {}}, now)
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		x := &Ticket{Workspace: "w-7", Cost: 1, Deadline: now.Add(time.Minute), Try: func() bool { return true }, Ended: func(error) {}}
+		_ = q.Enter(x, now)
+		q.Dispatch(now)
+	}
+}
--- /dev/null
+++ b/internal/process/slugstore/contract_test.go
@@ -0,0 +1,131 @@
+package slugstore_test
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sassafraslug/sassafraslug/internal/process/slugstore"
+	"github.com/sassafraslug/sassafraslug/internal/standin/slugplatform"
+	"gotest.tools/v3/assert"
+)
+
+// store is an implementation of the platform's store under test.
+type store struct {
+	do func(*http.Request) (*http.Response, error)
+	// loseAnswers drops the answers of the next n writes after they took effect.
+	loseAnswers func(n int)
+	// cut stops all calls.
+	cut func(bool)
+}
+
+func standin() store {
+	l := slugplatform.New(slugplatform.Config{}).Link("test")
+	return store{l.Do, l.LoseAnswers, l.Cut}
+}
+
+// TestContract holds an implementation to the contract that the system relies on.
+// Another implementation can be put into the list.
+func TestContract(t *testing.T) {
+	for name, implementation := range map[string]func() store{"stand-in": standin} {
+		t.Run(name, func(t *testing.T) {
+			for _, tt := range contract {
+				t.Run(tt.name, func(t *testing.T) {
+					synctest.Test(t, func(t *testing.T) {
+						x := implementation()
+						tt.check(t, x, slugstore.New(slugstore.Config{BaseURL: "http://platform", Do: x.do}))
+					})
+				})
+			}
+		})
+	}
+}
+
+var contract = []struct {
+	name  string
+	check func(t *testing.T, x store, s *slugstore.Store)
+}{
+	{"an object that does not exist has version 0", func(t *testing.T, _ store, s *slugstore.Store) {
+		o, err := s.Get(t.Context(), "a")
+		assert.NilError(t, err)
+		assert.Equal(t, o.Version, slugstore.Version(0))
+		assert.Assert(t, o.Body == nil)
+	}},
+	{"versions grow and the expected one is checked", func(t *testing.T, _ store, s *slugstore.Store) {
+		v1, err := s.Put(t.Context(), "a", 0, 1)
+		assert.NilError(t, err)
+		v2, err := s.Put(t.Context(), "a", v1, 2)
+		assert.NilError(t, err)
+		assert.Assert(t, v2 > v1)
+		_, err = s.Put(t.Context(), "a", v1, 3)
+		assert.Assert(t, errors.Is(err, slugstore.ErrConflict), "%v", err)
+		_, err = s.Put(t.Context(), "a", 0, 3)
+		assert.Assert(t, errors.Is(err, slugstore.ErrConflict), "%v", err)
+	}},
+	{"a lost answer is settled by reading back", func(t *testing.T, x store, s *slugstore.Store) {
+		x.loseAnswers(1)
+		v, err := s.Put(t.Context(), "a", 0, 1)
+		assert.NilError(t, err)
+		_, err = s.Put(t.Context(), "a", v, 2)
+		assert.NilError(t, err)
+	}},
+	{"a repeated change has one effect", func(t *testing.T, _ store, s *slugstore.Store) {
+		v1, err := s.PutChange(t.Context(), "a", 0, 1, "change")
+		assert.NilError(t, err)
+		o, err := s.Get(t.Context(), "a")
+		assert.NilError(t, err)
+		assert.Equal(t, o.Change, slugstore.ChangeID("change"))
+		assert.Equal(t, o.Version, v1)
+	}},
+	{"an unreachable store leaves the outcome unknown", func(t *testing.T, x store, s *slugstore.Store) {
+		x.cut(true)
+		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+		defer cancel()
+		_, err := s.Put(ctx, "a", 0, 1)
+		assert.Assert(t, errors.Is(err, slugstore.ErrUnknown), "%v", err)
+		assert.Assert(t, !errors.Is(err, slugstore.ErrConflict))
+	}},
+	{"a removed object can be made again", func(t *testing.T, _ store, s *slugstore.Store) {
+		v, err := s.Put(t.Context(), "a", 0, 1)
+		assert.NilError(t, err)
+		assert.NilError(t, s.Delete(t.Context(), "a", v))
+		again, err := s.Put(t.Context(), "a", 0, 2)
+		assert.NilError(t, err)
+		assert.Assert(t, again > v)
+	}},
+	{"a value over the limit is refused and loses nothing", func(t *testing.T, _ store, s *slugstore.Store) {
+		v, err := s.Put(t.Context(), "a", 0, 1)
+		assert.NilError(t, err)
+		_, err = s.Put(t.Context(), "a", v, make([]byte, 2<<20))
+		assert.ErrorContains(t, err, "refused")
+		o, err := s.Get(t.Context(), "a")
+		assert.NilError(t, err)
+		assert.Equal(t, string(o.Body), "1")
+	}},
+	{"a watch tells all objects first, then each change and removal", func(t *testing.T, _ store, s *slugstore.Store) {
+		ctx, cancel := context.WithCancel(t.Context())
+		seen := make(chan slugstore.Object, 16)
+		v, err := s.Put(ctx, "p/a", 0, 1)
+		assert.NilError(t, err)
+		go func() {
+			_ = s.Watch(ctx, slugstore.Watcher{Prefix: "p/", Changed: func(objects []slugstore.Object) {
+				for _, o := range objects {
+					seen <- o
+				}
+			}})
+		}()
+		assert.Equal(t, string((<-seen).Body), "1")
+		_, err = s.Put(ctx, "q/b", 0, 1)
+		assert.NilError(t, err)
+		v, err = s.Put(ctx, "p/a", v, 2)
+		assert.NilError(t, err)
+		assert.Equal(t, string((<-seen).Body), "2")
+		assert.NilError(t, s.Delete(ctx, "p/a", v))
+		assert.Assert(t, (<-seen).Body == nil)
+		cancel()
+		synctest.Wait()
+	}},
+}
--- a/internal/request/slugadmit/admitter.go
+++ b/internal/request/slugadmit/admitter.go
@@ -268,13 +268,13 @@
 }
 
 // Done gives the endpoint back.
-func (p Pass) Done(o slugpick.Outcome) {
-	p.service.Picker.Done(p.Ticket, o, time.Now())
+func (p *Pass) Done(o slugpick.Outcome) {
+	p.service.Picker.Done(&p.Ticket, o, time.Now())
 	p.service.Queue.Wake()
 }
 
 // FirstToken tells that the prefill is done.
-func (p Pass) FirstToken() { p.service.Picker.FirstToken(p.Ticket, time.Now()) }
+func (p *Pass) FirstToken() { p.service.Picker.FirstToken(&p.Ticket, time.Now()) }
 
 // costTokens is the number of prompt tokens that cost one second of an engine.
 const costTokens = 20000
--- a/internal/request/slugchat/attempt.go
+++ b/internal/request/slugchat/attempt.go
@@ -44,7 +44,7 @@
 	a := &attempt{exchange: x, pass: pass}
 	outcome, again, refusal := a.run(ctx)
 	finished(outcome == slugpick.OutcomeWhole)
-	pass.Done(outcome)
+	a.pass.Done(outcome)
 	if again {
 		x.work.Avoid = append(x.work.Avoid, pass.Endpoint)
 	}
--- a/internal/standin/slugscene/policy.go
+++ b/internal/standin/slugscene/policy.go
@@ -141,7 +141,7 @@
 	if r.doneAt.IsZero() {
 		outcome = slugpick.OutcomeFailed
 	}
-	x.picker.Done(r.ticket, outcome, s.Now)
+	x.picker.Done(&r.ticket, outcome, s.Now)
 	x.queue.Dispatch(s.Now)
 }
 
