--- a/internal/process/slugaddress/directory.go
+++ b/internal/process/slugaddress/directory.go
@@ -8,6 +8,7 @@
 
 import (
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/sassafraslug/sassafraslug/internal/process/slugmember"
@@ -33,8 +34,16 @@
 // Directory knows the addresses of live gates.
 type Directory struct {
 	cfg Config
+
+	mu sync.Mutex
+	// known are the gates as they were at a time.
+	known []gate
+	at    time.Time
 }
 
+// keepFor is how long the list of gates is used again.
+const keepFor = 100 * time.Millisecond
+
 // New returns a Directory.
 func New(cfg Config) *Directory { return &Directory{cfg: cfg} }
 
@@ -60,7 +69,7 @@
 // Look returns the gates for a shard key, such as a workspace: a few hosts that
 // stay the same, those in this data centre first. An empty key gets all hosts.
 func (d *Directory) Look(shard string) Answer {
-	gates := d.gates()
+	gates := d.recent()
 	if shard != "" && len(gates) > ShardSize {
 		gates = d.shard(shard, gates)
 	}
@@ -78,6 +87,16 @@
 	return answer
 }
 
+// recent returns the live gates, at most keepFor ago. The caller may reorder them.
+func (d *Directory) recent() []gate {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if now := time.Now(); d.at.IsZero() || now.Sub(d.at) >= keepFor {
+		d.known, d.at = d.gates(), now
+	}
+	return slices.Clone(d.known)
+}
+
 // gates returns the live gates. Gates with old word are left out as long as any
 // gate has fresh word.
 func (d *Directory) gates() []gate {
--- a/internal/process/slugfleet/fleet.go
+++ b/internal/process/slugfleet/fleet.go
@@ -52,6 +52,9 @@
 	// Gap returns the longest time between tokens that a service's objective allows,
 	// 0 when it has none; nil means none.
 	Gap func(slugname.Service) time.Duration
+	// Place returns this gate's place among the live gates and their number; nil
+	// means that there is one gate.
+	Place func() (place, gates int)
 	// QueueLength bounds the waiting requests of a service.
 	QueueLength int
 	// Changed is called after plans changed; it may be nil.
@@ -97,7 +100,7 @@
 	x := f.services[s]
 	if x == nil {
 		x = &Service{
-			Picker: slugpick.New(slugpick.Config{Local: f.cfg.DataCentre, Gap: func() time.Duration { return f.cfg.Gap(s) }}),
+			Picker: slugpick.New(slugpick.Config{Local: f.cfg.DataCentre, Gap: func() time.Duration { return f.cfg.Gap(s) }, Place: f.cfg.Place}),
 			Queue:  slugqueue.New(slugqueue.Config{Length: f.cfg.QueueLength}),
 		}
 		f.services[s] = x
--- a/internal/process/sluggate/gate.go
+++ b/internal/process/sluggate/gate.go
@@ -11,6 +11,7 @@
 	"context"
 	"expvar"
 	"net/http"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -180,7 +181,7 @@
 	g.ledger = slugledger.New(slugledger.Config{Region: s.Region, Process: self.Process, Window: s.UsageWindow, Store: g.Store.For("usage")})
 	g.fleet = slugfleet.New(slugfleet.Config{
 		Host: s.Host, DataCentre: s.DataCentre, Store: g.Store.For("plans"), Get: g.sender.Get,
-		QueueLength: int(s.QueueLength), Changed: g.tellPlans, Gap: g.gap,
+		QueueLength: int(s.QueueLength), Changed: g.tellPlans, Gap: g.gap, Place: g.place,
 	})
 	g.reach = slugreach.New(slugreach.Config{Word: g.Follower.Word, Statuses: g.Table.Statuses, Records: g.Member.Records, Log: g.log})
 	g.directory = slugaddress.New(slugaddress.Config{
@@ -193,6 +194,35 @@
 	return nil
 }
 
+// maxTurn bounds the gates that are waited for before a suspect is tried.
+const maxTurn = 3
+
+// turn returns how many live gates go before this one in trying a suspect.
+func (g *Gate) turn(f slugsuspect.Fingerprint) int {
+	var gates []slugname.Process
+	for _, s := range g.Table.Statuses() {
+		if s.Kind == slugmember.KindGate && s.Alive {
+			gates = append(gates, s.Process)
+		}
+	}
+	return min(maxTurn, slugmember.Rank(strconv.FormatUint(f.Hash, 16), g.Member.Self().Process, gates))
+}
+
+// place returns this gate's place among the live gates and their number.
+func (g *Gate) place() (place, gates int) {
+	self := g.Member.Self().Process
+	for _, s := range g.Table.Statuses() {
+		if s.Kind != slugmember.KindGate || !s.Alive && s.Process != self {
+			continue
+		}
+		if s.Process == self {
+			place = gates
+		}
+		gates++
+	}
+	return place, max(1, gates)
+}
+
 // gap returns the longest time between tokens that a service's objective allows.
 func (g *Gate) gap(name slugname.Service) time.Duration {
 	s := g.Follower.Snapshot()
--- a/internal/process/slugpeer/row.go
+++ b/internal/process/slugpeer/row.go
@@ -80,6 +80,8 @@
 	Protocol int            `cbor:"1,keyasint"`
 	Digest   []Entry        `cbor:"2,keyasint,omitempty"`
 	Rows     []VersionedRow `cbor:"3,keyasint,omitempty"`
+	// Want are rows that the sender lacks or has in an older version.
+	Want []slugmember.ID `cbor:"6,keyasint,omitempty"`
 	// WantBundle asks for the configuration of a revision or a later one.
 	WantBundle slugconfig.Revision `cbor:"4,keyasint,omitempty"`
 	// Bundle is an encoded configuration.
--- a/internal/process/slugpeer/table.go
+++ b/internal/process/slugpeer/table.go
@@ -41,8 +41,11 @@
 	Round = time.Second
 	// callTimeout bounds one exchange.
 	callTimeout = time.Second
-	// AliveFor is how long after its last heartbeat a process counts as alive.
-	AliveFor = 4 * time.Second
+	// aliveFor is how long after its last heartbeat a process counts as alive, as
+	// long as a digest holds all rows. With more rows it grows as they do.
+	aliveFor = 4 * time.Second
+	// digestRows bounds the rows in one digest, and so the bytes of an exchange.
+	digestRows = 40
 	// forgetAfter is how long a silent row is kept.
 	forgetAfter = time.Minute
 	// defaultFanout is the number of peers called a round.
@@ -112,12 +115,13 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := time.Now()
+	alive := t.aliveFor()
 	out := make([]Status, 0, len(t.rows))
 	for id, h := range t.rows {
 		if h.row.Process == "" {
 			continue
 		}
-		s := Status{Row: h.row, Alive: id == t.self || now.Sub(h.heardAt) < AliveFor, Word: h.word}
+		s := Status{Row: h.row, Alive: id == t.self || now.Sub(h.heardAt) < alive, Word: h.word}
 		if id == t.self {
 			s.Word = t.cfg.Word()
 		}
@@ -192,12 +196,13 @@
 	peers := t.cfg.Peers()
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	limit := t.aliveFor()
 	for _, p := range peers {
 		id := slugmember.IDOf(p.Process)
 		h := t.rows[id]
 		switch {
 		case id == t.self:
-		case h != nil && h.row.Process != "" && now.Sub(h.heardAt) < AliveFor:
+		case h != nil && h.row.Process != "" && now.Sub(h.heardAt) < limit:
 			alive = append(alive, p)
 		default:
 			silent = append(silent, p)
@@ -206,8 +211,14 @@
 	return alive, silent
 }
 
-// exchange sends the digest, takes newer rows, and sends the rows that the peer
-// lacks.
+// aliveFor returns how long after its last heartbeat a process counts as alive;
+// t.mu is held.
+func (t *Table) aliveFor() time.Duration {
+	return aliveFor * time.Duration(1+len(t.rows)/digestRows)
+}
+
+// exchange sends a digest, takes newer rows, and sends the rows that the peer wants
+// for those that this process wants.
 func (t *Table) exchange(ctx context.Context, p slugmember.Record) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
@@ -216,8 +227,13 @@
 		return
 	}
 	t.take(answer)
-	if rows := t.newer(answer.Digest); len(rows) > 0 {
-		_, _ = t.cfg.Call(ctx, p, Message{Protocol: Protocol, Rows: rows})
+	rows, want := t.compare(answer.Digest)
+	rows = append(rows, t.rowsOf(answer.Want)...)
+	if len(rows)+len(want) == 0 {
+		return
+	}
+	if answer, err = t.cfg.Call(ctx, p, Message{Protocol: Protocol, Rows: rows, Want: want}); err == nil {
+		t.take(answer)
 	}
 }
 
@@ -229,9 +245,10 @@
 		answer.Bundle = t.cfg.Bundle()
 	}
 	if m.Digest != nil {
-		answer.Rows = t.newer(m.Digest)
+		answer.Rows, answer.Want = t.compare(m.Digest)
 		answer.Digest = t.digest()
 	}
+	answer.Rows = append(answer.Rows, t.rowsOf(m.Want)...)
 	return answer
 }
 
@@ -262,13 +279,24 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := time.Now()
-	out := make([]Entry, 0, len(t.rows))
+	out := make([]Entry, 0, min(len(t.rows), digestRows))
+	out = append(out, t.rows[t.self].entry(t.self, now))
+	// The order of a map differs from time to time, so every row has its turn.
 	for id, h := range t.rows {
-		out = append(out, Entry{ID: id, Version: h.version, Heartbeat: h.heartbeat, WordAge: wordAge(h.word, now)})
+		if len(out) >= digestRows {
+			break
+		}
+		if id != t.self {
+			out = append(out, h.entry(id, now))
+		}
 	}
 	return out
 }
 
+func (h *held) entry(id slugmember.ID, now time.Time) Entry {
+	return Entry{ID: id, Version: h.version, Heartbeat: h.heartbeat, WordAge: wordAge(h.word, now)}
+}
+
 func wordAge(word, now time.Time) uint32 {
 	if word.IsZero() {
 		return noWord
@@ -276,17 +304,31 @@
 	return uint32(min(noWord, (now.Sub(word)+wordUnit-1)/wordUnit))
 }
 
-// newer returns the rows that a digest lacks or has in an older version.
-func (t *Table) newer(digest []Entry) []VersionedRow {
-	theirs := make(map[slugmember.ID]uint32, len(digest))
+// compare returns the rows of a digest that this process has in a newer version, and
+// those that it lacks or has in an older one.
+func (t *Table) compare(digest []Entry) (newer []VersionedRow, want []slugmember.ID) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
 	for _, e := range digest {
-		theirs[e.ID] = e.Version
+		h := t.rows[e.ID]
+		switch {
+		case e.ID == t.self && e.Version > h.version:
+		case h == nil || h.row.Process == "" || h.version < e.Version:
+			want = append(want, e.ID)
+		case h.version > e.Version:
+			newer = append(newer, VersionedRow{h.version, h.row})
+		}
 	}
+	return newer, want
+}
+
+// rowsOf returns the wanted rows.
+func (t *Table) rowsOf(want []slugmember.ID) []VersionedRow {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var out []VersionedRow
-	for id, h := range t.rows {
-		if h.row.Process != "" && h.version > theirs[id] {
+	for _, id := range want {
+		if h := t.rows[id]; h != nil && h.row.Process != "" {
 			out = append(out, VersionedRow{h.version, h.row})
 		}
 	}
--- a/internal/process/slugpick/picker.go
+++ b/internal/process/slugpick/picker.go
@@ -47,6 +47,10 @@
 	// Gap returns the longest time between tokens that the service's objective
 	// allows, 0 when it has none; nil means none.
 	Gap func() time.Duration
+	// Place returns this gate's place among the live gates and their number. Each
+	// gate tries its suspects on endpoints of its own, so that no two suspects meet;
+	// nil means that there is one gate.
+	Place func() (place, gates int)
 	// CrashPause is how long an endpoint gets no work after a crash.
 	CrashPause time.Duration
 }
@@ -82,8 +86,6 @@
 	// Affinity is equal for equal requests. It chooses among endpoints that are about
 	// as good.
 	Affinity uint64
-	// Prefer is an endpoint that runs an equal request now.
-	Prefer slugname.Endpoint
 	// Force ignores the endpoint's room, for work that must not wait.
 	Force bool
 }
@@ -130,6 +132,8 @@
 // candidate is an endpoint with its soft state.
 type candidate struct {
 	Endpoint
+	// position is the place in the list of endpoints, which is in order of name.
+	position int
 	report   Report
 	reported bool
 	// own are this process's sends and returns, newest last.
@@ -139,6 +143,8 @@
 	outstanding int
 	suspects    int
 	pausedUntil time.Time
+	// cached is the part of the present pick's prompt that is assumed to be cached.
+	cached Tokens
 	// error is the ratio of observed to predicted time, smoothed.
 	error float64
 }
@@ -158,8 +164,13 @@
 	candidates []*candidate
 	index      map[slugname.Endpoint]*candidate
 	prefixes   *prefixIndex
-	// cached is scratch space for one pick, by candidate.
-	cached map[slugname.Endpoint]Tokens
+	// warm are the candidates with a cached prefix in the present pick.
+	warm []*candidate
+	// running are the equal requests that run now, by affinity.
+	running map[uint64]equal
+	// ownSuspects tells for one pick that this gate has endpoints of its own for
+	// suspects.
+	ownSuspects bool
 	// predicted is scratch space for one pick, by position.
 	predicted []time.Duration
 	mix       mix
@@ -175,6 +186,9 @@
 	if cfg.CacheAge == 0 {
 		cfg.CacheAge = defaultCacheAge
 	}
+	if cfg.Place == nil {
+		cfg.Place = func() (int, int) { return 0, 1 }
+	}
 	if cfg.Gap == nil {
 		cfg.Gap = func() time.Duration { return 0 }
 	}
@@ -183,7 +197,7 @@
 	}
 	return &Picker{
 		cfg: cfg, index: map[slugname.Endpoint]*candidate{},
-		prefixes: newPrefixIndex(), cached: map[slugname.Endpoint]Tokens{}, turn: rand.Uint64(),
+		prefixes: newPrefixIndex(), running: map[uint64]equal{}, turn: rand.Uint64(),
 	}
 }
 
@@ -200,7 +214,7 @@
 		if c == nil || c.Address != e.Address {
 			c = &candidate{error: 1}
 		}
-		c.Endpoint = e
+		c.Endpoint, c.position = e, len(p.candidates)
 		index[e.Name] = c
 		p.candidates = append(p.candidates, c)
 	}
@@ -281,31 +295,70 @@
 	p.lookUpPrefixes(w, now)
 	split := p.hasSplit()
 	side := p.side(w, split)
+	p.ownSuspects = w.Suspect && p.hasOwnSuspects(&w)
+	prefer := p.prefer(&w)
 	var best *candidate
 	var least time.Duration
 	for i, c := range p.candidates {
 		p.predicted[i] = ineligible
-		if !p.eligible(c, w, split, now) || !side.takes(i, c) {
+		if !p.eligible(c, &w, split, now) || !side.takes(i, c) {
 			continue
 		}
-		d := p.predict(c, w)
+		d := p.predict(c, &w)
 		p.predicted[i] = d
-		if best == nil || d < least || c.Name == w.Prefer {
+		if best == nil || d < least || c.Name == prefer {
 			best, least = c, d
 		}
-		if c.Name == w.Prefer {
+		if c.Name == prefer {
 			break
 		}
 	}
 	if best == nil {
 		return Ticket{}, false
 	}
-	if best.Name != w.Prefer {
+	if best.Name != prefer {
 		best, least = p.amongEquals(w, least)
 	}
 	return p.take(best, w, least, now), true
 }
 
+// equal counts equal requests at an endpoint.
+type equal struct {
+	endpoint slugname.Endpoint
+	count    int
+}
+
+// prefer returns the endpoint that runs an equal request now, so that a request
+// which crashes endpoints, sent many times at once, crashes one.
+func (p *Picker) prefer(w *Work) slugname.Endpoint {
+	if w.Suspect {
+		return ""
+	}
+	return p.running[w.Affinity].endpoint
+}
+
+// hold counts an equal request; n is 1 or -1.
+func (p *Picker) hold(affinity uint64, e slugname.Endpoint, n int) {
+	x, ok := p.running[affinity]
+	if affinity == 0 || ok && x.endpoint != e {
+		return
+	}
+	x.endpoint = e
+	if x.count += n; x.count <= 0 {
+		delete(p.running, affinity)
+		return
+	}
+	p.running[affinity] = x
+}
+
+// hasOwnSuspects reports whether a suspect may be tried at any of this gate's own
+// endpoints.
+func (p *Picker) hasOwnSuspects(w *Work) bool {
+	return slices.ContainsFunc(p.candidates, func(c *candidate) bool {
+		return p.ownsSuspects(c) && c.State == slugplan.StateServing && !slices.Contains(w.Avoid, c.Name)
+	})
+}
+
 // ineligible stands for the prediction of an endpoint that may not take the work.
 const ineligible = time.Duration(-1)
 
@@ -353,7 +406,7 @@
 	return prefill && decode
 }
 
-func (p *Picker) eligible(c *candidate, w Work, split bool, now time.Time) bool {
+func (p *Picker) eligible(c *candidate, w *Work, split bool, now time.Time) bool {
 	if c.State != slugplan.StateServing || now.Before(c.pausedUntil) {
 		return false
 	}
@@ -363,7 +416,7 @@
 	if split && !roleTakes(c.Role, w, c.Speed) {
 		return false
 	}
-	if w.Suspect && (c.suspects > 0 || !p.suspectsAllowed()) {
+	if w.Suspect && (c.suspects > 0 || !p.suspectsAllowed() || p.ownSuspects && !p.ownsSuspects(c)) {
 		return false
 	}
 	return (w.Force || c.hasRoom(w, p.cfg.Overcommit)) && !slices.Contains(w.Avoid, c.Name)
@@ -371,7 +424,7 @@
 
 // roleTakes reports whether an engine in a role takes the work. Work is mostly
 // prompt when its prefill takes longer than its decoding.
-func roleTakes(r slugplan.Role, w Work, s slugplan.Speed) bool {
+func roleTakes(r slugplan.Role, w *Work, s slugplan.Speed) bool {
 	if r != slugplan.RolePrefill && r != slugplan.RoleDecode {
 		return true
 	}
@@ -407,9 +460,19 @@
 // the queue, where workspaces share fairly and the least urgent give way.
 const maxBacklog = time.Second
 
+// ownsSuspects reports whether this gate may try suspects at an endpoint. Gates that
+// see the same endpoints part them by position.
+func (p *Picker) ownsSuspects(c *candidate) bool {
+	place, gates := p.cfg.Place()
+	if gates <= 1 || len(p.candidates) < gates {
+		return true
+	}
+	return c.position%gates == place
+}
+
 // hasRoom reports whether the endpoint can start the work, by its streams and by
 // its KV pieces.
-func (c *candidate) hasRoom(w Work, overcommit float64) bool {
+func (c *candidate) hasRoom(w *Work, overcommit float64) bool {
 	running, backlog := c.load()
 	if running >= c.Streams+int(overcommit*float64(c.Streams)) {
 		return false
@@ -438,13 +501,13 @@
 var defaultSpeed = slugplan.Speed{PrefillPerSecond: 20000, StepBase: 10 * time.Millisecond, StepPerStream: 250 * time.Microsecond}
 
 // predict returns the predicted completion time of the work at an endpoint.
-func (p *Picker) predict(c *candidate, w Work) time.Duration {
+func (p *Picker) predict(c *candidate, w *Work) time.Duration {
 	speed := c.Speed
 	if speed.PrefillPerSecond == 0 {
 		speed = defaultSpeed
 	}
 	running, backlog := c.load()
-	prefill := max(0, w.PromptTokens-p.cached[c.Name]) + backlog
+	prefill := max(0, w.PromptTokens-c.cached) + backlog
 	seconds := float64(prefill) / speed.PrefillPerSecond
 	step := speed.StepBase + time.Duration(running+1)*speed.StepPerStream
 	d := time.Duration(seconds*float64(time.Second)) + time.Duration(w.OutputTokens)*step
@@ -465,7 +528,7 @@
 // they to its own, on engines whose prefill holds decoding up for longer than the
 // objective allows. It parts long prompts from long outputs without a change of
 // roles, and follows a shift of the mix at once.
-func (p *Picker) harm(c *candidate, w Work, s slugplan.Speed, running int, backlog Tokens) time.Duration {
+func (p *Picker) harm(c *candidate, w *Work, s slugplan.Speed, running int, backlog Tokens) time.Duration {
 	gap := p.cfg.Gap()
 	if s.Chunk == 0 || gap == 0 {
 		return 0
@@ -473,7 +536,7 @@
 	if chunkTime(s)+s.StepBase <= gap {
 		return 0
 	}
-	own := max(0, w.PromptTokens-p.cached[c.Name])
+	own := max(0, w.PromptTokens-c.cached)
 	late := chunks(own, s.Chunk)*running + min(chunks(backlog, s.Chunk), int(w.OutputTokens))
 	return time.Duration(late) * lateGapCost
 }
@@ -504,9 +567,10 @@
 const maxOwnEvents = 512
 
 func (p *Picker) take(c *candidate, w Work, predicted time.Duration, now time.Time) Ticket {
-	t := Ticket{Endpoint: c.Name, Address: c.Address, Cached: p.cached[c.Name], Predicted: predicted, work: w, at: now}
+	t := Ticket{Endpoint: c.Name, Address: c.Address, Cached: c.cached, Predicted: predicted, work: w, at: now}
 	c.outstanding++
 	p.count(w, t.Cached, c.Speed, now)
+	p.hold(w.Affinity, c.Name, 1)
 	c.note(ownEvent{now, 1, max(0, w.PromptTokens-t.Cached)})
 	if w.Suspect {
 		c.suspects++
@@ -556,6 +620,7 @@
 func (p *Picker) Done(t *Ticket, o Outcome, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.hold(t.work.Affinity, t.Endpoint, -1)
 	c := p.index[t.Endpoint]
 	if c == nil {
 		return
@@ -582,15 +647,19 @@
 	c.error += errorSmoothing * (min(4, max(0.25, ratio*c.error)) - c.error)
 }
 
-// lookUpPrefixes fills p.cached for one pick.
+// lookUpPrefixes notes for one pick which candidates have a prefix cached.
 func (p *Picker) lookUpPrefixes(w Work, now time.Time) {
-	clear(p.cached)
+	for _, c := range p.warm {
+		c.cached = 0
+	}
+	p.warm = p.warm[:0]
 	positions := samplePositions(len(w.Blocks))
 	for k := len(positions) - 1; k >= 0; k-- {
 		tokens := Tokens(positions[k]+1) * w.BlockTokens
 		for _, h := range p.prefixes.holders(w.Blocks[positions[k]]) {
-			if h.until.After(now) {
-				p.cached[h.endpoint] = max(p.cached[h.endpoint], tokens)
+			if c := p.index[h.endpoint]; c != nil && h.until.After(now) && tokens > c.cached {
+				c.cached = tokens
+				p.warm = append(p.warm, c)
 			}
 		}
 	}
--- a/internal/process/slugpick/picker_test.go
+++ b/internal/process/slugpick/picker_test.go
@@ -36,8 +36,12 @@
 		{"the one that is not draining", func(p *Picker, e []Endpoint) { e[0].State = slugplan.StateDraining; p.SetEndpoints(e) }, Work{Affinity: 2}, "e-0001", false},
 		{"the one that is not avoided", nil, Work{Avoid: []slugname.Endpoint{"e-0001"}}, "e-0000", false},
 		{"a regular one for calls that may not be repeated", func(p *Picker, e []Endpoint) { e[1].Cheap = true; p.SetEndpoints(e) }, Work{}, "e-0000", false},
-		{"the least loaded by report", func(p *Picker, _ []Endpoint) { p.Report("e-0000", Report{TakenAt: begin, Running: 3, FreePieces: 1000}) }, Work{OutputTokens: 100}, "e-0001", false},
-		{"the one that runs an equal request", nil, Work{Prefer: "e-0001", Affinity: 2}, "e-0001", false},
+		{"the least loaded by report", func(p *Picker, _ []Endpoint) {
+			p.Report("e-0000", Report{TakenAt: begin, Running: 3, FreePieces: 1000})
+		}, Work{OutputTokens: 100}, "e-0001", false},
+		{"the one that runs an equal request", func(p *Picker, _ []Endpoint) {
+			_, _ = p.Pick(Work{Affinity: 2, PromptTokens: 9000, Repeatable: true, Avoid: []slugname.Endpoint{"e-0000"}}, begin)
+		}, Work{Affinity: 2, PromptTokens: 9000}, "e-0001", false},
 		{"none when all are full", func(p *Picker, _ []Endpoint) {
 			for _, e := range []slugname.Endpoint{"e-0000", "e-0001"} {
 				p.Report(e, Report{TakenAt: begin, Running: 4, FreePieces: 1000})
--- a/internal/process/slugqueue/queue.go
+++ b/internal/process/slugqueue/queue.go
@@ -46,6 +46,8 @@
 	Cost   Cost
 	// Deadline is the latest time at which the request may still be started.
 	Deadline time.Time
+	// Started requests ran before and are not shed early.
+	Started bool
 	// Try starts the request and reports false when there is no room for it. It
 	// is called with the queue's lock held.
 	Try func() bool
@@ -142,7 +144,7 @@
 	if !t.Deadline.After(now) {
 		return ErrDeadline
 	}
-	if wait := q.predictedWait(t, now); now.Add(wait).After(t.Deadline) {
+	if wait := q.predictedWait(t, now); !t.Started && now.Add(wait).After(t.Deadline) {
 		return ErrDeadline
 	}
 	if q.length >= q.cfg.Length && !q.evictFor(t) {
--- /dev/null
+++ b/internal/process/slugslope/measure.go
@@ -0,0 +1,333 @@
+package slugslope
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"runtime"
+	"strings"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/sassafraslug/sassafraslug/internal/process/slugaddress"
+	"github.com/sassafraslug/sassafraslug/internal/process/slugdemo"
+	"github.com/sassafraslug/sassafraslug/internal/process/slugledger"
+	"github.com/sassafraslug/sassafraslug/internal/process/slugmember"
+	"github.com/sassafraslug/sassafraslug/internal/process/slugmetrics"
+	"github.com/sassafraslug/sassafraslug/internal/process/slugname"
+	"github.com/sassafraslug/sassafraslug/internal/process/slugpeer"
+	"github.com/sassafraslug/sassafraslug/internal/process/slugpick"
+	"github.com/sassafraslug/sassafraslug/internal/process/slugplan"
+	"github.com/sassafraslug/sassafraslug/internal/process/slugqueue"
+	"github.com/sassafraslug/sassafraslug/internal/process/slugstore"
+	"github.com/sassafraslug/sassafraslug/internal/process/slugsystem"
+	"github.com/sassafraslug/sassafraslug/internal/standin/slugplatform"
+	"github.com/sassafraslug/sassafraslug/internal/version/slugconfig"
+	"github.com/sassafraslug/sassafraslug/internal/version/slughead"
+	"github.com/sassafraslug/sassafraslug/internal/version/slugmanifest"
+)
+
+// The target size.
+const (
+	targetNodes       = 660
+	targetReplicas    = 6400
+	targetWorkspaces  = 400
+	targetModels      = 11
+	targetDataCentres = 8
+	// targetDuties is the number of duties: two a region, one a model and data centre.
+	targetDuties = 2*2 + targetModels*targetDataCentres
+	// controlBytes is what control may send and receive a second, in bytes.
+	controlBytes = 6 << 10
+	// storeWrites and storeReads are what the store takes a second.
+	storeWrites = 500
+	storeReads  = 2000
+)
+
+var (
+	hostCounts      = []float64{3, 9, 30, 60}
+	endpointCounts  = []float64{20, 100, 500, 2000}
+	workspaceCounts = []float64{8, 50, 150, 400}
+)
+
+// measures returns all series.
+func measures() []measure {
+	return []measure{
+		{Series{Role: "peer exchange", Name: "digests sent and received", Unit: "bytes/s a process", Per: "host", At: targetNodes, Budget: controlBytes,
+			Mechanism: "a digest holds 40 rows at the most; with more, every row has its turn and silence is noticed later"}, hostCounts, digestBytes},
+		{Series{Role: "peer exchange", Name: "an exchange", Unit: "µs of a processor", Per: "host", At: targetNodes,
+			Mechanism: "2 exchanges begun and about 2 answered a second, whatever the size"}, hostCounts, exchangeTime},
+		{Series{Role: "gate", Name: "pick and return of an endpoint", Unit: "µs", Per: "endpoint in the subset", At: 100, Budget: 5,
+			Mechanism: "a subset of 100 endpoints by rendezvous hashing"}, []float64{20, 50, 100, 200}, pickTime},
+		{Series{Role: "gate", Name: "admission of a request", Unit: "µs", Per: "waiting workspace", At: targetWorkspaces / 10.0,
+			Mechanism: "a workspace uses 4 hosts, so a host sees a few workspaces at a time"}, workspaceCounts, admitTime},
+		{Series{Role: "gate", Name: "usage record", Unit: "bytes", Per: "workspace", At: targetWorkspaces, Budget: 1 << 20,
+			Mechanism: "one value a gate and window, replaced whole"}, workspaceCounts, recordBytes},
+		{Series{Role: "gate", Name: "configuration in memory", Unit: "KB", Per: "workspace", At: targetWorkspaces, Budget: 128 << 10,
+			Mechanism: "one snapshot, shared by all requests"}, workspaceCounts, snapshotMemory},
+		{Series{Role: "look-up", Name: "answer", Unit: "µs", Per: "host", At: targetNodes, Budget: 200,
+			Mechanism: "rows in memory; 4 hosts a workspace by rendezvous hashing"}, []float64{9, 60, 200, 660}, lookUpTime},
+		{Series{Role: "control, roles", Name: "plan of a service and data centre", Unit: "bytes", Per: "endpoint", At: targetReplicas / (targetModels * targetDataCentres), Budget: 1 << 20,
+			Mechanism: "one object a service and data centre"}, endpointCounts, planBytes},
+		{Series{Role: "control, configuration", Name: "written for a change of one workspace", Unit: "bytes", Per: "workspace", At: targetWorkspaces, Budget: 1 << 20,
+			Mechanism: "chunks by content; the head lists 34 bytes a chunk"}, workspaceCounts, changeBytes},
+		{Series{Role: "control, configuration", Name: "compilation of a snapshot", Unit: "µs", Per: "workspace", At: targetWorkspaces,
+			Mechanism: "once a change, 5,100 a day"}, workspaceCounts, compileTime},
+		{Series{Role: "whole system at rest", Name: "processor time", Unit: "ms/s of all processes and stand-ins", Per: "host", At: 9,
+			Mechanism: "a gate and a control process a host"}, []float64{3, 6, 12}, restProcessor},
+		{Series{Role: "platform's store", Name: "reads and waiting watches at rest", Unit: "calls/s", Per: "host", At: targetNodes, Budget: storeReads,
+			Mechanism: "3 processes a data centre ask often, the others wait 30 s; duties are looked at by 3 candidates"}, []float64{3, 6, 12}, restReads},
+		{Series{Role: "platform's store", Name: "writes at rest", Unit: "calls/s", Per: "host", At: targetNodes, Budget: storeWrites,
+			Mechanism: "renewals go by duties, not by hosts"}, []float64{3, 6, 12}, restWrites},
+	}
+}
+
+// perCall returns the mean time of a call in microseconds.
+func perCall(f func()) float64 {
+	const calls = 2000
+	f()
+	begin := time.Now()
+	for range calls {
+		f()
+	}
+	return float64(time.Since(begin).Nanoseconds()) / calls / 1e3
+}
+
+func record(i int, kind slugmember.Kind) slugmember.Record {
+	return slugmember.Record{
+		Process: slugname.Process(fmt.Sprintf("host-%04d-%s-0123abcd", i, kind)), Kind: kind, Host: slugname.Host(fmt.Sprintf("host-%04d", i)),
+		DataCentre: "dc-1", Region: "north", CallersAddress: "127.0.0.1:8080",
+	}
+}
+
+// exchangeTable returns a table that knows the rows of all processes of n hosts.
+func exchangeTable(n int) (*slugpeer.Table, slugpeer.Message) {
+	self := record(0, slugmember.KindControl)
+	t := slugpeer.New(slugpeer.Config{Self: self, Word: time.Now, Peers: func() []slugmember.Record { return nil }})
+	m := slugpeer.Message{Protocol: slugpeer.Protocol}
+	for i := range n {
+		for _, k := range []slugmember.Kind{slugmember.KindGate, slugmember.KindControl} {
+			r := record(i, k)
+			m.Rows = append(m.Rows, slugpeer.VersionedRow{Version: 1, Row: slugpeer.Row{Process: r.Process, Kind: k, Host: r.Host, Revision: 7}})
+			m.Digest = append(m.Digest, slugpeer.Entry{ID: slugmember.IDOf(r.Process), Version: 1, Heartbeat: 100000, WordAge: 7})
+		}
+	}
+	t.Serve(self.Process, m)
+	m.Rows = nil
+	return t, m
+}
+
+// exchangesPerSecond is the number of exchanges that a process begins or answers.
+const exchangesPerSecond = 4
+
+func digestBytes(_ context.Context, x float64) (float64, error) {
+	t, m := exchangeTable(int(x))
+	b, err := cbor.Marshal(m)
+	if err != nil {
+		return 0, err
+	}
+	answer, err := cbor.Marshal(t.Serve("peer", m))
+	return float64(len(b)+len(answer)) * exchangesPerSecond, err
+}
+
+func exchangeTime(_ context.Context, x float64) (float64, error) {
+	t, m := exchangeTable(int(x))
+	return perCall(func() {
+		b, _ := cbor.Marshal(m)
+		var in slugpeer.Message
+		_ = cbor.Unmarshal(b, &in)
+		_, _ = cbor.Marshal(t.Serve("peer", in))
+	}), nil
+}
+
+func fleet(n int) []slugpick.Endpoint {
+	out := make([]slugpick.Endpoint, n)
+	for i := range out {
+		out[i] = slugpick.Endpoint{DataCentre: "dc-1", Endpoint: slugplan.Endpoint{
+			Name: slugname.Endpoint(fmt.Sprintf("assistant-dc-1-%d", i)), Address: "127.0.0.1:9000", Kind: slugmanifest.KindEngine,
+			State: slugplan.StateServing, Streams: 32, Pieces: 1000, TokensPerPiece: 16, Role: slugplan.RoleMixed,
+			Speed: slugplan.Speed{PrefillPerSecond: 20000, StepBase: 10 * time.Millisecond, StepPerStream: time.Millisecond, Chunk: 512},
+		}}
+	}
+	return out
+}
+
+func pickTime(_ context.Context, x float64) (float64, error) {
+	p := slugpick.New(slugpick.Config{})
+	p.SetEndpoints(fleet(int(x)))
+	now := time.Now()
+	w := slugpick.Work{PromptTokens: 2000, OutputTokens: 200, Repeatable: true}
+	return perCall(func() {
+		w.Affinity++
+		if t, ok := p.Pick(w, now); ok {
+			p.Done(&t, slugpick.OutcomeWhole, now)
+		}
+	}), nil
+}
+
+func admitTime(_ context.Context, x float64) (float64, error) {
+	q := slugqueue.New(slugqueue.Config{Length: 1 << 16})
+	now := time.Now()
+	for i := range int(x) {
+		err := q.Enter(&slugqueue.Ticket{
+			Workspace: slugname.Workspace(fmt.Sprint("w-", i)), Cost: 1, Deadline: now.Add(time.Hour),
+			Try: func() bool { return false }, Ended: func(error) {},
+		}, now)
+		if err != nil {
+			return 0, err
+		}
+	}
+	return perCall(func() {
+		_ = q.Enter(&slugqueue.Ticket{Workspace: "w-0", Cost: 1, Deadline: now.Add(time.Minute), Try: func() bool { return true }, Ended: func(error) {}}, now)
+	}), nil
+}
+
+func recordBytes(_ context.Context, x float64) (float64, error) {
+	r := slugledger.Record{Process: record(0, slugmember.KindGate).Process, Window: 1_700_000_000}
+	for i := range int(x) {
+		r.Lines = append(r.Lines, slugledger.Line{
+			Workspace: slugname.Workspace(fmt.Sprintf("workspace-%d", i)), Service: "assistant",
+			Totals: slugledger.Totals{Requests: 4000, PromptTokens: 8_000_000, CachedTokens: 2_000_000, OutputTokens: 1_400_000},
+		})
+	}
+	b, err := json.Marshal(r)
+	return float64(len(b)), err
+}
+
+// manifest returns a manifest with n workspaces and the target's models.
+func manifest(n int) *slugmanifest.Manifest {
+	m := &slugmanifest.Manifest{}
+	for i := range targetDataCentres {
+		m.DataCentres = append(m.DataCentres, slugmanifest.DataCentre{Name: slugname.DataCentre(fmt.Sprintf("dc-%d", i)), Region: "north"})
+	}
+	var models []slugname.Model
+	for i := range targetModels {
+		model := slugname.Model(fmt.Sprintf("model-%d", i))
+		models = append(models, model)
+		m.Services = append(m.Services, slugmanifest.Service{Name: slugname.Service(fmt.Sprintf("service-%d", i)), Kind: slugmanifest.KindEngine, Model: model, Objectives: slugmanifest.Objectives{Share: 0.95}})
+	}
+	for i := range n {
+		w := slugname.Workspace(fmt.Sprintf("workspace-%d", i))
+		m.Workspaces = append(m.Workspaces, slugmanifest.Workspace{Name: w, Weight: 1, Keys: []slugmanifest.Key{{Label: "a", SHA256: fmt.Sprintf("%064x", i)}, {Label: "b", SHA256: fmt.Sprintf("%064x", i+1<<20)}}})
+		m.Rules = append(m.Rules, slugmanifest.Rule{Workspace: w, Models: models[:1+i%targetModels]})
+	}
+	return m
+}
+
+func snapshotMemory(_ context.Context, x float64) (float64, error) {
+	const copies = 20
+	kept := make([]*slugconfig.Snapshot, copies)
+	before := heap()
+	for i := range kept {
+		kept[i] = slugconfig.New(1, manifest(int(x)))
+	}
+	after := heap()
+	runtime.KeepAlive(kept)
+	return (after - before) / copies / 1024, nil
+}
+
+func heap() float64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return float64(m.HeapAlloc)
+}
+
+func compileTime(_ context.Context, x float64) (float64, error) {
+	m := manifest(int(x))
+	begin := time.Now()
+	const calls = 50
+	for range calls {
+		slugconfig.New(1, m)
+	}
+	return float64(time.Since(begin).Microseconds()) / calls, nil
+}
+
+func lookUpTime(_ context.Context, x float64) (float64, error) {
+	var statuses []slugpeer.Status
+	records := map[slugname.Process]slugmember.Record{}
+	for i := range int(x) {
+		r := record(i, slugmember.KindGate)
+		records[r.Process] = r
+		statuses = append(statuses, slugpeer.Status{Row: slugpeer.Row{Process: r.Process, Kind: r.Kind, Host: r.Host}, Alive: true, Word: time.Now()})
+	}
+	d := slugaddress.New(slugaddress.Config{
+		Self: record(0, slugmember.KindGate), Statuses: func() []slugpeer.Status { return statuses },
+		Record: func(p slugname.Process) (slugmember.Record, bool) { r, ok := records[p]; return r, ok },
+		CutOff: func() bool { return false }, MaxAge: time.Second,
+	})
+	return perCall(func() { d.Look("workspace") }), nil
+}
+
+func planBytes(_ context.Context, x float64) (float64, error) {
+	p := slugplan.Plan{Service: "assistant", DataCentre: "dc-1", Fence: 7}
+	for _, e := range fleet(int(x)) {
+		p.Endpoints = append(p.Endpoints, e.Endpoint)
+	}
+	b, err := json.Marshal(p)
+	return float64(len(b)), err
+}
+
+func changeBytes(ctx context.Context, x float64) (float64, error) {
+	p := slugplatform.New(slugplatform.Config{})
+	s := slugstore.New(slugstore.Config{BaseURL: "http://platform", Do: p.Link("bench").Do})
+	m := manifest(int(x))
+	if _, err := slughead.Apply(ctx, s, m, 0, "first"); err != nil {
+		return 0, err
+	}
+	before := p.Bytes()
+	m.Workspaces[0].Weight = 2
+	_, err := slughead.Apply(ctx, s, m, 1, "second")
+	return float64(p.Bytes() - before), err
+}
+
+// restTime is how long a system at rest is watched.
+const restTime = 6 * time.Second
+
+// rest is what a system at rest uses.
+type rest struct {
+	processor, reads, writes float64
+}
+
+var rested = map[int]rest{}
+
+// atRest runs a system of n hosts without load, once for all series.
+func atRest(ctx context.Context, n int) (rest, error) {
+	if r, ok := rested[n]; ok {
+		return r, nil
+	}
+	s, err := slugsystem.New(ctx, slugsystem.Config{
+		Hosts: n, Manifest: slugdemo.NewDeployment().Manifest, Platform: slugplatform.Config{HostListLag: time.Second, OrderingRequestNumbers: true},
+	})
+	if err != nil {
+		return rest{}, err
+	}
+	defer s.Close()
+	processor, calls := slugmetrics.Read().ProcessorMicroseconds, s.Stand.Platform.Calls()
+	time.Sleep(restTime)
+	r := rest{processor: float64(slugmetrics.Read().ProcessorMicroseconds-processor) / 1e3 / restTime.Seconds()}
+	for kind, count := range s.Stand.Platform.Calls() {
+		rate := float64(count-calls[kind]) / restTime.Seconds()
+		if strings.Contains("put delete", kind) {
+			r.writes += rate
+		} else {
+			r.reads += rate
+		}
+	}
+	rested[n] = r
+	return r, nil
+}
+
+func restProcessor(ctx context.Context, x float64) (float64, error) {
+	r, err := atRest(ctx, int(x))
+	return r.processor, err
+}
+
+func restReads(ctx context.Context, x float64) (float64, error) {
+	r, err := atRest(ctx, int(x))
+	return r.reads, err
+}
+
+func restWrites(ctx context.Context, x float64) (float64, error) {
+	r, err := atRest(ctx, int(x))
+	return r.writes, err
+}
--- a/internal/process/slugslope/slope.go
+++ b/internal/process/slugslope/slope.go
@@ -1,5 +1,5 @@
 // Package slugslope measures what the state, messages, processor time and memory of
-// each role grow with.
+// each role grow with, and works out their values at the target size.
 //
 // # Usage
 //
@@ -11,13 +11,16 @@
 	"context"
 	"fmt"
 	"io"
+	"math"
+
+	"github.com/sassafraslug/sassafraslug/internal/process/slugfault"
 )
 
 // Config makes a Slope.
 type Config struct {
 	// Quick measures fewer and smaller points.
 	Quick bool
-	// Progress takes a line a point.
+	// Progress takes a line a series.
 	Progress io.Writer
 }
 
@@ -37,8 +40,11 @@
 
 // Series is what was measured against one quantity.
 type Series struct {
-	Name   string  `json:"name"`
-	Unit   string  `json:"unit"`
+	// Role is the part of the system that the series belongs to.
+	Role string `json:"role"`
+	Name string `json:"name"`
+	Unit string `json:"unit"`
+	// Per is the quantity that was varied.
 	Per    string  `json:"per"`
 	Points []Point `json:"points"`
 	// Intercept and Slope are the least-squares fit; Error is the slope's standard
@@ -47,8 +53,11 @@
 	Slope     float64 `json:"slope"`
 	Error     float64 `json:"error"`
 	// At is the value of Per at the target size.
-	At     float64 `json:"at"`
+	At float64 `json:"at"`
+	// Budget is what the value at the target may be; 0 means that none is set.
 	Budget float64 `json:"budget"`
+	// Mechanism is what keeps the value at the target size.
+	Mechanism string `json:"mechanism"`
 }
 
 // Result is all series.
@@ -56,14 +65,98 @@
 	Series []Series `json:"series"`
 }
 
+// Value returns the fitted value at the target.
+func (s Series) Value() float64 { return s.Intercept + s.Slope*s.At }
+
+// Verdict says whether the value at the target is within the budget.
+func (s Series) Verdict() string {
+	switch {
+	case s.Budget == 0:
+		return "no budget set"
+	case s.Value() <= s.Budget:
+		return "within"
+	default:
+		return "OVER"
+	}
+}
+
+// fit fits a line to the points.
+func (s *Series) fit() {
+	n := float64(len(s.Points))
+	var sx, sy, sxx, sxy float64
+	for _, p := range s.Points {
+		sx, sy, sxx, sxy = sx+p.X, sy+p.Y, sxx+p.X*p.X, sxy+p.X*p.Y
+	}
+	d := n*sxx - sx*sx
+	if d == 0 {
+		s.Intercept = sy / n
+		return
+	}
+	s.Slope = (n*sxy - sx*sy) / d
+	s.Intercept = (sy - s.Slope*sx) / n
+	if n < 3 {
+		return
+	}
+	var residual float64
+	for _, p := range s.Points {
+		e := p.Y - s.Intercept - s.Slope*p.X
+		residual += e * e
+	}
+	s.Error = math.Sqrt(residual / (n - 2) / (sxx - sx*sx/n))
+}
+
+// measure is one series with how its points are measured.
+type measure struct {
+	Series
+	xs []float64
+	// at measures one point.
+	at func(ctx context.Context, x float64) (float64, error)
+}
+
+// quickPoints is the number of points of a quick run.
+const quickPoints = 2
+
 // Run measures all series.
 func (s *Slope) Run(ctx context.Context) (*Result, error) {
-	return &Result{}, ctx.Err()
+	r := &Result{}
+	for _, m := range measures() {
+		xs := m.xs
+		if s.cfg.Quick {
+			xs = xs[:min(quickPoints, len(xs))]
+		}
+		for _, x := range xs {
+			y, err := m.at(ctx, x)
+			if err != nil {
+				return r, slugfault.Wrap(err, "measure "+m.Name, "")
+			}
+			m.Points = append(m.Points, Point{x, y})
+		}
+		m.fit()
+		_, _ = fmt.Fprintf(s.cfg.Progress, "%s: %s: %.4g %s per %s\n", m.Role, m.Name, m.Slope, m.Unit, m.Per)
+		r.Series = append(r.Series, m.Series)
+	}
+	return r, nil
 }
 
-// Tables prints the tables of the page on capacity.
+// Tables prints the tables of the page on capacity in Markdown.
 func (r *Result) Tables(w io.Writer) {
+	role := ""
 	for _, s := range r.Series {
-		_, _ = fmt.Fprintln(w, s.Name)
+		if s.Role != role {
+			role = s.Role
+			_, _ = fmt.Fprintf(w, "\n### %s\n\n| what | measured points | slope ± error | at the target | budget | verdict | mechanism |\n| --- | --- | --- | --- | --- | --- | --- |\n", role)
+		}
+		_, _ = fmt.Fprintf(w, "| %s (%s) |", s.Name, s.Unit)
+		for i, p := range s.Points {
+			if i > 0 {
+				_, _ = fmt.Fprint(w, ",")
+			}
+			_, _ = fmt.Fprintf(w, " %g: %.4g", p.X, p.Y)
+		}
+		budget := "none"
+		if s.Budget > 0 {
+			budget = fmt.Sprintf("%g", s.Budget)
+		}
+		_, _ = fmt.Fprintf(w, " | %.3g ± %.1g per %s | %.4g at %g | %s | %s | %s |\n", s.Slope, s.Error, s.Per, s.Value(), s.At, budget, s.Verdict(), s.Mechanism)
 	}
 }
--- a/internal/process/slugsuspect/tracker.go
+++ b/internal/process/slugsuspect/tracker.go
@@ -11,7 +11,7 @@
 //	if t.State(fingerprint, now) == slugsuspect.Quarantined { refuse }
 //	done := t.Begin(endpoint, fingerprint, false)
 //	...
-//	t.Crashed(endpoint, now)
+//	t.Crashed(endpoint, failed)
 package slugsuspect
 
 import (
@@ -105,6 +105,9 @@
 	count int
 	// suspects is how many of them run as suspects.
 	suspects int
+	// began is when the first of them began, suspectBegan when the suspect did.
+	began        time.Time
+	suspectBegan time.Time
 }
 
 // Tracker knows the requests in flight and the suspicions of one process.
@@ -187,18 +190,6 @@
 	close(done)
 }
 
-// Where returns an endpoint that runs an equal request now, or "".
-func (t *Tracker) Where(f Fingerprint) slugname.Endpoint {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	for e, running := range t.inFlight {
-		if running[f].count > 0 {
-			return e
-		}
-	}
-	return ""
-}
-
 // Begin records that a request runs at an endpoint until the returned function
 // is called. A request that ended well is no longer suspect.
 func (t *Tracker) Begin(e slugname.Endpoint, f Fingerprint, suspect bool) func(well bool) {
@@ -214,6 +205,12 @@
 // count changes the number of equal requests at an endpoint; t.mu is held.
 func (t *Tracker) count(e slugname.Endpoint, f Fingerprint, n int, suspect bool) {
 	r := t.inFlight[e][f]
+	if r.count == 0 {
+		r.began = time.Now()
+	}
+	if suspect && r.suspects == 0 {
+		r.suspectBegan = time.Now()
+	}
 	r.count += n
 	if suspect {
 		r.suspects += n
@@ -236,12 +233,19 @@
 	}
 }
 
-// Crashed records the crash of an endpoint and suspects all that ran there.
-func (t *Tracker) Crashed(e slugname.Endpoint, now time.Time) {
+// Crashed records the crash of an endpoint and suspects all that ran there when a
+// connection to it failed. What began later does not count: word of a crash may come
+// after the endpoint works again.
+func (t *Tracker) Crashed(e slugname.Endpoint, failed time.Time) {
+	now := time.Now()
 	t.mu.Lock()
 	var told []Suspicion
 	for f, r := range t.inFlight[e] {
-		if t.suspect(f, Crash{e, now.Unix(), r.suspects > 0}, now) {
+		if !r.began.Before(failed) {
+			continue
+		}
+		alone := r.suspects > 0 && r.suspectBegan.Before(failed)
+		if t.suspect(f, Crash{e, failed.Unix(), alone}, now) {
 			told = append(told, t.suspicion(f, now))
 		}
 	}
--- a/internal/request/slugadmit/admitter.go
+++ b/internal/request/slugadmit/admitter.go
@@ -301,7 +301,7 @@
 	work.Avoid = avoid(work.Avoid, len(picker.Endpoints()))
 	t := &slugqueue.Ticket{
 		Workspace: c.Workspace, Weight: a.weight(c), Cost: costOf(work), Deadline: startBy(c.Deadline, picker.Shortest(work)),
-		Valid: func() bool { return a.Valid(c) },
+		Valid: func() bool { return a.Valid(c) }, Started: c.Started,
 	}
 	if c.Started {
 		work.Force = !work.Suspect
--- a/internal/request/slugchat/attempt.go
+++ b/internal/request/slugchat/attempt.go
@@ -59,6 +59,8 @@
 	// last is the sequence number of the last event from this endpoint.
 	last    int
 	resumes int
+	// failed is when the last connection failed.
+	failed time.Time
 	// watch cancels the present connection when it goes silent.
 	watch *watchdog
 }
@@ -109,6 +111,7 @@
 			a.cancel()
 			return slugpick.OutcomeCanceled, false, slugrefusal.Unknown(slugrefusal.CodeStreamInterrupted, "the caller went away")
 		}
+		a.failed = time.Now()
 		var gone bool
 		if resp, gone = a.resume(ctx, err); gone {
 			return a.lost(ctx, err)
@@ -251,7 +254,7 @@
 	}
 	if a.resumes <= maxResumes {
 		a.cfg.Log.Emit(slugevent.EndpointCrashed, a.fields(cause))
-		a.cfg.Suspects.Crashed(a.pass.Endpoint, time.Now())
+		a.cfg.Suspects.Crashed(a.pass.Endpoint, a.failed)
 		a.suspect = true
 	}
 	a.cfg.Log.Emit(slugevent.StreamLost, a.fields(cause))
--- a/internal/request/slugchat/chat.go
+++ b/internal/request/slugchat/chat.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"github.com/sassafraslug/sassafraslug/internal/connection/slugsend"
+	"github.com/sassafraslug/sassafraslug/internal/process/slugbackoff"
 	"github.com/sassafraslug/sassafraslug/internal/process/slugburn"
 	"github.com/sassafraslug/sassafraslug/internal/process/slugevent"
 	"github.com/sassafraslug/sassafraslug/internal/process/slugledger"
@@ -41,6 +42,9 @@
 	// Refused is called with each refusal, to add addresses and to count it; it
 	// may be nil.
 	Refused func(*slugrefusal.Refusal)
+	// Turn returns how many other live gates go before this one in trying a suspect,
+	// so that they learn from its outcome; nil means none.
+	Turn func(slugsuspect.Fingerprint) int
 	// Progress is how long an answer may go without an event before its
 	// connection is distrusted.
 	Progress time.Duration
@@ -54,7 +58,12 @@
 }
 
 // New returns a Chat.
-func New(cfg Config) *Chat { return &Chat{cfg: cfg} }
+func New(cfg Config) *Chat {
+	if cfg.Turn == nil {
+		cfg.Turn = func(slugsuspect.Fingerprint) int { return 0 }
+	}
+	return &Chat{cfg: cfg}
+}
 
 // document is the part of a request's body that matters here.
 type document struct {
@@ -224,14 +233,13 @@
 			return false, x.truthful(slugrefusal.NotRun(slugrefusal.CodeDeadline, "the caller went away"), last)
 		}
 		defer release()
+		if x.awaitTurn(ctx) != nil {
+			return false, x.truthful(slugrefusal.NotRun(slugrefusal.CodeDeadline, "the caller went away"), last)
+		}
 	}
 	if refusal := x.checkSuspicion(); refusal != nil {
 		return false, refusal
 	}
-	x.work.Prefer = ""
-	if !x.suspect {
-		x.work.Prefer = x.cfg.Suspects.Where(x.fingerprint)
-	}
 	pass, refusal := x.cfg.Admitter.Wait(ctx, x.call, x.work)
 	if refusal != nil {
 		return false, x.truthful(refusal, last)
@@ -239,6 +247,21 @@
 	return x.attempt(ctx, pass)
 }
 
+// turnTime is how long a gate leaves the trial of a suspect to each gate before it.
+const turnTime = 700 * time.Millisecond
+
+// awaitTurn waits while other gates go first, or until one of them told that the
+// request crashed another endpoint.
+func (x *exchange) awaitTurn(ctx context.Context) error {
+	until := time.Now().Add(time.Duration(x.cfg.Turn(x.fingerprint)) * turnTime)
+	for time.Now().Before(until) && x.cfg.Suspects.State(x.fingerprint, time.Now()) == slugsuspect.Suspected {
+		if err := slugbackoff.Sleep(ctx, turnTime/10); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // truthful corrects what a refusal says of earlier attempts. An earlier refusal
 // tells more than a failure to find another endpoint.
 func (x *exchange) truthful(r, earlier *slugrefusal.Refusal) *slugrefusal.Refusal {
--- a/internal/standin/slugplatform/platform.go
+++ b/internal/standin/slugplatform/platform.go
@@ -57,6 +57,8 @@
 	ordering orderingState
 
 	windows map[string][][]byte
+	// bytes is the size of all values written.
+	bytes int
 	// loseReports is the number of reports whose answers get lost.
 	loseReports int
 }
@@ -142,6 +144,13 @@
 	return out
 }
 
+// Bytes returns the size of all values written so far.
+func (p *Platform) Bytes() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.bytes
+}
+
 // wake ends all waits; p.mu is held.
 func (p *Platform) wake() {
 	close(p.changed)
--- a/internal/standin/slugplatform/store.go
+++ b/internal/standin/slugplatform/store.go
@@ -170,6 +170,7 @@
 		return
 	}
 	p.revision++
+	p.bytes += len(next.value)
 	next.version = p.revision
 	p.objects[name] = next
 	p.wake()
