--- a/internal/connection/slugstream/reader_test.go
+++ b/internal/connection/slugstream/reader_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"io"
 	"strings"
 	"testing"
 
@@ -79,7 +78,7 @@
 	b.ReportAllocs()
 	for b.Loop() {
 		s.last = 0
-		if _, err := s.Next(); err != nil && err != io.EOF {
+		if _, err := s.Next(); err != nil {
 			b.Fatal(err)
 		}
 	}
--- a/internal/process/slugslope/measure.go
+++ b/internal/process/slugslope/measure.go
@@ -34,8 +34,6 @@
 	targetWorkspaces  = 400
 	targetModels      = 11
 	targetDataCentres = 8
-	// targetDuties is the number of duties: two a region, one a model and data centre.
-	targetDuties = 2*2 + targetModels*targetDataCentres
 	// controlBytes is what control may send and receive a second, in bytes.
 	controlBytes = 6 << 10
 	// storeWrites and storeReads are what the store takes a second.
--- /dev/null
+++ b/internal/process/slugsystem/bench_test.go
@@ -0,0 +1,126 @@
+package slugsystem_test
+
+import (
+	"bytes"
+	"context"
+	"net/http"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/sassafraslug/sassafraslug/internal/connection/slugstream"
+	"github.com/sassafraslug/sassafraslug/internal/process/slugdemo"
+	"github.com/sassafraslug/sassafraslug/internal/process/slugsystem"
+	"github.com/sassafraslug/sassafraslug/internal/request/slugrelay"
+	"github.com/sassafraslug/sassafraslug/internal/standin/slugengine"
+	"github.com/sassafraslug/sassafraslug/internal/standin/slugplatform"
+	"gotest.tools/v3/assert"
+)
+
+// firstBytes sends streams at a time to an address and returns the times to the first
+// event.
+func firstBytes(b *testing.B, url, key string, streams, rounds int) []time.Duration {
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: streams}}
+	defer client.CloseIdleConnections()
+	var mu sync.Mutex
+	var times []time.Duration
+	var wg sync.WaitGroup
+	body := prompt(20, "bench").Body()
+	for range streams {
+		wg.Go(func() {
+			for range rounds {
+				r, _ := http.NewRequestWithContext(b.Context(), http.MethodPost, url, bytes.NewReader(body))
+				r.Header.Set("Authorization", "Bearer "+key)
+				r.Header.Set("X-Request-Id", time.Now().String())
+				begin := time.Now()
+				resp, err := client.Do(r)
+				if err != nil {
+					b.Error(err)
+					return
+				}
+				s := make([]byte, 4096)
+				_, _ = resp.Body.Read(s)
+				mu.Lock()
+				times = append(times, time.Since(begin))
+				mu.Unlock()
+				for err == nil {
+					_, err = resp.Body.Read(s)
+				}
+				_ = resp.Body.Close()
+			}
+		})
+	}
+	wg.Wait()
+	slices.Sort(times)
+	return times
+}
+
+// BenchmarkFirstByte compares the time to the first event through a gate with that of
+// a direct call, with 200 streams at a time, in one run.
+func BenchmarkFirstByte(b *testing.B) {
+	d := slugdemo.NewDeployment()
+	onlyAssistant(d.Manifest)
+	s, err := slugsystem.New(context.Background(), slugsystem.Config{
+		Hosts: 1, Manifest: d.Manifest, Platform: slugplatform.Config{HostListLag: time.Second, OrderingRequestNumbers: true},
+		Engine: slugengine.Config{MaxStreams: 400, MaxQueue: 400, Pieces: 100000, StepBase: 20 * time.Millisecond, StepPerStream: time.Microsecond, PrefillPerSecond: 10_000_000},
+	})
+	assert.NilError(b, err)
+	defer s.Close()
+	var direct, relayed []time.Duration
+	for b.Loop() {
+		for _, e := range s.Stand.Addresses() {
+			direct = append(direct, firstBytes(b, "http://"+e+"/v1/chat/completions", "", 200, 5)...)
+		}
+		relayed = append(relayed, firstBytes(b, "http://"+s.Seeds()[0]+"/v1/chat/completions", d.Keys["dojo-manila"], 200, 5)...)
+	}
+	slices.Sort(direct)
+	slices.Sort(relayed)
+	for _, p := range []struct {
+		name string
+		part int
+	}{{"p50", 50}, {"p99", 99}} {
+		x, y := direct[len(direct)*p.part/100], relayed[len(relayed)*p.part/100]
+		b.ReportMetric(float64(x.Microseconds()), "direct-"+p.name+"-µs")
+		b.ReportMetric(float64((y - x).Microseconds()), "added-"+p.name+"-µs")
+	}
+}
+
+// sink takes an answer and drops it.
+type sink struct{ h http.Header }
+
+func (s sink) Header() http.Header         { return s.h }
+func (s sink) Write(p []byte) (int, error) { return len(p), nil }
+func (s sink) WriteHeader(int)             {}
+func (s sink) Flush()                      {}
+
+// BenchmarkRelayEvents reads and writes the events of an answer, without sockets.
+func BenchmarkRelayEvents(b *testing.B) {
+	const events = 1000
+	var text bytes.Buffer
+	for i := range events {
+		text.WriteString("id: r:" + itoa(i+1) + "\ndata: " + `{"id":"r","object":"chat.completion.chunk","choices":[{"index":0,"delta":{"content":"word "},"finish_reason":null}]}` + "\n\n")
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		s := slugstream.New(bytes.NewReader(text.Bytes()), "r", 0)
+		w := slugrelay.New(sink{http.Header{}}, slugrelay.Config{Stream: true, Chat: true})
+		for range events {
+			e, err := s.Next()
+			if err != nil {
+				b.Fatal(err)
+			}
+			if err := w.Event(e.Data, !s.Buffered()); err != nil {
+				b.Fatal(err)
+			}
+		}
+	}
+	b.ReportMetric(float64(b.N)*events/b.Elapsed().Seconds(), "events/s")
+}
+
+func itoa(n int) string {
+	if n < 10 {
+		return string(rune('0' + n))
+	}
+	return itoa(n/10) + itoa(n%10)
+}
--- a/internal/standin/slugstand/stand.go
+++ b/internal/standin/slugstand/stand.go
@@ -40,10 +40,11 @@
 
 // endpoint is a running endpoint.
 type endpoint struct {
-	server *http.Server
-	cancel context.CancelFunc
-	engine *slugengine.Engine
-	plain  *slugplain.Service
+	address string
+	server  *http.Server
+	cancel  context.CancelFunc
+	engine  *slugengine.Engine
+	plain   *slugplain.Service
 }
 
 // Stand holds the running stand-ins.
@@ -119,6 +120,7 @@
 		cancel()
 		return "", err
 	}
+	x.address = address
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.endpoints[e.Name] = x
@@ -163,6 +165,17 @@
 	return nil
 }
 
+// Addresses returns the addresses of all running endpoints.
+func (s *Stand) Addresses() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []string
+	for _, x := range s.endpoints {
+		out = append(out, x.address)
+	}
+	return out
+}
+
 // Engines returns all running engines by name.
 func (s *Stand) Engines() map[string]*slugengine.Engine {
 	s.mu.Lock()
