--- a/internal/process/slugaddress/directory.go
+++ b/internal/process/slugaddress/directory.go
@@ -36,11 +36,15 @@
 	cfg Config
 
 	mu sync.Mutex
-	// known are the gates as they were at a time.
-	known []gate
-	at    time.Time
+	// known are the gates as they were at a time, answers what was made of them.
+	known   []gate
+	answers map[string]Answer
+	at      time.Time
 }
 
+// keptAnswers bounds the answers that are used again.
+const keptAnswers = 1024
+
 // keepFor is how long the list of gates is used again.
 const keepFor = 100 * time.Millisecond
 
@@ -69,7 +73,21 @@
 // Look returns the gates for a shard key, such as a workspace: a few hosts that
 // stay the same, those in this data centre first. An empty key gets all hosts.
 func (d *Directory) Look(shard string) Answer {
-	gates := d.recent()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if now := time.Now(); d.at.IsZero() || now.Sub(d.at) >= keepFor || len(d.answers) >= keptAnswers {
+		d.known, d.answers, d.at = d.gates(), map[string]Answer{}, now
+	}
+	a, ok := d.answers[shard]
+	if !ok {
+		a = d.answer(shard, slices.Clone(d.known))
+		d.answers[shard] = a
+	}
+	return a
+}
+
+// answer makes an answer of the live gates.
+func (d *Directory) answer(shard string, gates []gate) Answer {
 	if shard != "" && len(gates) > ShardSize {
 		gates = d.shard(shard, gates)
 	}
@@ -87,16 +105,6 @@
 	return answer
 }
 
-// recent returns the live gates, at most keepFor ago. The caller may reorder them.
-func (d *Directory) recent() []gate {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if now := time.Now(); d.at.IsZero() || now.Sub(d.at) >= keepFor {
-		d.known, d.at = d.gates(), now
-	}
-	return slices.Clone(d.known)
-}
-
 // gates returns the live gates. Gates with old word are left out as long as any
 // gate has fresh word.
 func (d *Directory) gates() []gate {
--- a/internal/process/slugmember/record.go
+++ b/internal/process/slugmember/record.go
@@ -207,9 +207,22 @@
 
 // Closest returns the k names with the highest rendezvous weight for a subject.
 func Closest[N ~string](subject string, all []N, k int) []N {
-	sorted := slices.Clone(all)
-	slices.SortFunc(sorted, func(a, b N) int {
-		return cmp.Or(cmp.Compare(weight(subject, b), weight(subject, a)), cmp.Compare(a, b))
+	weighted := make([]weightedName[N], len(all))
+	for i, n := range all {
+		weighted[i] = weightedName[N]{weight(subject, n), n}
+	}
+	slices.SortFunc(weighted, func(a, b weightedName[N]) int {
+		return cmp.Or(cmp.Compare(b.weight, a.weight), cmp.Compare(a.name, b.name))
 	})
-	return sorted[:min(k, len(sorted))]
+	out := make([]N, min(k, len(all)))
+	for i := range out {
+		out[i] = weighted[i].name
+	}
+	return out
+}
+
+// weightedName is a name with its rendezvous weight.
+type weightedName[N ~string] struct {
+	weight uint64
+	name   N
 }
