--- a/internal/connection/slugsend/sender.go
+++ b/internal/connection/slugsend/sender.go
@@ -37,6 +37,9 @@
 	maxHeaderBytes = 64 << 10
 )
 
+// NotRunHeader marks an endpoint's refusal of a request that it did not run.
+const NotRunHeader = "Engine-Not-Run"
+
 // Config makes a Sender.
 type Config struct {
 	// Dial opens connections; nil opens TCP connections with TCP_USER_TIMEOUT.
--- a/internal/process/slugbuy/buyer.go
+++ b/internal/process/slugbuy/buyer.go
@@ -117,7 +117,7 @@
 
 // round does at most one order a data centre.
 func (b *Buyer) round(ctx context.Context, right *sluglease.Right) error {
-	b.confirmPredecessors(ctx, right)
+	right.ConfirmEnded(ctx, b.cfg.Ended)
 	var release []slugname.Endpoint
 	var failed error
 	for _, d := range b.cfg.DataCentres() {
@@ -265,13 +265,3 @@
 	b.cfg.Log.Emit(slugevent.EndpointOrdered, slugevent.Fields{"order": o.Number, "endpoint": e.Name})
 	return b.journal.Finish(ctx, o, "done")
 }
-
-// confirmPredecessors records which past holders have ended.
-func (b *Buyer) confirmPredecessors(ctx context.Context, right *sluglease.Right) {
-	_ = right.Refresh(ctx)
-	for _, p := range right.Unconfirmed() {
-		if b.cfg.Ended(p) {
-			_ = right.Confirm(ctx, p.Process)
-		}
-	}
-}
--- a/internal/process/sluglease/right.go
+++ b/internal/process/sluglease/right.go
@@ -90,3 +90,14 @@
 	l.cfg.Log.Emit(slugevent.PredecessorConfirmed, slugevent.Fields{"duty": l.cfg.Duty, "predecessor": p})
 	return nil
 }
+
+// ConfirmEnded records which past holders have ended, by their own acknowledgement or
+// as ended says. What cannot be read or written now is tried at the next call.
+func (r *Right) ConfirmEnded(ctx context.Context, ended func(Predecessor) bool) {
+	_ = r.Refresh(ctx)
+	for _, p := range r.Unconfirmed() {
+		if ended(p) {
+			_ = r.Confirm(ctx, p.Process)
+		}
+	}
+}
--- a/internal/process/slugroster/roster.go
+++ b/internal/process/slugroster/roster.go
@@ -177,7 +177,7 @@
 	if err := r.finishOutstanding(ctx, right, endpoints); err != nil {
 		return err
 	}
-	r.confirmPredecessors(ctx, right)
+	right.ConfirmEnded(ctx, r.cfg.Ended)
 	r.choose(endpoints)
 	if err := r.writePlan(ctx, right, endpoints); err != nil {
 		return err
@@ -429,13 +429,3 @@
 	}
 	return nil
 }
-
-// confirmPredecessors records which past holders have ended.
-func (r *Roster) confirmPredecessors(ctx context.Context, right *sluglease.Right) {
-	_ = right.Refresh(ctx)
-	for _, p := range right.Unconfirmed() {
-		if r.cfg.Ended(p) {
-			_ = right.Confirm(ctx, p.Process)
-		}
-	}
-}
--- a/internal/request/slugadmit/admitter.go
+++ b/internal/request/slugadmit/admitter.go
@@ -305,7 +305,7 @@
 	}
 	if c.Started {
 		work.Force = !work.Suspect
-		t.Deadline = later(c.Deadline, time.Now().Add(continueWithin))
+		t.Deadline = Later(c.Deadline, time.Now().Add(continueWithin))
 	}
 	t.Try = func() (ok bool) {
 		pass.Ticket, ok = picker.Pick(work, time.Now())
@@ -338,7 +338,8 @@
 	return failed
 }
 
-func later(a, b time.Time) time.Time {
+// Later returns the later of two times.
+func Later(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
 	}
--- a/internal/request/slugchat/attempt.go
+++ b/internal/request/slugchat/attempt.go
@@ -28,8 +28,6 @@
 	probeTimeout = 3 * time.Second
 	// cancelTimeout bounds the message that cancels a request.
 	cancelTimeout = 2 * time.Second
-	// notRunHeader marks an endpoint's refusal of a request that it did not run.
-	notRunHeader = "Engine-Not-Run"
 	// maxErrorBytes bounds an endpoint's error text.
 	maxErrorBytes = 1 << 10
 )
@@ -180,7 +178,7 @@
 func (a *attempt) refused(resp *http.Response) (slugpick.Outcome, bool, *slugrefusal.Refusal) {
 	text, _ := io.ReadAll(io.LimitReader(resp.Body, maxErrorBytes))
 	_ = resp.Body.Close()
-	if resp.Header.Get(notRunHeader) == "" {
+	if resp.Header.Get(slugsend.NotRunHeader) == "" {
 		a.sent = true
 		return slugpick.OutcomeFailed, false, slugrefusal.Unknown(slugrefusal.CodeEndpointFailed, "endpoint answered %d: %s", resp.StatusCode, bytes.TrimSpace(text))
 	}
--- a/internal/request/slugplaincall/send.go
+++ b/internal/request/slugplaincall/send.go
@@ -21,8 +21,6 @@
 	// maxHeldBytes bounds the part of an answer that is read before the caller is
 	// sent its status. An answer of this size can be had again after a failure.
 	maxHeldBytes = 1 << 20
-	// notRunHeader marks an endpoint's refusal of a call that it did not run.
-	notRunHeader = "Engine-Not-Run"
 	// maxErrorBytes bounds an endpoint's error text.
 	maxErrorBytes = 1 << 10
 )
@@ -63,7 +61,7 @@
 
 // attempt sends the call to one endpoint.
 func (x *exchange) attempt(ctx context.Context, pass slugadmit.Pass, keep *slugclaim.Answer) (slugpick.Outcome, bool, *slugrefusal.Refusal) {
-	ctx, cancel := context.WithDeadline(ctx, later(x.call.Deadline, time.Now().Add(time.Second)))
+	ctx, cancel := context.WithDeadline(ctx, slugadmit.Later(x.call.Deadline, time.Now().Add(time.Second)))
 	defer cancel()
 	resp, sent, err := x.cfg.Sender.Send(ctx, slugsend.Request{
 		Method: x.r.Method, URL: x.url(pass.Address), Header: x.header.Clone(), Body: x.call.Body, Repeatable: x.route.Idempotent,
@@ -72,7 +70,7 @@
 		return x.failed(sent, err)
 	}
 	defer func() { _ = resp.Body.Close() }()
-	if resp.Header.Get(notRunHeader) != "" {
+	if resp.Header.Get(slugsend.NotRunHeader) != "" {
 		text, _ := io.ReadAll(io.LimitReader(resp.Body, maxErrorBytes))
 		refusal := slugrefusal.NotRun(slugrefusal.CodeEndpointRefused, "endpoint did not run the call: %s", strings.TrimSpace(string(text)))
 		return slugpick.OutcomeNotRun, true, x.truthful(refusal.After(time.Second))
@@ -83,13 +81,6 @@
 	return x.relay(resp)
 }
 
-func later(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
-
 // failed handles a call without an answer.
 func (x *exchange) failed(sent bool, err error) (slugpick.Outcome, bool, *slugrefusal.Refusal) {
 	x.sent = x.sent || sent
