--- a/internal/process/slugbuy/buyer.go
+++ b/internal/process/slugbuy/buyer.go
@@ -62,6 +62,8 @@
 	// Ended reports whether a past holder has certainly ended.
 	Ended func(sluglease.Predecessor) bool
 	Log   *slugevent.Log
+	// Decided is told of each decision with its inputs; it may be nil.
+	Decided func(decision string, inputs map[string]float64)
 	// Step is called between the steps of an order, for tests; it may be nil.
 	Step func(string)
 }
@@ -80,6 +82,9 @@
 
 // New returns a Buyer.
 func New(cfg Config) *Buyer {
+	if cfg.Decided == nil {
+		cfg.Decided = func(string, map[string]float64) {}
+	}
 	if cfg.Step == nil {
 		cfg.Step = func(string) {}
 	}
@@ -238,6 +243,9 @@
 	if err != nil {
 		return err
 	}
+	b.cfg.Decided(x.Action+" an endpoint of "+string(x.Service)+" in "+string(d)+" "+string(x.Endpoint), map[string]float64{
+		"endpoints": float64(len(b.have[d])), "unconfirmedHolders": float64(len(right.Unconfirmed())),
+	})
 	b.cfg.Log.Emit(slugevent.OrderJournaled, slugevent.Fields{"order": o.Number, "dataCentre": d, "action": x.Action})
 	return b.send(ctx, right, d, o)
 }
--- a/internal/process/slugduties/build.go
+++ b/internal/process/slugduties/build.go
@@ -70,7 +70,7 @@
 		Needs:       d.needs,
 		Offering:    d.cfg.Platform.Endpoints, Order: d.cfg.Platform.Order,
 		Intent: d.cfg.Intent, Drained: d.drained, Ended: d.ended, Log: d.cfg.Log,
-		Step: d.step(duty),
+		Step: d.step(duty), Decided: j.decisions.recorder(duty),
 	})
 	j.work = b.Work
 }
@@ -188,6 +188,7 @@
 		Greet:    d.orders.Greet, Send: d.orders.Send, Statuses: w.Table.Statuses,
 		Manifest: func() *slugmanifest.Service { return w.Follower.Snapshot().Service(service) },
 		Leaving:  d.cfg.Intent.Leaving, Ended: d.ended, Log: d.cfg.Log, Step: d.step(duty),
+		Decided: j.decisions.recorder(duty),
 	})
 	j.work = r.Work
 }
--- a/internal/process/slugduties/duties.go
+++ b/internal/process/slugduties/duties.go
@@ -59,24 +59,15 @@
 
 // job is one duty of this process.
 type job struct {
-	lease *sluglease.Lease
-	work  func(context.Context, *sluglease.Right) error
-	// why tells the last decisions; it may be nil.
-	why    func() []Decision
-	cancel context.CancelFunc
-	done   chan struct{}
+	lease     *sluglease.Lease
+	work      func(context.Context, *sluglease.Right) error
+	decisions decisions
+	cancel    context.CancelFunc
+	done      chan struct{}
 	// standDownUntil is until when the duty is not claimed.
 	standDownUntil time.Time
 }
 
-// Decision is one decision with its inputs.
-type Decision struct {
-	At       time.Time          `json:"at"`
-	Duty     sluglease.Duty     `json:"duty"`
-	Decision string             `json:"decision"`
-	Inputs   map[string]float64 `json:"inputs"`
-}
-
 // Duties runs the duties of one process.
 type Duties struct {
 	cfg    Config
@@ -249,15 +240,13 @@
 	return out
 }
 
-// Why returns the last decisions of the duties that this process holds.
+// Why returns the last decisions that this process made, the newest last.
 func (d *Duties) Why() []Decision {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	out := []Decision{}
 	for _, j := range d.jobs {
-		if _, held := j.lease.Status(); held && j.why != nil {
-			out = append(out, j.why()...)
-		}
+		out = append(out, j.decisions.all()...)
 	}
 	slices.SortFunc(out, func(a, b Decision) int { return a.At.Compare(b.At) })
 	return out
--- a/internal/process/slugroster/roster.go
+++ b/internal/process/slugroster/roster.go
@@ -83,6 +83,8 @@
 	// Ended reports whether a past holder has certainly ended.
 	Ended func(sluglease.Predecessor) bool
 	Log   *slugevent.Log
+	// Decided is told of each decision with its inputs; it may be nil.
+	Decided func(decision string, inputs map[string]float64)
 	// Step is called between the steps of an order, for tests; it may be nil.
 	Step func(string)
 }
@@ -113,6 +115,9 @@
 	if cfg.Wanted == nil {
 		cfg.Wanted = func(slugplan.Plan, time.Time) []Change { return nil }
 	}
+	if cfg.Decided == nil {
+		cfg.Decided = func(string, map[string]float64) {}
+	}
 	if cfg.Step == nil {
 		cfg.Step = func(string) {}
 	}
@@ -237,6 +242,9 @@
 			continue
 		}
 		r.changes[c.Endpoint] = c
+		r.cfg.Decided("change "+string(c.Endpoint)+" to version "+c.Version+" "+string(c.Role), map[string]float64{
+			"engines": float64(len(endpoints)), "changesAtATime": float64(limit), "changing": float64(len(r.changes)),
+		})
 		r.cfg.Log.Emit(slugevent.RoleChangePlanned, slugevent.Fields{
 			"endpoint": c.Endpoint, "role": c.Role, "version": c.Version,
 		})
--- a/internal/process/slugsystem/session_test.go
+++ b/internal/process/slugsystem/session_test.go
@@ -7,7 +7,9 @@
 	"regexp"
 	"strings"
 	"testing"
+	"time"
 
+	"github.com/sassafraslug/sassafraslug/internal/process/slugoperate"
 	"github.com/sassafraslug/sassafraslug/internal/process/slugsettings"
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/golden"
@@ -71,3 +73,21 @@
 	}
 	return text + variable.ReplaceAllString(string(b), "…")
 }
+
+func TestWhyTellsDecisions(t *testing.T) {
+	inRig(t, options{manifest: twoAssistants}, func(t *testing.T, r *rig) {
+		_, err := r.change(r.Hosts()[0], setVersion("assistant", "v2"))
+		assert.NilError(t, err)
+		r.await(time.Minute, "the roll", func() bool { return r.versions("assistant")["v2"] == 2 })
+		seen := map[string]bool{}
+		for _, h := range r.Hosts() {
+			var x slugoperate.Why
+			assert.NilError(t, r.OperatorsOf(h).Get(r.ctx, "/v1/why", &x))
+			for _, d := range x.Decisions {
+				seen[strings.Fields(d.Decision)[0]] = true
+				assert.Assert(t, len(d.Inputs) > 0)
+			}
+		}
+		assert.Assert(t, seen["change"] && seen["order"], "%v", seen)
+	})
+}
