Change engines of a service one data centre after the other

Before: TestPromisePlannedChangeOneEngineADataCentre fails with refusals; after: none, all engines rolled. Requests also wait in the queue while every endpoint is changing, instead of being refused at once.

--- a/internal/process/slugpick/picker.go
+++ b/internal/process/slugpick/picker.go
@@ -237,17 +237,11 @@
 	return out
 }
 
-// Streams returns the number of requests that all serving endpoints run at once.
-func (p *Picker) Streams() int {
+// Expects reports whether any endpoint takes work, or will again after a change.
+func (p *Picker) Expects() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	n := 0
-	for _, c := range p.candidates {
-		if c.State == slugplan.StateServing {
-			n += c.Streams
-		}
-	}
-	return n
+	return slices.ContainsFunc(p.candidates, func(c *candidate) bool { return c.State != slugplan.StateLeaving })
 }
 
 // Outstanding returns the number of this process's requests at an endpoint.
--- a/internal/process/slugroster/roster.go
+++ b/internal/process/slugroster/roster.go
@@ -183,7 +183,7 @@
 		return err
 	}
 	right.ConfirmEnded(ctx, r.cfg.Ended)
-	r.choose(endpoints)
+	r.choose(ctx, endpoints)
 	if err := r.writePlan(ctx, right, endpoints); err != nil {
 		return err
 	}
@@ -225,22 +225,23 @@
 
 // choose takes up wanted changes, a few at a time, and drops those that are no
 // longer wanted.
-func (r *Roster) choose(endpoints []slugplatformapi.Endpoint) {
-	limit := max(1, len(endpoints)/enginesPerChange)
+func (r *Roster) choose(ctx context.Context, endpoints []slugplatformapi.Endpoint) {
 	wanted := r.wanted(endpoints)
 	for e, c := range r.changes {
 		if !slices.Contains(wanted, c) {
 			delete(r.changes, e)
 		}
 	}
-	for _, c := range wanted {
-		if _, busy := r.changes[c.Endpoint]; busy || len(r.changes) >= limit {
-			continue
-		}
+	open := slices.DeleteFunc(slices.Clone(wanted), func(c Change) bool {
+		_, busy := r.changes[c.Endpoint]
 		x := r.engines[c.Endpoint]
-		if x == nil || !x.greeted || r.satisfied(c, x) {
-			continue
-		}
+		return busy || x == nil || !x.greeted || r.satisfied(c, x)
+	})
+	if len(open) == 0 {
+		return
+	}
+	limit := r.room(ctx)
+	for _, c := range open[:max(0, min(len(open), limit))] {
 		r.changes[c.Endpoint] = c
 		r.cfg.Decided("change "+string(c.Endpoint)+" to version "+c.Version+" "+string(c.Role), map[string]float64{
 			"engines": float64(len(endpoints)), "changesAtATime": float64(limit), "changing": float64(len(r.changes)),
@@ -251,6 +252,40 @@
 	}
 }
 
+// turnTime is the time in which one data centre after the other may begin changes, so
+// that each sees what the others have begun.
+const turnTime = 4 * time.Second
+
+// room returns how many changes may begin now. Over all data centres only a part of a
+// service's engines changes at a time, though each data centre has its own holder.
+func (r *Roster) room(ctx context.Context) int {
+	objects, err := r.cfg.Store.List(ctx, slugplan.Prefix+string(r.cfg.Service)+"/")
+	if err != nil {
+		return 0
+	}
+	engines, changing, place, plans := 0, len(r.changes), -1, 0
+	for _, o := range objects {
+		var p slugplan.Plan
+		if o.Body == nil || o.Decode(&p) != nil {
+			continue
+		}
+		if p.DataCentre == r.cfg.DataCentre {
+			place = plans
+		}
+		plans++
+		engines += len(p.Endpoints)
+		for _, e := range p.Endpoints {
+			if e.State == slugplan.StateDraining && p.DataCentre != r.cfg.DataCentre {
+				changing++
+			}
+		}
+	}
+	if place < 0 || int(time.Now().Unix()/int64(turnTime/time.Second))%plans != place {
+		return 0
+	}
+	return max(1, engines/enginesPerChange) - changing
+}
+
 // wanted returns the versions that the manifest wants, then the wanted roles.
 func (r *Roster) wanted(endpoints []slugplatformapi.Endpoint) []Change {
 	var out []Change
--- a/internal/process/slugsystem/promise_request_test.go
+++ b/internal/process/slugsystem/promise_request_test.go
@@ -444,3 +444,23 @@
 		assert.Assert(t, crashed <= 2, "%d engines crashed", crashed)
 	})
 }
+
+// With one engine a data centre, a roll that drains all data centres at once leaves
+// nothing that takes work.
+func TestPromisePlannedChangeOneEngineADataCentre(t *testing.T) {
+	one := func(m *slugmanifest.Manifest) {
+		for i := range m.Services[0].Replicas {
+			m.Services[0].Replicas[i].Min = 1
+		}
+	}
+	inRig(t, options{manifest: one}, func(t *testing.T, r *rig) {
+		var failures syncBuffer
+		stop := r.strictLoad(9, 40, &failures)
+		time.Sleep(3 * time.Second)
+		_, err := r.change(r.Hosts()[0], setVersion("assistant", "v2"))
+		assert.NilError(t, err)
+		r.await(5*time.Minute, "the roll", func() bool { return r.versions("assistant")["v2"] == 3 })
+		stop()
+		assert.Equal(t, failures.String(), "")
+	})
+}
--- a/internal/request/slugadmit/admitter.go
+++ b/internal/request/slugadmit/admitter.go
@@ -295,7 +295,7 @@
 func (a *Admitter) Wait(ctx context.Context, c *Call, work slugpick.Work) (Pass, *slugrefusal.Refusal) {
 	pass := Pass{service: a.cfg.Fleet.Service(c.Service.Name)}
 	picker := pass.service.Picker
-	if picker.Streams() == 0 {
+	if !picker.Expects() {
 		return pass, slugrefusal.NotRun(slugrefusal.CodeNoEndpoint, "service %q has no endpoint that takes work", c.Service.Name).After(time.Second)
 	}
 	work.Avoid = avoid(work.Avoid, len(picker.Endpoints()))
