Tell the age of heartbeats, so that late word does not make silent hosts look alive

Cause: on a host cut off from all others its two processes went on telling each other old heartbeats as if they had just been heard, so the cut was noticed up to 3 s late.

--- a/internal/process/slugpeer/row.go
+++ b/internal/process/slugpeer/row.go
@@ -61,6 +61,9 @@
 	// WordAge is how long ago the owner had word of the newest configuration, in
 	// units of wordUnit.
 	WordAge uint32
+	// HeardAge is how long ago the sender heard the heartbeat, in the same unit. Word
+	// that comes late through others must not make a silent process look alive.
+	HeardAge uint32
 }
 
 // wordUnit is the resolution of Entry.WordAge.
--- a/internal/process/slugpeer/table.go
+++ b/internal/process/slugpeer/table.go
@@ -294,7 +294,7 @@
 }
 
 func (h *held) entry(id slugmember.ID, now time.Time) Entry {
-	return Entry{ID: id, Version: h.version, Heartbeat: h.heartbeat, WordAge: wordAge(h.word, now)}
+	return Entry{ID: id, Version: h.version, Heartbeat: h.heartbeat, WordAge: wordAge(h.word, now), HeardAge: wordAge(h.heardAt, now)}
 }
 
 func wordAge(word, now time.Time) uint32 {
@@ -377,7 +377,7 @@
 		t.mu.Unlock()
 		return
 	}
-	h.heartbeat, h.heardAt = e.Heartbeat, now
+	h.heartbeat, h.heardAt = e.Heartbeat, now.Add(-time.Duration(min(e.HeardAge, noWord))*wordUnit)
 	if e.WordAge < noWord {
 		h.word = now.Add(-time.Duration(e.WordAge) * wordUnit)
 	}
