Run the rounds of all duties by one loop; drop state and a function that nothing reads

Read the whole change once more: the ordering, roles and usage duties had the same loop, the queue kept a sum that was never read, and a parser of report names was never called. Behaviour is unchanged.

--- a/internal/process/slugbackoff/backoff.go
+++ b/internal/process/slugbackoff/backoff.go
@@ -90,3 +90,15 @@
 		return nil
 	}
 }
+
+// Every calls f again and again, with a pause after each call, until ctx ends or f
+// fails. It returns f's error.
+func Every(ctx context.Context, pause time.Duration, f func() error) error {
+	for ctx.Err() == nil {
+		if err := f(); err != nil {
+			return err
+		}
+		_ = Sleep(ctx, pause)
+	}
+	return nil
+}
--- a/internal/process/slugbuy/buyer.go
+++ b/internal/process/slugbuy/buyer.go
@@ -111,13 +111,7 @@
 	if b.journal, err = slugjournal.Open(ctx, b.cfg.Store, b.cfg.Duty, right.Fence, b.cfg.Self); err != nil {
 		return err
 	}
-	for ctx.Err() == nil {
-		if err := b.round(ctx, right); err != nil {
-			return err
-		}
-		_ = slugbackoff.Sleep(ctx, roundEvery)
-	}
-	return nil
+	return slugbackoff.Every(ctx, roundEvery, func() error { return b.round(ctx, right) })
 }
 
 // round does at most one order a data centre.
--- a/internal/process/slugqueue/queue.go
+++ b/internal/process/slugqueue/queue.go
@@ -75,8 +75,6 @@
 	flows   map[slugname.Workspace]*flow
 	length  int
 	virtual float64
-	// waiting is the cost of all waiting requests.
-	waiting Cost
 	rate    rate
 }
 
@@ -154,7 +152,6 @@
 	heap.Push(&f.tickets, t)
 	f.sum += t.Cost
 	q.length++
-	q.waiting += t.Cost
 	q.dispatch(now)
 	return nil
 }
@@ -236,7 +233,6 @@
 	heap.Remove(&f.tickets, t.index)
 	f.sum -= t.Cost
 	q.length--
-	q.waiting -= t.Cost
 	if len(f.tickets) == 0 && f.finish <= q.virtual {
 		delete(q.flows, t.Workspace)
 	}
--- a/internal/process/slugreport/reporter.go
+++ b/internal/process/slugreport/reporter.go
@@ -15,8 +15,6 @@
 	"encoding/json"
 	"fmt"
 	"sort"
-	"strconv"
-	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -113,13 +111,7 @@
 	if err := r.load(ctx); err != nil {
 		return err
 	}
-	for ctx.Err() == nil {
-		if err := r.round(ctx, right); err != nil {
-			return err
-		}
-		_ = slugbackoff.Sleep(ctx, roundEvery)
-	}
-	return nil
+	return slugbackoff.Every(ctx, roundEvery, func() error { return r.round(ctx, right) })
 }
 
 // load reads how far the duty has come. A new system begins with the window before
@@ -345,10 +337,3 @@
 		}
 	}
 }
-
-// ParseReportName returns the window of a report's object.
-func ParseReportName(name string) (slugledger.Window, bool) {
-	i := strings.LastIndexByte(name, '/')
-	n, err := strconv.ParseInt(name[i+1:], 10, 64)
-	return slugledger.Window(n), err == nil && strings.HasPrefix(name, reportPrefix)
-}
--- a/internal/process/slugroster/roster.go
+++ b/internal/process/slugroster/roster.go
@@ -136,13 +136,7 @@
 	if err := r.start(ctx, right); err != nil {
 		return err
 	}
-	for ctx.Err() == nil {
-		if err := r.round(ctx, right); err != nil {
-			return err
-		}
-		_ = slugbackoff.Sleep(ctx, roundEvery)
-	}
-	return nil
+	return slugbackoff.Every(ctx, roundEvery, func() error { return r.round(ctx, right) })
 }
 
 // start reads everything again, and finishes what a predecessor wrote down.
