--- a/cmd/sassafraslug-gate/main.go
+++ b/cmd/sassafraslug-gate/main.go
@@ -5,11 +5,11 @@
 	"context"
 	"os"
 
-	"github.com/sassafraslug/sassafraslug/internal/process/slugdaemon"
-	"github.com/sassafraslug/sassafraslug/internal/process/slugevent"
-	"github.com/sassafraslug/sassafraslug/internal/process/sluggate"
-	"github.com/sassafraslug/sassafraslug/internal/process/slugnetwork"
-	"github.com/sassafraslug/sassafraslug/internal/process/slugsettings"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugevent"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugsettings"
+	"github.com/sassafraslug/sassafraslug/internal/daemon/slugdaemon"
+	"github.com/sassafraslug/sassafraslug/internal/daemon/sluggate"
+	"github.com/sassafraslug/sassafraslug/internal/daemon/slugnetwork"
 )
 
 func main() {
--- a/cmd/sassafraslug/apply.go
+++ b/cmd/sassafraslug/apply.go
@@ -8,9 +8,9 @@
 	"strings"
 
 	"github.com/cockroachdb/errors"
-	"github.com/sassafraslug/sassafraslug/internal/process/slugname"
-	"github.com/sassafraslug/sassafraslug/internal/process/slugoperate"
-	"github.com/sassafraslug/sassafraslug/internal/process/slugstore"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugname"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugstore"
+	"github.com/sassafraslug/sassafraslug/internal/daemon/slugoperate"
 	"github.com/sassafraslug/sassafraslug/internal/version/slugconfig"
 )
 
--- a/cmd/sassafraslug/bench.go
+++ b/cmd/sassafraslug/bench.go
@@ -7,7 +7,7 @@
 	"io"
 	"os"
 
-	"github.com/sassafraslug/sassafraslug/internal/process/slugslope"
+	"github.com/sassafraslug/sassafraslug/internal/operate/slugslope"
 )
 
 func addBench(t *tool) {
--- a/cmd/sassafraslug/burn.go
+++ b/cmd/sassafraslug/burn.go
@@ -5,8 +5,8 @@
 	"io"
 	"os"
 
-	"github.com/sassafraslug/sassafraslug/internal/process/slugburnreport"
-	"github.com/sassafraslug/sassafraslug/internal/process/slugoperate"
+	"github.com/sassafraslug/sassafraslug/internal/daemon/slugoperate"
+	"github.com/sassafraslug/sassafraslug/internal/operate/slugburnreport"
 )
 
 func addBurn(t *tool) {
--- a/cmd/sassafraslug/demo.go
+++ b/cmd/sassafraslug/demo.go
@@ -8,9 +8,9 @@
 	"os"
 	"time"
 
-	"github.com/sassafraslug/sassafraslug/internal/process/slugburnreport"
-	"github.com/sassafraslug/sassafraslug/internal/process/slugdemo"
-	"github.com/sassafraslug/sassafraslug/internal/process/slugsystem"
+	"github.com/sassafraslug/sassafraslug/internal/operate/slugburnreport"
+	"github.com/sassafraslug/sassafraslug/internal/operate/slugdemo"
+	"github.com/sassafraslug/sassafraslug/internal/operate/slugsystem"
 )
 
 // demoOptions are the flags of demo.
--- a/cmd/sassafraslug/drain.go
+++ b/cmd/sassafraslug/drain.go
@@ -6,8 +6,8 @@
 	"io"
 	"strings"
 
-	"github.com/sassafraslug/sassafraslug/internal/process/slugname"
-	"github.com/sassafraslug/sassafraslug/internal/process/slugoperate"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugname"
+	"github.com/sassafraslug/sassafraslug/internal/daemon/slugoperate"
 )
 
 func addDrain(t *tool) {
--- a/cmd/sassafraslug/duties.go
+++ b/cmd/sassafraslug/duties.go
@@ -7,10 +7,10 @@
 	"net/url"
 	"text/tabwriter"
 
-	"github.com/sassafraslug/sassafraslug/internal/process/sluglease"
-	"github.com/sassafraslug/sassafraslug/internal/process/slugmember"
-	"github.com/sassafraslug/sassafraslug/internal/process/slugname"
-	"github.com/sassafraslug/sassafraslug/internal/process/slugoperate"
+	"github.com/sassafraslug/sassafraslug/internal/authority/sluglease"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugname"
+	"github.com/sassafraslug/sassafraslug/internal/daemon/slugoperate"
+	"github.com/sassafraslug/sassafraslug/internal/membership/slugmember"
 )
 
 func addDuties(t *tool) {
--- a/cmd/sassafraslug/main.go
+++ b/cmd/sassafraslug/main.go
@@ -15,8 +15,8 @@
 
 	"github.com/alecthomas/kingpin/v2"
 	"github.com/cockroachdb/errors"
-	"github.com/sassafraslug/sassafraslug/internal/process/slugguard"
-	"github.com/sassafraslug/sassafraslug/internal/process/slugoperate"
+	"github.com/sassafraslug/sassafraslug/internal/daemon/slugguard"
+	"github.com/sassafraslug/sassafraslug/internal/daemon/slugoperate"
 )
 
 // Exit statuses.
--- a/cmd/sassafraslug/manifest.go
+++ b/cmd/sassafraslug/manifest.go
@@ -6,7 +6,7 @@
 	"io"
 	"os"
 
-	"github.com/sassafraslug/sassafraslug/internal/process/slugoperate"
+	"github.com/sassafraslug/sassafraslug/internal/daemon/slugoperate"
 	"github.com/sassafraslug/sassafraslug/internal/version/slugmanifest"
 )
 
--- a/cmd/sassafraslug/settings.go
+++ b/cmd/sassafraslug/settings.go
@@ -6,7 +6,7 @@
 	"io"
 	"text/tabwriter"
 
-	"github.com/sassafraslug/sassafraslug/internal/process/slugsettings"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugsettings"
 )
 
 // effective is one setting as settings show prints it.
--- a/cmd/sassafraslug/sort.go
+++ b/cmd/sassafraslug/sort.go
@@ -4,7 +4,7 @@
 	"maps"
 	"slices"
 
-	"github.com/sassafraslug/sassafraslug/internal/process/sluglease"
+	"github.com/sassafraslug/sassafraslug/internal/authority/sluglease"
 )
 
 func sortedDuties(m map[sluglease.Duty]sluglease.Record) []sluglease.Duty {
--- a/cmd/sassafraslug/status.go
+++ b/cmd/sassafraslug/status.go
@@ -7,7 +7,7 @@
 	"net/url"
 	"text/tabwriter"
 
-	"github.com/sassafraslug/sassafraslug/internal/process/slugoperate"
+	"github.com/sassafraslug/sassafraslug/internal/daemon/slugoperate"
 )
 
 func addStatus(t *tool) {
--- a/cmd/sassafraslug/usage.go
+++ b/cmd/sassafraslug/usage.go
@@ -7,7 +7,7 @@
 	"text/tabwriter"
 	"time"
 
-	"github.com/sassafraslug/sassafraslug/internal/process/slugoperate"
+	"github.com/sassafraslug/sassafraslug/internal/daemon/slugoperate"
 )
 
 func addUsage(t *tool) {
--- a/cmd/sassafraslug/why.go
+++ b/cmd/sassafraslug/why.go
@@ -9,9 +9,9 @@
 	"strings"
 	"time"
 
-	"github.com/sassafraslug/sassafraslug/internal/process/slugduties"
-	"github.com/sassafraslug/sassafraslug/internal/process/slugmember"
-	"github.com/sassafraslug/sassafraslug/internal/process/slugoperate"
+	"github.com/sassafraslug/sassafraslug/internal/daemon/slugduties"
+	"github.com/sassafraslug/sassafraslug/internal/daemon/slugoperate"
+	"github.com/sassafraslug/sassafraslug/internal/membership/slugmember"
 )
 
 func addWhy(t *tool) {
--- a/internal/process/slugbuy/buyer.go
+++ b/internal/authority/slugbuy/buyer.go
@@ -15,14 +15,14 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/sassafraslug/sassafraslug/internal/process/slugbackoff"
-	"github.com/sassafraslug/sassafraslug/internal/process/slugevent"
-	"github.com/sassafraslug/sassafraslug/internal/process/slugintent"
-	"github.com/sassafraslug/sassafraslug/internal/process/slugjournal"
-	"github.com/sassafraslug/sassafraslug/internal/process/sluglease"
-	"github.com/sassafraslug/sassafraslug/internal/process/slugname"
-	"github.com/sassafraslug/sassafraslug/internal/process/slugplatformapi"
-	"github.com/sassafraslug/sassafraslug/internal/process/slugstore"
+	"github.com/sassafraslug/sassafraslug/internal/authority/slugintent"
+	"github.com/sassafraslug/sassafraslug/internal/authority/slugjournal"
+	"github.com/sassafraslug/sassafraslug/internal/authority/sluglease"
+	"github.com/sassafraslug/sassafraslug/internal/authority/slugplatformapi"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugbackoff"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugevent"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugname"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugstore"
 	"github.com/sassafraslug/sassafraslug/internal/version/slugmanifest"
 )
 
--- a/internal/process/slugclaim/claims.go
+++ b/internal/authority/slugclaim/claims.go
@@ -17,9 +17,9 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/sassafraslug/sassafraslug/internal/process/slugbackoff"
-	"github.com/sassafraslug/sassafraslug/internal/process/slugname"
-	"github.com/sassafraslug/sassafraslug/internal/process/slugstore"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugbackoff"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugname"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugstore"
 )
 
 // Prefix begins the names of claims.
--- a/internal/process/slugintent/intent.go
+++ b/internal/authority/slugintent/intent.go
@@ -14,9 +14,9 @@
 	"sync"
 
 	"github.com/cockroachdb/errors"
-	"github.com/sassafraslug/sassafraslug/internal/process/slugfault"
-	"github.com/sassafraslug/sassafraslug/internal/process/slugname"
-	"github.com/sassafraslug/sassafraslug/internal/process/slugstore"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugfault"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugname"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugstore"
 )
 
 // Names of the objects.
--- a/internal/process/slugjournal/journal.go
+++ b/internal/authority/slugjournal/journal.go
@@ -20,10 +20,10 @@
 	"sync"
 
 	"github.com/cockroachdb/errors"
-	"github.com/sassafraslug/sassafraslug/internal/process/slugfault"
-	"github.com/sassafraslug/sassafraslug/internal/process/sluglease"
-	"github.com/sassafraslug/sassafraslug/internal/process/slugname"
-	"github.com/sassafraslug/sassafraslug/internal/process/slugstore"
+	"github.com/sassafraslug/sassafraslug/internal/authority/sluglease"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugfault"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugname"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugstore"
 )
 
 // Prefix begins the names of journal objects.
--- a/internal/process/sluglease/lease.go
+++ b/internal/authority/sluglease/lease.go
@@ -20,11 +20,11 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/sassafraslug/sassafraslug/internal/process/slugbackoff"
-	"github.com/sassafraslug/sassafraslug/internal/process/slugevent"
-	"github.com/sassafraslug/sassafraslug/internal/process/slugfault"
-	"github.com/sassafraslug/sassafraslug/internal/process/slugname"
-	"github.com/sassafraslug/sassafraslug/internal/process/slugstore"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugbackoff"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugevent"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugfault"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugname"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugstore"
 )
 
 const (
--- a/internal/process/sluglease/model_test.go
+++ b/internal/authority/sluglease/model_test.go
@@ -10,9 +10,9 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/sassafraslug/sassafraslug/internal/process/slugevent"
-	"github.com/sassafraslug/sassafraslug/internal/process/slugname"
-	"github.com/sassafraslug/sassafraslug/internal/process/slugstore"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugevent"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugname"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugstore"
 	"github.com/sassafraslug/sassafraslug/internal/standin/slugplatform"
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
--- a/internal/process/sluglease/record.go
+++ b/internal/authority/sluglease/record.go
@@ -4,7 +4,7 @@
 	"slices"
 	"time"
 
-	"github.com/sassafraslug/sassafraslug/internal/process/slugname"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugname"
 )
 
 // Duty names one piece of work that one process does at a time.
--- a/internal/process/sluglease/right.go
+++ b/internal/authority/sluglease/right.go
@@ -6,9 +6,9 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/sassafraslug/sassafraslug/internal/process/slugevent"
-	"github.com/sassafraslug/sassafraslug/internal/process/slugname"
-	"github.com/sassafraslug/sassafraslug/internal/process/slugstore"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugevent"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugname"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugstore"
 )
 
 // Right is the right to do a duty, as long as it lasts.
--- a/internal/process/slugledger/ledger.go
+++ b/internal/authority/slugledger/ledger.go
@@ -20,8 +20,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/sassafraslug/sassafraslug/internal/process/slugname"
-	"github.com/sassafraslug/sassafraslug/internal/process/slugstore"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugname"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugstore"
 )
 
 // Window is the start of an accounting period in seconds since 1970.
--- a/internal/process/slugorder/engine.go
+++ b/internal/authority/slugorder/engine.go
@@ -21,12 +21,12 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/sassafraslug/sassafraslug/internal/authority/slugjournal"
+	"github.com/sassafraslug/sassafraslug/internal/authority/sluglease"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugfault"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugname"
 	"github.com/sassafraslug/sassafraslug/internal/connection/slugsend"
-	"github.com/sassafraslug/sassafraslug/internal/process/slugfault"
-	"github.com/sassafraslug/sassafraslug/internal/process/slugjournal"
-	"github.com/sassafraslug/sassafraslug/internal/process/sluglease"
-	"github.com/sassafraslug/sassafraslug/internal/process/slugname"
-	"github.com/sassafraslug/sassafraslug/internal/process/slugplan"
+	"github.com/sassafraslug/sassafraslug/internal/decision/slugplan"
 )
 
 // Action is what an order asks for.
--- a/internal/process/slugplatformapi/client.go
+++ b/internal/authority/slugplatformapi/client.go
@@ -17,9 +17,9 @@
 	"net/url"
 
 	"github.com/cockroachdb/errors"
-	"github.com/sassafraslug/sassafraslug/internal/process/slugfault"
-	"github.com/sassafraslug/sassafraslug/internal/process/slugledger"
-	"github.com/sassafraslug/sassafraslug/internal/process/slugname"
+	"github.com/sassafraslug/sassafraslug/internal/authority/slugledger"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugfault"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugname"
 	"github.com/sassafraslug/sassafraslug/internal/version/slugmanifest"
 )
 
--- a/internal/process/slugreport/reporter.go
+++ b/internal/authority/slugreport/reporter.go
@@ -18,13 +18,13 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/sassafraslug/sassafraslug/internal/process/slugbackoff"
-	"github.com/sassafraslug/sassafraslug/internal/process/slugevent"
-	"github.com/sassafraslug/sassafraslug/internal/process/sluglease"
-	"github.com/sassafraslug/sassafraslug/internal/process/slugledger"
-	"github.com/sassafraslug/sassafraslug/internal/process/slugmember"
-	"github.com/sassafraslug/sassafraslug/internal/process/slugname"
-	"github.com/sassafraslug/sassafraslug/internal/process/slugstore"
+	"github.com/sassafraslug/sassafraslug/internal/authority/sluglease"
+	"github.com/sassafraslug/sassafraslug/internal/authority/slugledger"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugbackoff"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugevent"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugname"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugstore"
+	"github.com/sassafraslug/sassafraslug/internal/membership/slugmember"
 )
 
 // Names of the objects.
--- a/internal/process/slugevent/event_test.go
+++ b/internal/base/slugevent/event_test.go
@@ -16,7 +16,7 @@
 // catalogue is docs/EVENTS.md as it must be; -update writes it.
 func catalogue() string {
 	var b strings.Builder
-	b.WriteString("# Log events\n\nEvery log line is a JSON object with the fields `event`, `process`, `level`, `msg` and `time`, and the fields of its event. This page is made from the code by `go test ./internal/process/slugevent -update`, and a test holds it to the code.\n\n| event | level | message | what to do |\n| --- | --- | --- | --- |\n")
+	b.WriteString("# Log events\n\nEvery log line is a JSON object with the fields `event`, `process`, `level`, `msg` and `time`, and the fields of its event. This page is made from the code by `go test ./internal/base/slugevent -update`, and a test holds it to the code.\n\n| event | level | message | what to do |\n| --- | --- | --- | --- |\n")
 	var events []Event
 	for e := range All() {
 		events = append(events, e)
--- a/internal/process/slugsettings/settings.go
+++ b/internal/base/slugsettings/settings.go
@@ -16,7 +16,7 @@
 	"time"
 
 	"github.com/alecthomas/kingpin/v2"
-	"github.com/sassafraslug/sassafraslug/internal/process/slugname"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugname"
 	"gopkg.in/ini.v1"
 )
 
--- a/internal/process/slugsettings/settings_test.go
+++ b/internal/base/slugsettings/settings_test.go
@@ -66,7 +66,7 @@
 
 func TestManual(t *testing.T) {
 	var b bytes.Buffer
-	b.WriteString("# Settings\n\nThe daemons read an INI file (`--settings FILE`). An environment variable goes before the file, and a flag such as `--callers.listen` before both. `sassafraslug settings show FILE` prints the effective values and where each comes from. This page is made from the code by `go test ./internal/process/slugsettings -update`, and a test holds it to the code.\n")
+	b.WriteString("# Settings\n\nThe daemons read an INI file (`--settings FILE`). An environment variable goes before the file, and a flag such as `--callers.listen` before both. `sassafraslug settings show FILE` prints the effective values and where each comes from. This page is made from the code by `go test ./internal/base/slugsettings -update`, and a test holds it to the code.\n")
 	Manual(&b)
 	golden.Assert(t, b.String(), "../../../../docs/SETTINGS.md")
 }
--- a/internal/process/slugsettings/table.go
+++ b/internal/base/slugsettings/table.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/sassafraslug/sassafraslug/internal/process/slugname"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugname"
 	"github.com/sirupsen/logrus"
 )
 
--- a/internal/process/slugstep/step.go
+++ b/internal/base/slugstep/step.go
@@ -16,8 +16,8 @@
 import (
 	"context"
 
-	"github.com/sassafraslug/sassafraslug/internal/process/slugevent"
-	"github.com/sassafraslug/sassafraslug/internal/process/slugfault"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugevent"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugfault"
 	"golang.org/x/sync/errgroup"
 )
 
--- a/internal/process/slugstore/contract_test.go
+++ b/internal/base/slugstore/contract_test.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/sassafraslug/sassafraslug/internal/process/slugstore"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugstore"
 	"github.com/sassafraslug/sassafraslug/internal/standin/slugplatform"
 	"gotest.tools/v3/assert"
 )
--- a/internal/process/slugstore/store.go
+++ b/internal/base/slugstore/store.go
@@ -25,8 +25,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/sassafraslug/sassafraslug/internal/process/slugbackoff"
-	"github.com/sassafraslug/sassafraslug/internal/process/slugfault"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugbackoff"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugfault"
 )
 
 // Version is the version of a stored object; 0 means that there is none.
--- a/internal/process/slugstore/watch.go
+++ b/internal/base/slugstore/watch.go
@@ -11,7 +11,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/sassafraslug/sassafraslug/internal/process/slugfault"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugfault"
 )
 
 // listAnswer is the answer to a list call.
--- a/internal/connection/sluglink/link.go
+++ b/internal/connection/sluglink/link.go
@@ -27,11 +27,11 @@
 	"github.com/cockroachdb/errors"
 	"github.com/fxamacker/cbor/v2"
 	"github.com/quic-go/quic-go"
-	"github.com/sassafraslug/sassafraslug/internal/process/slugevent"
-	"github.com/sassafraslug/sassafraslug/internal/process/slugfault"
-	"github.com/sassafraslug/sassafraslug/internal/process/slugmember"
-	"github.com/sassafraslug/sassafraslug/internal/process/slugname"
-	"github.com/sassafraslug/sassafraslug/internal/process/slugpeer"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugevent"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugfault"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugname"
+	"github.com/sassafraslug/sassafraslug/internal/membership/slugmember"
+	"github.com/sassafraslug/sassafraslug/internal/membership/slugpeer"
 )
 
 const (
--- a/internal/connection/sluglink/link_test.go
+++ b/internal/connection/sluglink/link_test.go
@@ -6,10 +6,10 @@
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
-	"github.com/sassafraslug/sassafraslug/internal/process/slugevent"
-	"github.com/sassafraslug/sassafraslug/internal/process/slugmember"
-	"github.com/sassafraslug/sassafraslug/internal/process/slugname"
-	"github.com/sassafraslug/sassafraslug/internal/process/slugpeer"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugevent"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugname"
+	"github.com/sassafraslug/sassafraslug/internal/membership/slugmember"
+	"github.com/sassafraslug/sassafraslug/internal/membership/slugpeer"
 	"gotest.tools/v3/assert"
 )
 
--- a/internal/connection/slugsend/sender.go
+++ b/internal/connection/slugsend/sender.go
@@ -23,7 +23,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/sassafraslug/sassafraslug/internal/process/slugfault"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugfault"
 )
 
 const (
--- a/internal/process/slugdaemon/daemon.go
+++ b/internal/daemon/slugdaemon/daemon.go
@@ -16,8 +16,8 @@
 	"syscall"
 
 	"github.com/alecthomas/kingpin/v2"
-	"github.com/sassafraslug/sassafraslug/internal/process/slugevent"
-	"github.com/sassafraslug/sassafraslug/internal/process/slugsettings"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugevent"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugsettings"
 	"github.com/sirupsen/logrus"
 )
 
--- a/internal/process/slugduties/decision.go
+++ b/internal/daemon/slugduties/decision.go
@@ -4,7 +4,7 @@
 	"sync"
 	"time"
 
-	"github.com/sassafraslug/sassafraslug/internal/process/sluglease"
+	"github.com/sassafraslug/sassafraslug/internal/authority/sluglease"
 )
 
 // Decision is one decision with its inputs.
--- a/internal/process/slugduties/duties.go
+++ b/internal/daemon/slugduties/duties.go
@@ -19,17 +19,17 @@
 	"sync"
 	"time"
 
-	"github.com/sassafraslug/sassafraslug/internal/process/slugbackoff"
-	"github.com/sassafraslug/sassafraslug/internal/process/slugevent"
-	"github.com/sassafraslug/sassafraslug/internal/process/slugintent"
-	"github.com/sassafraslug/sassafraslug/internal/process/sluglease"
-	"github.com/sassafraslug/sassafraslug/internal/process/slugmember"
-	"github.com/sassafraslug/sassafraslug/internal/process/slugname"
-	"github.com/sassafraslug/sassafraslug/internal/process/slugorder"
-	"github.com/sassafraslug/sassafraslug/internal/process/slugpeer"
-	"github.com/sassafraslug/sassafraslug/internal/process/slugplatformapi"
-	"github.com/sassafraslug/sassafraslug/internal/process/slugsettings"
-	"github.com/sassafraslug/sassafraslug/internal/process/slugworld"
+	"github.com/sassafraslug/sassafraslug/internal/authority/slugintent"
+	"github.com/sassafraslug/sassafraslug/internal/authority/sluglease"
+	"github.com/sassafraslug/sassafraslug/internal/authority/slugorder"
+	"github.com/sassafraslug/sassafraslug/internal/authority/slugplatformapi"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugbackoff"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugevent"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugname"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugsettings"
+	"github.com/sassafraslug/sassafraslug/internal/daemon/slugworld"
+	"github.com/sassafraslug/sassafraslug/internal/membership/slugmember"
+	"github.com/sassafraslug/sassafraslug/internal/membership/slugpeer"
 )
 
 const (
--- a/internal/process/sluggate/http.go
+++ b/internal/daemon/sluggate/http.go
@@ -5,8 +5,8 @@
 	"net/http"
 	"time"
 
-	"github.com/sassafraslug/sassafraslug/internal/process/slugmetrics"
-	"github.com/sassafraslug/sassafraslug/internal/process/slugname"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugname"
+	"github.com/sassafraslug/sassafraslug/internal/daemon/slugmetrics"
 	"github.com/sassafraslug/sassafraslug/internal/request/slugadmit"
 	"github.com/sassafraslug/sassafraslug/internal/request/slugchat"
 	"github.com/sassafraslug/sassafraslug/internal/request/slugplaincall"
--- a/internal/process/slugguard/guard.go
+++ b/internal/daemon/slugguard/guard.go
@@ -12,7 +12,7 @@
 	"os"
 	"strings"
 
-	"github.com/sassafraslug/sassafraslug/internal/process/slugfault"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugfault"
 	"github.com/sassafraslug/sassafraslug/internal/request/slugrefusal"
 )
 
--- a/internal/process/slugnetwork/network.go
+++ b/internal/daemon/slugnetwork/network.go
@@ -12,10 +12,10 @@
 	"net"
 	"time"
 
+	"github.com/sassafraslug/sassafraslug/internal/base/slugevent"
 	"github.com/sassafraslug/sassafraslug/internal/connection/sluglink"
 	"github.com/sassafraslug/sassafraslug/internal/connection/slugsend"
-	"github.com/sassafraslug/sassafraslug/internal/process/slugevent"
-	"github.com/sassafraslug/sassafraslug/internal/process/slugpeer"
+	"github.com/sassafraslug/sassafraslug/internal/membership/slugpeer"
 )
 
 // Network is a host's way to all other hosts.
--- a/internal/process/slugoperate/client.go
+++ b/internal/daemon/slugoperate/client.go
@@ -11,8 +11,8 @@
 	"net/url"
 	"time"
 
-	"github.com/sassafraslug/sassafraslug/internal/process/slugfault"
-	"github.com/sassafraslug/sassafraslug/internal/process/slugstore"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugfault"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugstore"
 	"github.com/sassafraslug/sassafraslug/internal/version/slugconfig"
 )
 
--- a/internal/process/slugoperate/document.go
+++ b/internal/daemon/slugoperate/document.go
@@ -7,13 +7,13 @@
 package slugoperate
 
 import (
-	"github.com/sassafraslug/sassafraslug/internal/process/slugburn"
-	"github.com/sassafraslug/sassafraslug/internal/process/slugduties"
-	"github.com/sassafraslug/sassafraslug/internal/process/slugmember"
-	"github.com/sassafraslug/sassafraslug/internal/process/slugname"
-	"github.com/sassafraslug/sassafraslug/internal/process/slugplan"
-	"github.com/sassafraslug/sassafraslug/internal/process/slugreport"
-	"github.com/sassafraslug/sassafraslug/internal/process/slugstore"
+	"github.com/sassafraslug/sassafraslug/internal/authority/slugreport"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugname"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugstore"
+	"github.com/sassafraslug/sassafraslug/internal/daemon/slugduties"
+	"github.com/sassafraslug/sassafraslug/internal/decision/slugburn"
+	"github.com/sassafraslug/sassafraslug/internal/decision/slugplan"
+	"github.com/sassafraslug/sassafraslug/internal/membership/slugmember"
 	"github.com/sassafraslug/sassafraslug/internal/version/slugconfig"
 	"github.com/sassafraslug/sassafraslug/internal/version/slugdiff"
 	"github.com/sassafraslug/sassafraslug/internal/version/slugmanifest"
--- a/internal/process/slugserve/server.go
+++ b/internal/daemon/slugserve/server.go
@@ -21,9 +21,9 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/sassafraslug/sassafraslug/internal/process/slugbackoff"
-	"github.com/sassafraslug/sassafraslug/internal/process/slugevent"
-	"github.com/sassafraslug/sassafraslug/internal/process/slugfault"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugbackoff"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugevent"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugfault"
 	"golang.org/x/net/netutil"
 )
 
--- a/internal/process/slugpick/mix.go
+++ b/internal/decision/slugpick/mix.go
@@ -4,7 +4,7 @@
 	"math"
 	"time"
 
-	"github.com/sassafraslug/sassafraslug/internal/process/slugplan"
+	"github.com/sassafraslug/sassafraslug/internal/decision/slugplan"
 )
 
 const (
--- a/internal/process/slugpick/picker.go
+++ b/internal/decision/slugpick/picker.go
@@ -22,8 +22,8 @@
 	"sync"
 	"time"
 
-	"github.com/sassafraslug/sassafraslug/internal/process/slugname"
-	"github.com/sassafraslug/sassafraslug/internal/process/slugplan"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugname"
+	"github.com/sassafraslug/sassafraslug/internal/decision/slugplan"
 	"github.com/sassafraslug/sassafraslug/internal/version/slugmanifest"
 )
 
--- a/internal/process/slugpick/picker_test.go
+++ b/internal/decision/slugpick/picker_test.go
@@ -5,8 +5,8 @@
 	"testing"
 	"time"
 
-	"github.com/sassafraslug/sassafraslug/internal/process/slugname"
-	"github.com/sassafraslug/sassafraslug/internal/process/slugplan"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugname"
+	"github.com/sassafraslug/sassafraslug/internal/decision/slugplan"
 	"github.com/sassafraslug/sassafraslug/internal/version/slugmanifest"
 	"gotest.tools/v3/assert"
 )
--- a/internal/process/slugpick/predict.go
+++ b/internal/decision/slugpick/predict.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/sassafraslug/sassafraslug/internal/process/slugplan"
+	"github.com/sassafraslug/sassafraslug/internal/decision/slugplan"
 	"github.com/sassafraslug/sassafraslug/internal/version/slugmanifest"
 )
 
--- a/internal/process/slugpick/prefix.go
+++ b/internal/decision/slugpick/prefix.go
@@ -4,7 +4,7 @@
 	"slices"
 	"time"
 
-	"github.com/sassafraslug/sassafraslug/internal/process/slugname"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugname"
 )
 
 // holder is an endpoint that is assumed to have a prefix cached.
--- a/internal/process/slugpick/suspect.go
+++ b/internal/decision/slugpick/suspect.go
@@ -3,8 +3,8 @@
 import (
 	"slices"
 
-	"github.com/sassafraslug/sassafraslug/internal/process/slugname"
-	"github.com/sassafraslug/sassafraslug/internal/process/slugplan"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugname"
+	"github.com/sassafraslug/sassafraslug/internal/decision/slugplan"
 )
 
 // equal counts equal requests at an endpoint.
--- a/internal/process/slugplan/plan.go
+++ b/internal/decision/slugplan/plan.go
@@ -11,7 +11,7 @@
 	"strings"
 	"time"
 
-	"github.com/sassafraslug/sassafraslug/internal/process/slugname"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugname"
 	"github.com/sassafraslug/sassafraslug/internal/version/slugmanifest"
 )
 
--- a/internal/process/slugqueue/queue.go
+++ b/internal/decision/slugqueue/queue.go
@@ -16,7 +16,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/sassafraslug/sassafraslug/internal/process/slugname"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugname"
 )
 
 // Errors of admission. In all cases the request has not run.
--- a/internal/process/slugqueue/queue_test.go
+++ b/internal/decision/slugqueue/queue_test.go
@@ -7,7 +7,7 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/sassafraslug/sassafraslug/internal/process/slugname"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugname"
 	"gotest.tools/v3/assert"
 )
 
--- a/internal/process/slugsuspect/tracker.go
+++ b/internal/decision/slugsuspect/tracker.go
@@ -21,7 +21,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-	"github.com/sassafraslug/sassafraslug/internal/process/slugname"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugname"
 )
 
 // Fingerprint identifies equal requests of one workspace.
--- a/internal/process/slugfleet/fleet.go
+++ b/internal/fleet/slugfleet/fleet.go
@@ -19,13 +19,13 @@
 	"sync"
 	"time"
 
-	"github.com/sassafraslug/sassafraslug/internal/process/slugbackoff"
-	"github.com/sassafraslug/sassafraslug/internal/process/slugmember"
-	"github.com/sassafraslug/sassafraslug/internal/process/slugname"
-	"github.com/sassafraslug/sassafraslug/internal/process/slugpick"
-	"github.com/sassafraslug/sassafraslug/internal/process/slugplan"
-	"github.com/sassafraslug/sassafraslug/internal/process/slugqueue"
-	"github.com/sassafraslug/sassafraslug/internal/process/slugstore"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugbackoff"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugname"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugstore"
+	"github.com/sassafraslug/sassafraslug/internal/decision/slugpick"
+	"github.com/sassafraslug/sassafraslug/internal/decision/slugplan"
+	"github.com/sassafraslug/sassafraslug/internal/decision/slugqueue"
+	"github.com/sassafraslug/sassafraslug/internal/membership/slugmember"
 	"github.com/sassafraslug/sassafraslug/internal/version/slugmanifest"
 )
 
--- a/internal/process/slugaddress/directory.go
+++ b/internal/membership/slugaddress/directory.go
@@ -11,10 +11,10 @@
 	"sync"
 	"time"
 
-	"github.com/sassafraslug/sassafraslug/internal/process/slugmember"
-	"github.com/sassafraslug/sassafraslug/internal/process/slugname"
-	"github.com/sassafraslug/sassafraslug/internal/process/slugpeer"
-	"github.com/sassafraslug/sassafraslug/internal/process/slugreach"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugname"
+	"github.com/sassafraslug/sassafraslug/internal/membership/slugmember"
+	"github.com/sassafraslug/sassafraslug/internal/membership/slugpeer"
+	"github.com/sassafraslug/sassafraslug/internal/membership/slugreach"
 )
 
 // ShardSize is the number of hosts that one workspace is given.
--- a/internal/process/slugfollow/follower.go
+++ b/internal/membership/slugfollow/follower.go
@@ -16,9 +16,9 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/sassafraslug/sassafraslug/internal/process/slugbackoff"
-	"github.com/sassafraslug/sassafraslug/internal/process/slugevent"
-	"github.com/sassafraslug/sassafraslug/internal/process/slugstore"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugbackoff"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugevent"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugstore"
 	"github.com/sassafraslug/sassafraslug/internal/version/slugconfig"
 	"github.com/sassafraslug/sassafraslug/internal/version/slughead"
 )
--- a/internal/process/slugmember/record.go
+++ b/internal/membership/slugmember/record.go
@@ -19,8 +19,8 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
-	"github.com/sassafraslug/sassafraslug/internal/process/slugname"
-	"github.com/sassafraslug/sassafraslug/internal/process/slugstore"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugname"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugstore"
 )
 
 // Kind tells the daemons apart.
--- a/internal/process/slugpeer/row.go
+++ b/internal/membership/slugpeer/row.go
@@ -17,10 +17,10 @@
 	"context"
 	"time"
 
-	"github.com/sassafraslug/sassafraslug/internal/process/slugmember"
-	"github.com/sassafraslug/sassafraslug/internal/process/slugname"
-	"github.com/sassafraslug/sassafraslug/internal/process/slugstore"
-	"github.com/sassafraslug/sassafraslug/internal/process/slugsuspect"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugname"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugstore"
+	"github.com/sassafraslug/sassafraslug/internal/decision/slugsuspect"
+	"github.com/sassafraslug/sassafraslug/internal/membership/slugmember"
 	"github.com/sassafraslug/sassafraslug/internal/version/slugconfig"
 )
 
--- a/internal/process/slugpeer/table.go
+++ b/internal/membership/slugpeer/table.go
@@ -8,9 +8,9 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/sassafraslug/sassafraslug/internal/process/slugbackoff"
-	"github.com/sassafraslug/sassafraslug/internal/process/slugmember"
-	"github.com/sassafraslug/sassafraslug/internal/process/slugname"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugbackoff"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugname"
+	"github.com/sassafraslug/sassafraslug/internal/membership/slugmember"
 	"github.com/sassafraslug/sassafraslug/internal/version/slugconfig"
 	"golang.org/x/sync/errgroup"
 )
--- a/internal/process/slugreach/reach.go
+++ b/internal/membership/slugreach/reach.go
@@ -16,11 +16,11 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/sassafraslug/sassafraslug/internal/process/slugbackoff"
-	"github.com/sassafraslug/sassafraslug/internal/process/slugevent"
-	"github.com/sassafraslug/sassafraslug/internal/process/slugmember"
-	"github.com/sassafraslug/sassafraslug/internal/process/slugname"
-	"github.com/sassafraslug/sassafraslug/internal/process/slugpeer"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugbackoff"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugevent"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugname"
+	"github.com/sassafraslug/sassafraslug/internal/membership/slugmember"
+	"github.com/sassafraslug/sassafraslug/internal/membership/slugpeer"
 )
 
 const (
--- a/internal/process/slugburnreport/report.go
+++ b/internal/operate/slugburnreport/report.go
@@ -15,8 +15,8 @@
 	"text/tabwriter"
 	"time"
 
-	"github.com/sassafraslug/sassafraslug/internal/process/slugburn"
-	"github.com/sassafraslug/sassafraslug/internal/process/slugoperate"
+	"github.com/sassafraslug/sassafraslug/internal/daemon/slugoperate"
+	"github.com/sassafraslug/sassafraslug/internal/decision/slugburn"
 )
 
 // Table prints one line for each service, workspace, class and objective.
--- a/internal/process/slugcaller/caller.go
+++ b/internal/operate/slugcaller/caller.go
@@ -22,9 +22,9 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/sassafraslug/sassafraslug/internal/process/slugaddress"
-	"github.com/sassafraslug/sassafraslug/internal/process/slugbackoff"
-	"github.com/sassafraslug/sassafraslug/internal/process/slugfault"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugbackoff"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugfault"
+	"github.com/sassafraslug/sassafraslug/internal/membership/slugaddress"
 )
 
 // Config makes a Caller.
--- a/internal/process/slugdemo/deployment.go
+++ b/internal/operate/slugdemo/deployment.go
@@ -11,7 +11,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 
-	"github.com/sassafraslug/sassafraslug/internal/process/slugname"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugname"
 	"github.com/sassafraslug/sassafraslug/internal/version/slugmanifest"
 )
 
--- a/internal/process/slugdemo/names.go
+++ b/internal/operate/slugdemo/names.go
@@ -4,7 +4,7 @@
 	"maps"
 	"slices"
 
-	"github.com/sassafraslug/sassafraslug/internal/process/slugname"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugname"
 )
 
 // sortedNames returns the workspaces in order, so that runs are alike.
--- a/internal/process/slugdemo/promise.go
+++ b/internal/operate/slugdemo/promise.go
@@ -9,8 +9,8 @@
 	"slices"
 	"strings"
 
-	"github.com/sassafraslug/sassafraslug/internal/process/slugoperate"
-	"github.com/sassafraslug/sassafraslug/internal/process/slugreport"
+	"github.com/sassafraslug/sassafraslug/internal/authority/slugreport"
+	"github.com/sassafraslug/sassafraslug/internal/daemon/slugoperate"
 	"github.com/sassafraslug/sassafraslug/internal/standin/slugengine"
 )
 
--- a/internal/process/slugload/load.go
+++ b/internal/operate/slugload/load.go
@@ -20,9 +20,9 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/sassafraslug/sassafraslug/internal/process/slugbackoff"
-	"github.com/sassafraslug/sassafraslug/internal/process/slugcaller"
-	"github.com/sassafraslug/sassafraslug/internal/process/slugname"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugbackoff"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugname"
+	"github.com/sassafraslug/sassafraslug/internal/operate/slugcaller"
 	"github.com/sassafraslug/sassafraslug/internal/standin/slugengine"
 )
 
--- a/internal/process/slugslope/slope.go
+++ b/internal/operate/slugslope/slope.go
@@ -13,7 +13,7 @@
 	"io"
 	"math"
 
-	"github.com/sassafraslug/sassafraslug/internal/process/slugfault"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugfault"
 )
 
 // Config makes a Slope.
--- a/internal/process/slugsystem/bench_test.go
+++ b/internal/operate/slugsystem/bench_test.go
@@ -10,8 +10,8 @@
 	"time"
 
 	"github.com/sassafraslug/sassafraslug/internal/connection/slugstream"
-	"github.com/sassafraslug/sassafraslug/internal/process/slugdemo"
-	"github.com/sassafraslug/sassafraslug/internal/process/slugsystem"
+	"github.com/sassafraslug/sassafraslug/internal/operate/slugdemo"
+	"github.com/sassafraslug/sassafraslug/internal/operate/slugsystem"
 	"github.com/sassafraslug/sassafraslug/internal/request/slugrelay"
 	"github.com/sassafraslug/sassafraslug/internal/standin/slugengine"
 	"github.com/sassafraslug/sassafraslug/internal/standin/slugplatform"
--- a/internal/process/slugsystem/mesh_test.go
+++ b/internal/operate/slugsystem/mesh_test.go
@@ -7,9 +7,9 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/sassafraslug/sassafraslug/internal/process/slugcaller"
-	"github.com/sassafraslug/sassafraslug/internal/process/slugdemo"
-	"github.com/sassafraslug/sassafraslug/internal/process/slugsystem"
+	"github.com/sassafraslug/sassafraslug/internal/operate/slugcaller"
+	"github.com/sassafraslug/sassafraslug/internal/operate/slugdemo"
+	"github.com/sassafraslug/sassafraslug/internal/operate/slugsystem"
 	"github.com/sassafraslug/sassafraslug/internal/standin/slugengine"
 	"github.com/sassafraslug/sassafraslug/internal/standin/slugmesh"
 	"gotest.tools/v3/assert"
--- a/internal/process/slugsystem/promise_authority_test.go
+++ b/internal/operate/slugsystem/promise_authority_test.go
@@ -7,9 +7,9 @@
 	"testing"
 	"time"
 
-	"github.com/sassafraslug/sassafraslug/internal/process/sluglease"
-	"github.com/sassafraslug/sassafraslug/internal/process/slugname"
-	"github.com/sassafraslug/sassafraslug/internal/process/slugsystem"
+	"github.com/sassafraslug/sassafraslug/internal/authority/sluglease"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugname"
+	"github.com/sassafraslug/sassafraslug/internal/operate/slugsystem"
 	"github.com/sassafraslug/sassafraslug/internal/standin/slugplatform"
 	"gotest.tools/v3/assert"
 )
--- a/internal/process/slugsystem/promise_config_test.go
+++ b/internal/operate/slugsystem/promise_config_test.go
@@ -11,8 +11,8 @@
 	"testing"
 	"time"
 
-	"github.com/sassafraslug/sassafraslug/internal/process/slugoperate"
-	"github.com/sassafraslug/sassafraslug/internal/process/slugsystem"
+	"github.com/sassafraslug/sassafraslug/internal/daemon/slugoperate"
+	"github.com/sassafraslug/sassafraslug/internal/operate/slugsystem"
 	"github.com/sassafraslug/sassafraslug/internal/standin/slugplatform"
 	"github.com/sassafraslug/sassafraslug/internal/version/slugconfig"
 	"github.com/sassafraslug/sassafraslug/internal/version/slugmanifest"
--- a/internal/process/slugsystem/promise_request_test.go
+++ b/internal/operate/slugsystem/promise_request_test.go
@@ -12,7 +12,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/sassafraslug/sassafraslug/internal/process/slugcaller"
+	"github.com/sassafraslug/sassafraslug/internal/operate/slugcaller"
 	"github.com/sassafraslug/sassafraslug/internal/standin/slugengine"
 	"github.com/sassafraslug/sassafraslug/internal/standin/slugplatform"
 	"github.com/sassafraslug/sassafraslug/internal/version/slugmanifest"
--- a/internal/process/slugsystem/promise_usage_test.go
+++ b/internal/operate/slugsystem/promise_usage_test.go
@@ -6,8 +6,8 @@
 	"testing"
 	"time"
 
-	"github.com/sassafraslug/sassafraslug/internal/process/slugname"
-	"github.com/sassafraslug/sassafraslug/internal/process/slugsettings"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugname"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugsettings"
 	"github.com/sassafraslug/sassafraslug/internal/standin/slugplatform"
 	"gotest.tools/v3/assert"
 )
--- a/internal/process/slugsystem/session_test.go
+++ b/internal/operate/slugsystem/session_test.go
@@ -9,8 +9,8 @@
 	"testing"
 	"time"
 
-	"github.com/sassafraslug/sassafraslug/internal/process/slugoperate"
-	"github.com/sassafraslug/sassafraslug/internal/process/slugsettings"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugsettings"
+	"github.com/sassafraslug/sassafraslug/internal/daemon/slugoperate"
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/golden"
 )
--- a/internal/request/slugchat/meter.go
+++ b/internal/request/slugchat/meter.go
@@ -5,8 +5,8 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/sassafraslug/sassafraslug/internal/process/slugburn"
-	"github.com/sassafraslug/sassafraslug/internal/process/slugledger"
+	"github.com/sassafraslug/sassafraslug/internal/authority/slugledger"
+	"github.com/sassafraslug/sassafraslug/internal/decision/slugburn"
 	"github.com/sassafraslug/sassafraslug/internal/request/slugrefusal"
 )
 
--- a/internal/request/slugplaincall/send.go
+++ b/internal/request/slugplaincall/send.go
@@ -8,9 +8,9 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/sassafraslug/sassafraslug/internal/authority/slugclaim"
 	"github.com/sassafraslug/sassafraslug/internal/connection/slugsend"
-	"github.com/sassafraslug/sassafraslug/internal/process/slugclaim"
-	"github.com/sassafraslug/sassafraslug/internal/process/slugpick"
+	"github.com/sassafraslug/sassafraslug/internal/decision/slugpick"
 	"github.com/sassafraslug/sassafraslug/internal/request/slugadmit"
 	"github.com/sassafraslug/sassafraslug/internal/request/slugrefusal"
 )
--- a/internal/request/slugrelay/writer.go
+++ b/internal/request/slugrelay/writer.go
@@ -16,7 +16,7 @@
 	"sync"
 	"time"
 
-	"github.com/sassafraslug/sassafraslug/internal/process/slugfault"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugfault"
 	"github.com/sassafraslug/sassafraslug/internal/request/slugrefusal"
 )
 
--- a/internal/standin/slugmesh/mesh.go
+++ b/internal/standin/slugmesh/mesh.go
@@ -19,9 +19,9 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/sassafraslug/sassafraslug/internal/process/slugevent"
-	"github.com/sassafraslug/sassafraslug/internal/process/slugnetwork"
-	"github.com/sassafraslug/sassafraslug/internal/process/slugpeer"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugevent"
+	"github.com/sassafraslug/sassafraslug/internal/daemon/slugnetwork"
+	"github.com/sassafraslug/sassafraslug/internal/membership/slugpeer"
 )
 
 // pair is two hosts in order of name.
--- a/internal/standin/slugmesh/peer.go
+++ b/internal/standin/slugmesh/peer.go
@@ -7,9 +7,9 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/fxamacker/cbor/v2"
-	"github.com/sassafraslug/sassafraslug/internal/process/slugmember"
-	"github.com/sassafraslug/sassafraslug/internal/process/slugname"
-	"github.com/sassafraslug/sassafraslug/internal/process/slugpeer"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugname"
+	"github.com/sassafraslug/sassafraslug/internal/membership/slugmember"
+	"github.com/sassafraslug/sassafraslug/internal/membership/slugpeer"
 )
 
 // peer is a process's end of the message exchange.
--- a/internal/standin/slugscene/engine.go
+++ b/internal/standin/slugscene/engine.go
@@ -3,8 +3,8 @@
 import (
 	"time"
 
-	"github.com/sassafraslug/sassafraslug/internal/process/slugpick"
-	"github.com/sassafraslug/sassafraslug/internal/process/slugplan"
+	"github.com/sassafraslug/sassafraslug/internal/decision/slugpick"
+	"github.com/sassafraslug/sassafraslug/internal/decision/slugplan"
 )
 
 // Engine is a fake engine whose prefill, decoding, batching, cache and KV pieces
--- a/internal/standin/slugscene/load.go
+++ b/internal/standin/slugscene/load.go
@@ -5,9 +5,9 @@
 	"math/rand/v2"
 	"time"
 
-	"github.com/sassafraslug/sassafraslug/internal/process/slugname"
-	"github.com/sassafraslug/sassafraslug/internal/process/slugpick"
-	"github.com/sassafraslug/sassafraslug/internal/process/slugplan"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugname"
+	"github.com/sassafraslug/sassafraslug/internal/decision/slugpick"
+	"github.com/sassafraslug/sassafraslug/internal/decision/slugplan"
 	"github.com/sassafraslug/sassafraslug/internal/version/slugmanifest"
 )
 
--- a/internal/standin/slugscene/measure_test.go
+++ b/internal/standin/slugscene/measure_test.go
@@ -9,8 +9,8 @@
 	"testing"
 	"time"
 
-	"github.com/sassafraslug/sassafraslug/internal/process/slugname"
-	"github.com/sassafraslug/sassafraslug/internal/process/slugplan"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugname"
+	"github.com/sassafraslug/sassafraslug/internal/decision/slugplan"
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/golden"
 )
--- a/internal/standin/slugscene/outcome.go
+++ b/internal/standin/slugscene/outcome.go
@@ -5,7 +5,7 @@
 	"sort"
 	"time"
 
-	"github.com/sassafraslug/sassafraslug/internal/process/slugname"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugname"
 )
 
 // Outcome is what a play measured.
--- a/internal/standin/slugstand/stand.go
+++ b/internal/standin/slugstand/stand.go
@@ -15,7 +15,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/sassafraslug/sassafraslug/internal/process/slugfault"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugfault"
 	"github.com/sassafraslug/sassafraslug/internal/standin/slugengine"
 	"github.com/sassafraslug/sassafraslug/internal/standin/slugplain"
 	"github.com/sassafraslug/sassafraslug/internal/standin/slugplatform"
--- a/internal/version/slugconfig/snapshot.go
+++ b/internal/version/slugconfig/snapshot.go
@@ -16,7 +16,7 @@
 	"slices"
 	"strings"
 
-	"github.com/sassafraslug/sassafraslug/internal/process/slugname"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugname"
 	"github.com/sassafraslug/sassafraslug/internal/version/slugmanifest"
 )
 
--- a/internal/version/slughead/head.go
+++ b/internal/version/slughead/head.go
@@ -17,8 +17,8 @@
 	"sync"
 
 	"github.com/cockroachdb/errors"
-	"github.com/sassafraslug/sassafraslug/internal/process/slugfault"
-	"github.com/sassafraslug/sassafraslug/internal/process/slugstore"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugfault"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugstore"
 	"github.com/sassafraslug/sassafraslug/internal/version/slugconfig"
 	"github.com/sassafraslug/sassafraslug/internal/version/slugmanifest"
 	"golang.org/x/sync/errgroup"
--- a/internal/version/slugmanifest/check.go
+++ b/internal/version/slugmanifest/check.go
@@ -9,7 +9,7 @@
 	"strings"
 
 	"github.com/cockroachdb/errors"
-	"github.com/sassafraslug/sassafraslug/internal/process/slugname"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugname"
 )
 
 // Problem is one error of a manifest.
--- a/internal/version/slugmanifest/manifest.go
+++ b/internal/version/slugmanifest/manifest.go
@@ -13,7 +13,7 @@
 package slugmanifest
 
 import (
-	"github.com/sassafraslug/sassafraslug/internal/process/slugname"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugname"
 )
 
 // Manifest is the whole configuration of the system.
