Read the platform's configuration, entries and objects; let stores have backends

slugstore keeps retries, read-back and watch loop over a backend, lists again when history is gone and tells what disappeared meanwhile. Ages of word count suspensions (slugclock), and word is taken only from answers to own calls.

--- a/internal/base/slugevent/event.go
+++ b/internal/base/slugevent/event.go
@@ -25,6 +25,11 @@
 	StoreAvailable
 	CertificateReloaded
 	CertificateUnusable
+	ProcessStarted
+	ProcessEnded
+	SettingsReloaded
+	SettingsUnusable
+	LinesDropped
 )
 
 // Events of configuration and membership, 200 to 299.
@@ -37,6 +42,12 @@
 	HostReconnected
 	PeerRejected
 	StaleReadIgnored
+	EndpointChanged
+	EndpointGone
+	EndpointUnreadable
+	PeerSilent
+	ConfigurationStale
+	ConfigurationFresh
 )
 
 // Events of duties, 300 to 399.
@@ -55,6 +66,9 @@
 	WindowReported
 	RecordSealed
 	DutyFailed
+	CapacityPlanned
+	UsageFrozen
+	CallFailed
 )
 
 // Events of requests, 400 to 499.
@@ -71,6 +85,11 @@
 	UsageUnwritten
 	BurnAlert
 	ClaimUnsettled
+	RequestServed
+	RequestFailed
+	EndpointChosen
+	AttemptFailed
+	EndpointAvoided
 )
 
 var descriptions = map[Event]Description{
@@ -82,6 +101,11 @@
 	StoreAvailable:          {logrus.InfoLevel, "platform store is available again", "none"},
 	CertificateReloaded:     {logrus.InfoLevel, "certificate reloaded", "none"},
 	CertificateUnusable:     {logrus.ErrorLevel, "certificate cannot be loaded", "mend the files named in the error; the previous certificate stays in use"},
+	ProcessStarted:          {logrus.InfoLevel, "process started", "none"},
+	ProcessEnded:            {logrus.InfoLevel, "process ended", "none"},
+	SettingsReloaded:        {logrus.InfoLevel, "settings read again", "none"},
+	SettingsUnusable:        {logrus.ErrorLevel, "settings cannot be used", "mend the settings named in the error; the previous ones stay in use"},
+	LinesDropped:            {logrus.WarnLevel, "log lines dropped", "none: the fields say how many lines of which event were over the bound"},
 	ConfigurationInForce:    {logrus.InfoLevel, "configuration in force", "none"},
 	ConfigurationUnreadable: {logrus.ErrorLevel, "configuration cannot be read", "apply a corrected manifest; the previous revision stays in force"},
 	ConfigurationApplied:    {logrus.InfoLevel, "configuration applied", "none"},
@@ -90,6 +114,12 @@
 	HostReconnected:         {logrus.InfoLevel, "host is connected again", "none"},
 	PeerRejected:            {logrus.WarnLevel, "peer refused", "compare the certificate hash of the peer with its object in the store"},
 	StaleReadIgnored:        {logrus.WarnLevel, "older version ignored", "look at the platform's replication if it goes on"},
+	EndpointChanged:         {logrus.InfoLevel, "endpoint is new or changed", "none"},
+	EndpointGone:            {logrus.InfoLevel, "endpoint is gone", "none"},
+	EndpointUnreadable:      {logrus.WarnLevel, "entry of an endpoint cannot be read", "look for who wrote the entry named in the error; the endpoint is not used"},
+	PeerSilent:              {logrus.WarnLevel, "peer is silent", "look at the host of the peer"},
+	ConfigurationStale:      {logrus.WarnLevel, "configuration may be out of date, requests with keys are refused", "look at the way to the platform's store and to the peers"},
+	ConfigurationFresh:      {logrus.InfoLevel, "configuration is known to be the newest again", "none"},
 	DutyTaken:               {logrus.InfoLevel, "duty taken", "none"},
 	DutyLost:                {logrus.WarnLevel, "duty lost", "none, unless it goes on: look at pauses of this host"},
 	DutyReleased:            {logrus.InfoLevel, "duty released", "none"},
@@ -104,7 +134,10 @@
 	WindowReported:          {logrus.InfoLevel, "usage window reported", "none"},
 	RecordSealed:            {logrus.WarnLevel, "usage record of a vanished process sealed", "none; the process, if it comes back, carries its rest into the next window"},
 	DutyFailed:              {logrus.WarnLevel, "work of a duty failed", "look at the error; the work is tried again"},
-	RequestRefused:          {logrus.DebugLevel, "request refused", "look at the code"},
+	CapacityPlanned:         {logrus.InfoLevel, "capacity planned", "none"},
+	UsageFrozen:             {logrus.InfoLevel, "figures of a window frozen", "none"},
+	CallFailed:              {logrus.WarnLevel, "call to the platform failed", "look at the platform's interface; the call is made again"},
+	RequestRefused:          {logrus.InfoLevel, "request refused", "look at the code"},
 	StreamResumed:           {logrus.InfoLevel, "answer resumed at the same endpoint", "none"},
 	StreamContinued:         {logrus.InfoLevel, "answer continued at another endpoint", "none"},
 	StreamLost:              {logrus.WarnLevel, "answer could not be finished", "look at the endpoints of the service"},
@@ -115,6 +148,11 @@
 	ConnectionSilent:        {logrus.WarnLevel, "connection went silent", "look at what stands between the hosts"},
 	UsageUnwritten:          {logrus.WarnLevel, "usage record not written", "look at the store; totals are kept and written later"},
 	ClaimUnsettled:          {logrus.WarnLevel, "outcome of a claimed call not stored", "look at the store; later uses of the key are told that the outcome is unknown"},
+	RequestServed:           {logrus.InfoLevel, "request served", "none"},
+	RequestFailed:           {logrus.WarnLevel, "request failed", "look at the lines of the same request"},
+	EndpointChosen:          {logrus.DebugLevel, "endpoint chosen", "none"},
+	AttemptFailed:           {logrus.WarnLevel, "attempt at an endpoint failed", "look at the endpoint if it goes on"},
+	EndpointAvoided:         {logrus.WarnLevel, "endpoint is avoided for a while", "look at the endpoint"},
 	BurnAlert:               {logrus.WarnLevel, "service level is burning", "run sassafraslug burn"},
 }
 
--- a/internal/base/slugstore/store.go
+++ b/internal/base/slugstore/store.go
@@ -13,14 +13,11 @@
 package slugstore
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"expvar"
 	"fmt"
-	"io"
 	"net/http"
-	"strconv"
 	"sync"
 	"time"
 
@@ -67,6 +64,8 @@
 	ErrUnknown = errors.New("outcome of the write is unknown")
 	// ErrStale says that a read was older than an earlier one.
 	ErrStale = errors.New("read is older than an earlier one")
+	// ErrHistory says that the store no longer has the changes since a version.
+	ErrHistory = errors.New("changes since the version are gone")
 )
 
 // Times and limits of store calls.
@@ -79,8 +78,6 @@
 	retryCap = time.Second
 	// retryRatio is the number of retries earned by a call.
 	retryRatio = 0.5
-	// maxAnswerBytes bounds an answer that is read.
-	maxAnswerBytes = 64 << 20
 )
 
 // Config makes a Store.
@@ -89,6 +86,9 @@
 	BaseURL string
 	// Do performs a request.
 	Do func(*http.Request) (*http.Response, error)
+	// Backend speaks the protocol of the store; nil means the product's own over
+	// Do at BaseURL.
+	Backend *Backend
 	// NewChangeID returns a fresh id.
 	NewChangeID func() ChangeID
 	// Counts takes the number of calls by duty and kind; nil counts nowhere.
@@ -116,6 +116,9 @@
 	if cfg.NewChangeID == nil {
 		cfg.NewChangeID = RandomChangeID
 	}
+	if cfg.Backend == nil {
+		cfg.Backend = newHTTPBackend(cfg.BaseURL, cfg.Do)
+	}
 	return &Store{cfg: cfg, duty: "process", shared: &shared{
 		retries: slugbackoff.New(slugbackoff.Config{Base: retryBase, Cap: retryCap, Ratio: retryRatio, Burst: 50}),
 		seen:    map[string]Version{},
@@ -152,21 +155,18 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	s.count("get")
-	status, header, body, err := s.do(ctx, http.MethodGet, "/store/objects/"+name, 0, nil)
+	v, err := s.cfg.Backend.Get(ctx, name)
 	if err != nil {
 		return Object{}, err
 	}
-	if status != http.StatusOK && status != http.StatusNotFound {
-		return Object{}, errors.Wrapf(ErrUnavailable, "status %d", status)
-	}
-	version := parseVersion(header)
-	if !s.advance(name, version) {
-		return Object{}, errors.Wrapf(ErrStale, "version %d", version)
+	s.answered()
+	if !s.advance(name, v.Version) {
+		return Object{}, errors.Wrapf(ErrStale, "version %d", v.Version)
 	}
-	if status == http.StatusNotFound {
+	if v.Bytes == nil {
 		return Object{Name: name}, nil
 	}
-	return decode(name, version, body)
+	return decode(name, v.Version, v.Bytes)
 }
 
 func decode(name string, v Version, body []byte) (Object, error) {
@@ -207,21 +207,21 @@
 	if err != nil {
 		return 0, slugfault.Wrap(err, "encode "+name, "")
 	}
-	return s.write(ctx, http.MethodPut, name, expected, value, id)
+	return s.write(ctx, name, expected, value, id)
 }
 
 // Delete removes an object if its version is still expected.
 func (s *Store) Delete(ctx context.Context, name string, expected Version) error {
-	_, err := s.write(ctx, http.MethodDelete, name, expected, nil, "")
+	_, err := s.write(ctx, name, expected, nil, "")
 	return err
 }
 
-func (s *Store) write(ctx context.Context, method, name string, expected Version, value []byte, id ChangeID) (Version, error) {
+func (s *Store) write(ctx context.Context, name string, expected Version, value []byte, id ChangeID) (Version, error) {
 	var version Version
 	sent := false
 	err := s.retry(ctx, func() error {
 		var err error
-		version, err = s.writeOnce(ctx, method, name, expected, value)
+		version, err = s.writeOnce(ctx, name, expected, value)
 		if err == nil {
 			return nil
 		}
@@ -239,25 +239,19 @@
 	return version, slugfault.Wrap(err, "put "+name, s.cfg.BaseURL)
 }
 
-func (s *Store) writeOnce(ctx context.Context, method, name string, expected Version, value []byte) (Version, error) {
+func (s *Store) writeOnce(ctx context.Context, name string, expected Version, value []byte) (Version, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	s.count("put")
-	status, header, body, err := s.do(ctx, method, "/store/objects/"+name, expected, value)
+	v, err := s.cfg.Backend.Write(ctx, name, expected, value)
+	if err == nil || errors.Is(err, ErrConflict) {
+		s.answered()
+	}
 	if err != nil {
 		return 0, err
 	}
-	switch status {
-	case http.StatusOK:
-		v := parseVersion(header)
-		s.advance(name, v)
-		return v, nil
-	case http.StatusConflict:
-		return 0, errors.Wrapf(ErrConflict, "version %d", parseVersion(header))
-	case http.StatusRequestEntityTooLarge, http.StatusBadRequest:
-		return 0, errors.Wrapf(ErrConflict, "refused: %s", bytes.TrimSpace(body))
-	}
-	return 0, errors.Wrapf(ErrUnavailable, "status %d", status)
+	s.advance(name, v)
+	return v, nil
 }
 
 // settle reads an object back after a write without a clear answer.
@@ -295,29 +289,6 @@
 	}
 }
 
-func (s *Store) do(ctx context.Context, method, path string, expected Version, value []byte) (int, http.Header, []byte, error) {
-	r, err := http.NewRequestWithContext(ctx, method, s.cfg.BaseURL+path, bytes.NewReader(value))
-	if err != nil {
-		return 0, nil, nil, slugfault.Wrap(err, "make request", s.cfg.BaseURL)
-	}
-	if method != http.MethodGet {
-		r.Header.Set("If-Version", strconv.FormatUint(uint64(expected), 10))
-	}
-	resp, err := s.cfg.Do(r)
-	if err != nil {
-		return 0, nil, nil, errors.Mark(err, ErrUnavailable)
-	}
-	defer func() { _ = resp.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
-	if err != nil {
-		return 0, nil, nil, errors.Mark(err, ErrUnavailable)
-	}
-	if resp.StatusCode < http.StatusInternalServerError {
-		s.answered()
-	}
-	return resp.StatusCode, resp.Header, body, nil
-}
-
 func (s *Store) answered() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -329,8 +300,3 @@
 		s.cfg.Counts.Add(fmt.Sprintf("%s.%s", s.duty, kind), 1)
 	}
 }
-
-func parseVersion(h http.Header) Version {
-	v, _ := strconv.ParseUint(h.Get("Object-Version"), 10, 64)
-	return Version(v)
-}
--- a/internal/base/slugstore/watch.go
+++ b/internal/base/slugstore/watch.go
@@ -4,79 +4,58 @@
 	"context"
 	"crypto/rand"
 	"encoding/hex"
-	"encoding/json"
-	"fmt"
-	"net/http"
-	"net/url"
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugclock"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugfault"
 )
 
-// listAnswer is the answer to a list call.
-type listAnswer struct {
-	Revision Version `json:"revision"`
-	Objects  []struct {
-		Name    string  `json:"name"`
-		Version Version `json:"version"`
-		Value   []byte  `json:"value"`
-		Deleted bool    `json:"deleted"`
-	} `json:"objects"`
-}
-
 // List reads all objects whose names begin with prefix, in order of name.
 func (s *Store) List(ctx context.Context, prefix string) ([]Object, error) {
-	var objects []Object
+	var l Listing
 	err := s.retry(ctx, func() error {
-		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
-		defer cancel()
 		var err error
-		s.count("list")
-		objects, _, err = s.list(callCtx, prefix, 0, "")
+		l, err = s.list(ctx, prefix)
 		return err
 	})
-	return objects, slugfault.Wrap(err, "list "+prefix, s.cfg.BaseURL)
-}
-
-func (s *Store) list(ctx context.Context, prefix string, after Version, wait string) ([]Object, Version, error) {
-	q := url.Values{"prefix": {prefix}}
-	if wait != "" {
-		q.Set("after", fmt.Sprint(uint64(after)))
-		q.Set("waitMs", wait)
-	}
-	status, _, body, err := s.do(ctx, http.MethodGet, "/store/list?"+q.Encode(), 0, nil)
 	if err != nil {
-		return nil, after, err
-	}
-	if status == http.StatusNotModified {
-		return nil, after, nil
+		return nil, slugfault.Wrap(err, "list "+prefix, s.cfg.BaseURL)
 	}
-	if status != http.StatusOK {
-		return nil, after, errors.Wrapf(ErrUnavailable, "status %d", status)
-	}
-	var answer listAnswer
-	if err := json.Unmarshal(body, &answer); err != nil {
-		return nil, after, slugfault.Wrap(err, "decode list "+prefix, s.cfg.BaseURL)
-	}
-	if answer.Revision < after {
-		return nil, after, errors.Wrapf(ErrStale, "revision %d", answer.Revision)
+	return s.decodeAll(l.Values, decode)
+}
+
+func (s *Store) list(ctx context.Context, prefix string) (Listing, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	s.count("list")
+	l, err := s.cfg.Backend.List(ctx, prefix)
+	if err == nil {
+		s.answered()
 	}
-	objects, err := s.decodeList(answer)
-	return objects, answer.Revision, err
+	return l, err
 }
 
-func (s *Store) decodeList(answer listAnswer) ([]Object, error) {
-	objects := make([]Object, 0, len(answer.Objects))
-	for _, x := range answer.Objects {
+// decoder reads an object's value.
+type decoder func(name string, v Version, value []byte) (Object, error)
+
+// decodeForeign takes the value of an object that this system did not write.
+func decodeForeign(name string, v Version, value []byte) (Object, error) {
+	return Object{Name: name, Version: v, Body: value}, nil
+}
+
+// decodeAll leaves out objects older than what was seen of them before.
+func (s *Store) decodeAll(values []Value, f decoder) ([]Object, error) {
+	objects := make([]Object, 0, len(values))
+	for _, x := range values {
 		if !s.advance(x.Name, x.Version) {
 			continue
 		}
-		if x.Deleted {
+		if x.Bytes == nil {
 			objects = append(objects, Object{Name: x.Name, Version: x.Version})
 			continue
 		}
-		o, err := decode(x.Name, x.Version, x.Value)
+		o, err := f(x.Name, x.Version, x.Bytes)
 		if err != nil {
 			return nil, err
 		}
@@ -89,6 +68,8 @@
 type Watcher struct {
 	// Prefix selects the objects.
 	Prefix string
+	// Foreign tells that others write the objects, whose values have no change id.
+	Foreign bool
 	// Wait returns how long the next call may wait for a change; nil means
 	// DefaultWait. A shorter wait tells sooner that the store still answers.
 	Wait func() time.Duration
@@ -96,6 +77,9 @@
 	// all of them. A removed object has a nil Body. It is called without objects
 	// when the store answered that nothing changed.
 	Changed func([]Object)
+	// Current is called before Changed with an instant at which the store had no
+	// change beyond those that Changed is about to tell; it may be nil.
+	Current func(slugclock.Instant)
 	// Lost is called with each failed try; it may be nil.
 	Lost func(error)
 }
@@ -103,47 +87,120 @@
 // DefaultWait is the longest wait of one watch call.
 const DefaultWait = 30 * time.Second
 
-// Watch follows the objects under a prefix until ctx ends.
+// watch is the state of one Watch.
+type watch struct {
+	Watcher
+	after  Version
+	synced bool
+	// known are the objects that exist as far as the watcher was told.
+	known map[string]bool
+}
+
+// Watch follows the objects under a prefix until ctx ends. When the store has
+// dropped the changes since the last answer, it reads all objects again, and tells
+// those that are gone as removed.
 func (s *Store) Watch(ctx context.Context, w Watcher) error {
-	var after Version
-	synced := false
+	x := &watch{Watcher: w, known: map[string]bool{}}
 	for failures := 0; ctx.Err() == nil; {
-		objects, revision, err := s.watchOnce(ctx, w, after, synced)
-		if err != nil {
-			if ctx.Err() != nil {
-				break
-			}
-			if w.Lost != nil {
-				w.Lost(slugfault.Wrap(err, "watch "+w.Prefix, s.cfg.BaseURL))
+		objects, at, err := s.watchOnce(ctx, x)
+		if err == nil {
+			failures = 0
+			if w.Current != nil {
+				w.Current(at)
 			}
-			_ = s.retries.Wait(ctx, failures)
-			failures++
+			w.Changed(objects)
 			continue
 		}
-		failures = 0
-		synced = true
-		after = revision
-		w.Changed(objects)
+		if ctx.Err() != nil {
+			break
+		}
+		if w.Lost != nil {
+			w.Lost(slugfault.Wrap(err, "watch "+w.Prefix, s.cfg.BaseURL))
+		}
+		_ = s.retries.Wait(ctx, failures)
+		failures++
 	}
 	return nil
 }
 
-func (s *Store) watchOnce(ctx context.Context, w Watcher, after Version, synced bool) ([]Object, Version, error) {
+// watchOnce makes one call. at is an instant at which the answer was the present
+// state for certain.
+func (s *Store) watchOnce(ctx context.Context, x *watch) (objects []Object, at slugclock.Instant, err error) {
+	f := decode
+	if x.Foreign {
+		f = decodeForeign
+	}
+	at = slugclock.Now()
+	if !x.synced {
+		l, err := s.list(ctx, x.Prefix)
+		if err != nil {
+			return nil, at, err
+		}
+		x.synced, x.after = true, l.Revision
+		objects, err = s.decodeAll(l.Values, f)
+		return x.relisted(l.Values, objects), at, err
+	}
 	wait := DefaultWait
-	if w.Wait != nil {
-		wait = w.Wait()
+	if x.Wait != nil {
+		wait = x.Wait()
 	}
-	if !synced {
-		wait = 0
+	l, err := s.waitForChange(ctx, x, wait)
+	if err != nil {
+		return nil, at, err
+	}
+	if len(l.Values) == 0 && slugclock.Since(at) >= wait {
+		// The store looked again at the end of the wait.
+		at = at.Add(wait)
 	}
+	objects, err = s.decodeAll(l.Values, f)
+	x.told(objects)
+	return objects, at, err
+}
+
+func (s *Store) waitForChange(ctx context.Context, x *watch, wait time.Duration) (Listing, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+callTimeout)
 	defer cancel()
-	if !synced {
-		s.count("list")
-		return s.list(ctx, w.Prefix, 0, "")
-	}
 	s.count("watch")
-	return s.list(ctx, w.Prefix, after, fmt.Sprint(wait.Milliseconds()))
+	l, err := s.cfg.Backend.Watch(ctx, x.Prefix, x.after, wait)
+	if errors.Is(err, ErrHistory) {
+		x.synced = false
+	}
+	if err != nil {
+		return l, err
+	}
+	if l.Revision < x.after {
+		return l, errors.Wrapf(ErrStale, "revision %d", l.Revision)
+	}
+	s.answered()
+	x.after = l.Revision
+	return l, nil
+}
+
+// relisted returns the objects of a full list and the removal of those that it no
+// longer has.
+func (x *watch) relisted(values []Value, objects []Object) []Object {
+	listed := make(map[string]bool, len(values))
+	for _, v := range values {
+		listed[v.Name] = true
+	}
+	for name := range x.known {
+		if !listed[name] {
+			objects = append(objects, Object{Name: name})
+		}
+	}
+	x.known = listed
+	return objects
+}
+
+// told notes which objects exist.
+func (x *watch) told(objects []Object) {
+	for _, o := range objects {
+		if o.Body == nil {
+			delete(x.known, o.Name)
+		} else {
+			x.known[o.Name] = true
+		}
+	}
 }
 
 // changeIDBytes is the length of a random change id before encoding.
--- a/internal/connection/sluglink/link_test.go
+++ b/internal/connection/sluglink/link_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugclock"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugevent"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugname"
 	"github.com/sassafraslug/sassafraslug/internal/membership/slugmember"
@@ -72,7 +73,7 @@
 		if err != nil {
 			return
 		}
-		table := slugpeer.New(slugpeer.Config{Self: slugmember.Record{Process: "self"}, Word: time.Now, Peers: func() []slugmember.Record { return nil }})
+		table := slugpeer.New(slugpeer.Config{Self: slugmember.Record{Process: "self"}, Word: slugclock.Now, Peers: func() []slugmember.Record { return nil }})
 		before := table.Self()
 		table.Serve("peer", m)
 		assert.Equal(t, table.Self().Process, before.Process, "no message changes the own row")
--- a/internal/daemon/slugcontrol/api.go
+++ b/internal/daemon/slugcontrol/api.go
@@ -16,6 +16,7 @@
 	"github.com/sassafraslug/sassafraslug/internal/authority/slugledger"
 	"github.com/sassafraslug/sassafraslug/internal/authority/slugreport"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugbackoff"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugclock"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugevent"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugname"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugstore"
@@ -132,7 +133,7 @@
 	}
 	revision, _ := h.Find(id)
 	c.log.Emit(slugevent.ConfigurationApplied, slugevent.Fields{"revision": revision, "change": id})
-	c.Follower.Heard(revision, time.Now())
+	c.Follower.Heard(revision, slugclock.Now())
 	writeJSON(w, http.StatusOK, c.await(r.Context(), id, revision))
 }
 
@@ -204,13 +205,12 @@
 func (c *Control) getStatus(w http.ResponseWriter, r *http.Request) {
 	_, answers := c.Follower.Word()
 	x := slugoperate.Status{Revision: c.Follower.Revision(), StoreAnswers: answers, Processes: []slugoperate.ProcessStatus{}, Plans: []slugplan.Plan{}}
-	now := time.Now()
 	for _, s := range c.Table.Statuses() {
 		record, _ := c.Member.Record(s.Process)
 		record.Process, record.Kind, record.Host = s.Process, s.Kind, s.Host
 		x.Processes = append(x.Processes, slugoperate.ProcessStatus{
 			Record: record, Alive: s.Alive, Leaving: s.Leaving, Revision: s.Revision,
-			WordAgeMs: now.Sub(s.Word).Milliseconds(), StoreLost: s.StoreLost,
+			WordAgeMs: slugclock.Since(s.Word).Milliseconds(), StoreLost: s.StoreLost,
 		})
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), callTimeout)
--- a/internal/daemon/slugworld/world.go
+++ b/internal/daemon/slugworld/world.go
@@ -19,6 +19,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugbackoff"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugclock"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugevent"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugname"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugsettings"
@@ -141,7 +142,7 @@
 func (w *World) newTable() *slugpeer.Table {
 	return slugpeer.New(slugpeer.Config{
 		Self: w.Member.Self(), Call: w.Link.Call, Peers: w.Member.Records,
-		Word: func() time.Time {
+		Word: func() slugclock.Instant {
 			word, _ := w.Follower.Word()
 			return word
 		},
--- /dev/null
+++ b/internal/fleet/slugregistry/registry.go
@@ -0,0 +1,249 @@
+// Package slugregistry knows the endpoints that have registered in the platform's
+// store.
+//
+// An entry that disappears ends its endpoint at once, except shortly after the store
+// was away: entries that lapsed meanwhile come back, so they are kept for a while.
+//
+// # Usage
+//
+//	r := slugregistry.New(slugregistry.Config{Decode: decode, Changed: changed, Log: log})
+//	go store.Watch(ctx, slugstore.Watcher{Prefix: "servers/", Foreign: true, Changed: r.Take, Lost: r.Lost})
+//	for _, e := range r.Endpoints("assistant") { ... }
+package slugregistry
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/sassafraslug/sassafraslug/internal/base/slugevent"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugname"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugstore"
+	"github.com/sassafraslug/sassafraslug/internal/decision/slugplan"
+)
+
+// Incarnation tells the starts of an endpoint apart.
+type Incarnation int64
+
+// Endpoint is what an endpoint says of itself.
+type Endpoint struct {
+	Name        slugname.Endpoint
+	Incarnation Incarnation
+	Service     slugname.Service
+	Address     string
+	DataCentre  slugname.DataCentre
+	// Role is empty for plain services.
+	Role  slugplan.Role
+	Slots int
+	// Leaving endpoints take no new requests.
+	Leaving bool
+	// Cheap endpoints may be reclaimed.
+	Cheap bool
+	// Orders is the number of orders that the endpoint has accepted.
+	Orders int64
+	// Slow is how long the endpoint remains slow after its start.
+	Slow time.Duration
+}
+
+// Config makes a Registry.
+type Config struct {
+	// Decode reads an entry.
+	Decode func(slugstore.Object) (Endpoint, error)
+	// Changed is called after endpoints came, went or changed, with the services
+	// concerned; it may be nil.
+	Changed func([]slugname.Service)
+	Log     *slugevent.Log
+}
+
+const (
+	// absenceGrace is how long after the store's return an entry may still be missing
+	// though its endpoint lives.
+	absenceGrace = 2500 * time.Millisecond
+	// lossMemory is how long after the last failed call an entry's disappearance is
+	// put down to the store's absence.
+	lossMemory = 6 * time.Second
+)
+
+// Registry holds the endpoints of all services.
+type Registry struct {
+	cfg Config
+
+	mu        sync.RWMutex
+	endpoints map[slugname.Endpoint]Endpoint
+	services  map[slugname.Service][]Endpoint
+	// absent are endpoints without an entry, with the end of their grace.
+	absent map[slugname.Endpoint]time.Time
+	// lost is when the store last failed to answer.
+	lost time.Time
+	// synced tells that the store has been read once.
+	synced bool
+}
+
+// New returns a Registry without endpoints.
+func New(cfg Config) *Registry {
+	if cfg.Changed == nil {
+		cfg.Changed = func([]slugname.Service) {}
+	}
+	return &Registry{
+		cfg: cfg, endpoints: map[slugname.Endpoint]Endpoint{}, services: map[slugname.Service][]Endpoint{},
+		absent: map[slugname.Endpoint]time.Time{},
+	}
+}
+
+// Endpoints returns the endpoints of a service in order of name. The result must not
+// be changed.
+func (r *Registry) Endpoints(s slugname.Service) []Endpoint {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	return r.services[s]
+}
+
+// Services returns the names of all services that have endpoints.
+func (r *Registry) Services() []slugname.Service {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	out := make([]slugname.Service, 0, len(r.services))
+	for s := range r.services {
+		out = append(out, s)
+	}
+	slices.Sort(out)
+	return out
+}
+
+// Synced reports whether the store has been read once.
+func (r *Registry) Synced() bool {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	return r.synced
+}
+
+// Lost notes that the store did not answer.
+func (r *Registry) Lost(error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.lost = time.Now()
+}
+
+// Take takes entries that are new, changed or gone.
+func (r *Registry) Take(objects []slugstore.Object) {
+	now := time.Now()
+	changed := map[slugname.Service]bool{}
+	r.mu.Lock()
+	r.synced = true
+	for _, o := range objects {
+		r.take(o, now, changed)
+	}
+	r.sweep(now, changed)
+	r.index(changed)
+	r.mu.Unlock()
+	r.tell(changed)
+}
+
+// Sweep ends the endpoints whose grace is over.
+func (r *Registry) Sweep() {
+	changed := map[slugname.Service]bool{}
+	r.mu.Lock()
+	r.sweep(time.Now(), changed)
+	r.index(changed)
+	r.mu.Unlock()
+	r.tell(changed)
+}
+
+func (r *Registry) tell(changed map[slugname.Service]bool) {
+	if len(changed) == 0 {
+		return
+	}
+	var list []slugname.Service
+	for s := range changed {
+		list = append(list, s)
+	}
+	slices.Sort(list)
+	r.cfg.Changed(list)
+}
+
+// nameOf returns the endpoint of an entry.
+func nameOf(o slugstore.Object) slugname.Endpoint {
+	for i := range len(o.Name) {
+		if o.Name[i] == '/' {
+			return slugname.Endpoint(o.Name[i+1:])
+		}
+	}
+	return slugname.Endpoint(o.Name)
+}
+
+// take takes one entry; r.mu is held.
+func (r *Registry) take(o slugstore.Object, now time.Time, changed map[slugname.Service]bool) {
+	name := nameOf(o)
+	old, known := r.endpoints[name]
+	if o.Body == nil {
+		if known {
+			r.absence(name, old, now, changed)
+		}
+		return
+	}
+	e, err := r.cfg.Decode(o)
+	if err != nil {
+		r.cfg.Log.Error(slugevent.EndpointUnreadable, err, slugevent.Fields{"endpoint": name, "version": o.Version})
+		if known {
+			r.remove(name, old, "its entry cannot be read", changed)
+		}
+		return
+	}
+	delete(r.absent, name)
+	if known && old == e {
+		return
+	}
+	r.endpoints[name] = e
+	changed[e.Service] = true
+	if known && old.Service != e.Service {
+		changed[old.Service] = true
+	}
+	r.cfg.Log.Emit(slugevent.EndpointChanged, slugevent.Fields{
+		"endpoint": name, "service": e.Service, "dataCentre": e.DataCentre, "address": e.Address, "role": e.Role,
+		"leaving": e.Leaving, "cheap": e.Cheap, "incarnation": e.Incarnation, "orders": e.Orders, "version": o.Version,
+	})
+}
+
+// absence ends an endpoint, at once or after its grace; r.mu is held.
+func (r *Registry) absence(name slugname.Endpoint, old Endpoint, now time.Time, changed map[slugname.Service]bool) {
+	if now.Sub(r.lost) < lossMemory && !old.Leaving {
+		r.absent[name] = now.Add(absenceGrace)
+		return
+	}
+	r.remove(name, old, "its entry is gone", changed)
+}
+
+func (r *Registry) remove(name slugname.Endpoint, old Endpoint, reason string, changed map[slugname.Service]bool) {
+	delete(r.endpoints, name)
+	delete(r.absent, name)
+	changed[old.Service] = true
+	r.cfg.Log.Emit(slugevent.EndpointGone, slugevent.Fields{"endpoint": name, "service": old.Service, "reason": reason})
+}
+
+func (r *Registry) sweep(now time.Time, changed map[slugname.Service]bool) {
+	for name, until := range r.absent {
+		if now.Before(until) {
+			continue
+		}
+		r.remove(name, r.endpoints[name], "its entry did not come back", changed)
+	}
+}
+
+// index rebuilds the lists of changed services; r.mu is held.
+func (r *Registry) index(changed map[slugname.Service]bool) {
+	for s := range changed {
+		var list []Endpoint
+		for _, e := range r.endpoints {
+			if e.Service == s {
+				list = append(list, e)
+			}
+		}
+		slices.SortFunc(list, func(a, b Endpoint) int { return cmp.Compare(a.Name, b.Name) })
+		if len(list) == 0 {
+			delete(r.services, s)
+		} else {
+			r.services[s] = list
+		}
+	}
+}
--- a/internal/membership/slugaddress/directory.go
+++ b/internal/membership/slugaddress/directory.go
@@ -11,6 +11,7 @@
 	"sync"
 	"time"
 
+	"github.com/sassafraslug/sassafraslug/internal/base/slugclock"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugname"
 	"github.com/sassafraslug/sassafraslug/internal/membership/slugmember"
 	"github.com/sassafraslug/sassafraslug/internal/membership/slugpeer"
@@ -111,13 +112,12 @@
 	var all []gate
 	fresh := false
 	leaving := d.leavingHosts()
-	now := time.Now()
 	for _, s := range d.cfg.Statuses() {
 		r, ok := d.cfg.Record(s.Process)
 		if !ok || s.Kind != slugmember.KindGate || !s.Alive || s.Leaving || leaving[s.Host] {
 			continue
 		}
-		g := gate{r, now.Sub(s.Word) < slugreach.FreshnessBound}
+		g := gate{r, slugclock.Since(s.Word) < slugreach.FreshnessBound}
 		if s.Process == d.cfg.Self.Process && d.cfg.CutOff() {
 			g.fresh = false
 		}
--- a/internal/membership/slugfollow/follower.go
+++ b/internal/membership/slugfollow/follower.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"github.com/sassafraslug/sassafraslug/internal/base/slugbackoff"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugclock"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugevent"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugstore"
 	"github.com/sassafraslug/sassafraslug/internal/version/slugconfig"
@@ -58,7 +59,7 @@
 	// head is the head of the snapshot in force.
 	head slughead.Head
 	// word is when the store was last known to have no newer revision.
-	word time.Time
+	word slugclock.Instant
 	// storeOK tells whether the last call to the store succeeded.
 	storeOK bool
 }
@@ -84,7 +85,7 @@
 
 // Word returns the last time at which the revision in force was known to be the
 // newest, directly or through a peer, and whether the store answers.
-func (f *Follower) Word() (time.Time, bool) {
+func (f *Follower) Word() (slugclock.Instant, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.word, f.storeOK
@@ -105,7 +106,7 @@
 }
 
 // Heard takes a peer's word that r was the newest revision at a time.
-func (f *Follower) Heard(r slugconfig.Revision, at time.Time) {
+func (f *Follower) Heard(r slugconfig.Revision, at slugclock.Instant) {
 	if f.Revision() >= r {
 		f.fresh(at)
 		return
@@ -122,7 +123,7 @@
 	}
 }
 
-func (f *Follower) fresh(at time.Time) {
+func (f *Follower) fresh(at slugclock.Instant) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if at.After(f.word) {
@@ -179,7 +180,7 @@
 		}
 	}
 	if len(objects) == 0 && f.Revision() >= slugconfig.Revision(f.wanted.Load()) {
-		f.fresh(time.Now())
+		f.fresh(slugclock.Now())
 	}
 }
 
@@ -199,7 +200,7 @@
 
 func (f *Follower) loadHead(ctx context.Context, h slughead.Head) {
 	for h.Revision > f.Revision() {
-		at := time.Now()
+		at := slugclock.Now()
 		s, err := f.loader.Load(ctx, h)
 		if err == nil {
 			f.force(h, s, at)
@@ -213,7 +214,7 @@
 		_ = slugbackoff.Sleep(ctx, retryDelay)
 	}
 	if h.Revision == f.Revision() {
-		f.fresh(time.Now())
+		f.fresh(slugclock.Now())
 	}
 }
 
@@ -226,7 +227,7 @@
 	if f.cfg.FromPeer == nil || want <= f.Revision() {
 		return
 	}
-	at := time.Now()
+	at := slugclock.Now()
 	b, err := f.cfg.FromPeer(ctx, want)
 	if err != nil || b.Head.Revision < want {
 		return
@@ -248,7 +249,7 @@
 }
 
 // force puts a snapshot into force unless a newer one is.
-func (f *Follower) force(h slughead.Head, s *slugconfig.Snapshot, at time.Time) {
+func (f *Follower) force(h slughead.Head, s *slugconfig.Snapshot, at slugclock.Instant) {
 	f.mu.Lock()
 	if s.Revision <= f.Revision() {
 		f.mu.Unlock()
--- a/internal/membership/slugpeer/row.go
+++ b/internal/membership/slugpeer/row.go
@@ -50,6 +50,43 @@
 	Busy map[slugname.Endpoint]uint32 `cbor:"12,keyasint,omitempty"`
 	// Released counts the duties that the process has released.
 	Released uint32 `cbor:"13,keyasint,omitempty"`
+	// Loads is the process's own work at endpoints.
+	Loads map[slugname.Endpoint]Load `cbor:"14,keyasint,omitempty"`
+	// Started are the requests that began to run, by accounting window.
+	Started []WindowCount `cbor:"15,keyasint,omitempty"`
+	// Demand of services, in units of endpoints kept busy.
+	Work map[slugname.Service]Work `cbor:"16,keyasint,omitempty"`
+	// Draining are endpoints that the process knows to leave.
+	Draining []slugname.Endpoint `cbor:"17,keyasint,omitempty"`
+}
+
+// Load is a process's own work at one endpoint.
+type Load struct {
+	_ struct{} `cbor:",toarray"`
+	// PrefillTokens are prompt tokens still to be processed.
+	PrefillTokens uint32
+	// Streams are requests that run or wait.
+	Streams uint32
+	// CacheTokens are the tokens of KV cache that they need.
+	CacheTokens uint32
+}
+
+// Work is what a process's callers asked of a service lately, a second.
+type Work struct {
+	_ struct{} `cbor:",toarray"`
+	// PrefillTokens are prompt tokens that had to be processed.
+	PrefillTokens float32
+	// Streams is the mean number of answers under way.
+	Streams float32
+	// Refused is the number of requests turned away.
+	Refused float32
+}
+
+// WindowCount is the number of requests that began to run in an accounting window.
+type WindowCount struct {
+	_      struct{} `cbor:",toarray"`
+	Window int64
+	Counts map[slugname.Workspace]uint32
 }
 
 // Entry is one row's state in a digest.
--- a/internal/membership/slugpeer/table.go
+++ b/internal/membership/slugpeer/table.go
@@ -9,6 +9,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugbackoff"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugclock"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugname"
 	"github.com/sassafraslug/sassafraslug/internal/membership/slugmember"
 	"github.com/sassafraslug/sassafraslug/internal/version/slugconfig"
@@ -23,16 +24,18 @@
 	// Peers returns all known processes.
 	Peers func() []slugmember.Record
 	// Word returns when this process last had word of the newest configuration.
-	Word func() time.Time
+	Word func() slugclock.Instant
 	// Heard is called for each row that is new or changed; it may be nil.
 	Heard func(Row)
 	// HeardWord is called with each peer's revision and the time of its word; it
 	// may be nil.
-	HeardWord func(slugconfig.Revision, time.Time)
+	HeardWord func(slugconfig.Revision, slugclock.Instant)
 	// Bundle encodes the configuration in force for a peer; it may be nil.
 	Bundle func() []byte
 	// Fanout is the number of peers called a round.
 	Fanout int
+	// Every is the time between rounds; 0 means Round.
+	Every time.Duration
 }
 
 // Times of the exchange.
@@ -62,7 +65,7 @@
 	// heardAt is when the heartbeat last grew.
 	heardAt time.Time
 	// word is when the owner last had word.
-	word time.Time
+	word slugclock.Instant
 }
 
 // Table holds the rows of all processes.
@@ -79,6 +82,9 @@
 	if cfg.Fanout == 0 {
 		cfg.Fanout = defaultFanout
 	}
+	if cfg.Every == 0 {
+		cfg.Every = Round
+	}
 	t := &Table{cfg: cfg, self: slugmember.IDOf(cfg.Self.Process), rows: map[slugmember.ID]*held{}}
 	t.rows[t.self] = &held{version: 1, row: Row{Process: cfg.Self.Process, Kind: cfg.Self.Kind, Host: cfg.Self.Host}, heardAt: time.Now()}
 	return t
@@ -107,7 +113,7 @@
 	// here, directly or through others.
 	Alive bool
 	// Word is when the owner last had word of the newest configuration.
-	Word time.Time
+	Word slugclock.Instant
 }
 
 // Statuses returns all rows in order of process, this one's included.
@@ -144,7 +150,7 @@
 		t.beat()
 		// A peer that does not answer must not hold the next round up.
 		wg.Go(func() { t.round(ctx, t.cfg.Fanout) })
-		jitter := Round*9/10 + time.Duration(rand.Int64N(int64(Round/5)))
+		jitter := t.cfg.Every*9/10 + time.Duration(rand.Int64N(int64(t.cfg.Every/5)))
 		_ = slugbackoff.Sleep(ctx, jitter)
 	}
 	return nil
@@ -222,25 +228,26 @@
 func (t *Table) exchange(ctx context.Context, p slugmember.Record) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	answer, err := t.cfg.Call(ctx, p, Message{Protocol: Protocol, Digest: t.digest()})
+	asked := slugclock.Now()
+	answer, err := t.cfg.Call(ctx, p, Message{Protocol: Protocol, Digest: t.digest(), Rows: t.rowsOf([]slugmember.ID{t.self})})
 	if err != nil {
 		return
 	}
-	t.take(answer)
+	t.take(answer, asked)
 	rows, want := t.compare(answer.Digest)
 	rows = append(rows, t.rowsOf(answer.Want)...)
 	if len(rows)+len(want) == 0 {
 		return
 	}
 	if answer, err = t.cfg.Call(ctx, p, Message{Protocol: Protocol, Rows: rows, Want: want}); err == nil {
-		t.take(answer)
+		t.take(answer, slugclock.Instant{})
 	}
 }
 
 // Serve answers a message of a process.
 func (t *Table) Serve(_ slugname.Process, m Message) Message {
 	answer := Message{Protocol: Protocol}
-	t.take(m)
+	t.take(m, slugclock.Instant{})
 	if m.WantBundle > 0 && t.cfg.Bundle != nil {
 		answer.Bundle = t.cfg.Bundle()
 	}
@@ -294,14 +301,19 @@
 }
 
 func (h *held) entry(id slugmember.ID, now time.Time) Entry {
-	return Entry{ID: id, Version: h.version, Heartbeat: h.heartbeat, WordAge: wordAge(h.word, now), HeardAge: wordAge(h.heardAt, now)}
+	return Entry{ID: id, Version: h.version, Heartbeat: h.heartbeat, WordAge: wordAge(h.word), HeardAge: units(now.Sub(h.heardAt))}
 }
 
-func wordAge(word, now time.Time) uint32 {
+func wordAge(word slugclock.Instant) uint32 {
 	if word.IsZero() {
 		return noWord
 	}
-	return uint32(min(noWord, (now.Sub(word)+wordUnit-1)/wordUnit))
+	return units(slugclock.Since(word))
+}
+
+// units rounds an age up to whole units.
+func units(age time.Duration) uint32 {
+	return uint32(min(noWord, (age+wordUnit-1)/wordUnit))
 }
 
 // compare returns the rows of a digest that this process has in a newer version, and
@@ -335,14 +347,16 @@
 	return out
 }
 
-// take merges rows and heartbeats of a message.
-func (t *Table) take(m Message) {
+// take merges rows and heartbeats of a message. asked is when this process asked for
+// it, zero for a message that came by itself: nobody knows how long that was under
+// way, so it tells nothing of how fresh its sender's word is.
+func (t *Table) take(m Message, asked slugclock.Instant) {
 	now := time.Now()
 	for _, r := range m.Rows {
 		t.takeRow(r, now)
 	}
 	for _, e := range m.Digest {
-		t.takeEntry(e, now)
+		t.takeEntry(e, now, asked)
 	}
 }
 
@@ -367,19 +381,21 @@
 	}
 }
 
-func (t *Table) takeEntry(e Entry, now time.Time) {
+func (t *Table) takeEntry(e Entry, now time.Time, asked slugclock.Instant) {
 	if e.ID == t.self {
 		return
 	}
 	t.mu.Lock()
 	h := t.rows[e.ID]
-	if h == nil || e.Heartbeat <= h.heartbeat {
+	if h == nil {
 		t.mu.Unlock()
 		return
 	}
-	h.heartbeat, h.heardAt = e.Heartbeat, now.Add(-time.Duration(min(e.HeardAge, noWord))*wordUnit)
-	if e.WordAge < noWord {
-		h.word = now.Add(-time.Duration(e.WordAge) * wordUnit)
+	if e.Heartbeat > h.heartbeat {
+		h.heartbeat, h.heardAt = e.Heartbeat, now.Add(-time.Duration(min(e.HeardAge, noWord))*wordUnit)
+	}
+	if word := asked.Add(-time.Duration(e.WordAge) * wordUnit); !asked.IsZero() && e.WordAge < noWord && word.After(h.word) {
+		h.word = word
 	}
 	revision, word, known := h.row.Revision, h.word, e.Version == h.version
 	t.mu.Unlock()
--- a/internal/membership/slugreach/reach.go
+++ b/internal/membership/slugreach/reach.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"github.com/sassafraslug/sassafraslug/internal/base/slugbackoff"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugclock"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugevent"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugname"
 	"github.com/sassafraslug/sassafraslug/internal/membership/slugmember"
@@ -32,7 +33,7 @@
 
 // Config makes a Reach.
 type Config struct {
-	Word     func() (time.Time, bool)
+	Word     func() (slugclock.Instant, bool)
 	Statuses func() []slugpeer.Status
 	Records  func() []slugmember.Record
 	Log      *slugevent.Log
@@ -53,15 +54,15 @@
 // Run decides again and again until ctx ends.
 func (r *Reach) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
-		r.Check(time.Now())
+		r.Check()
 		_ = slugbackoff.Sleep(ctx, checkEvery)
 	}
 	return nil
 }
 
 // Check decides once.
-func (r *Reach) Check(now time.Time) {
-	cut := r.decide(now)
+func (r *Reach) Check() {
+	cut := r.decide()
 	if r.cutOff.Swap(cut) == cut {
 		return
 	}
@@ -72,8 +73,8 @@
 	r.cfg.Log.Emit(slugevent.HostReconnected, nil)
 }
 
-func (r *Reach) decide(now time.Time) bool {
-	if word, _ := r.cfg.Word(); now.Sub(word) < FreshnessBound {
+func (r *Reach) decide() bool {
+	if word, _ := r.cfg.Word(); slugclock.Since(word) < FreshnessBound {
 		return false
 	}
 	hosts := map[slugname.Host]bool{}
--- a/internal/operate/slugslope/measure.go
+++ b/internal/operate/slugslope/measure.go
@@ -10,6 +10,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/sassafraslug/sassafraslug/internal/authority/slugledger"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugclock"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugname"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugstore"
 	"github.com/sassafraslug/sassafraslug/internal/daemon/slugmetrics"
@@ -100,7 +101,7 @@
 // exchangeTable returns a table that knows the rows of all processes of n hosts.
 func exchangeTable(n int) (*slugpeer.Table, slugpeer.Message) {
 	self := record(0, slugmember.KindControl)
-	t := slugpeer.New(slugpeer.Config{Self: self, Word: time.Now, Peers: func() []slugmember.Record { return nil }})
+	t := slugpeer.New(slugpeer.Config{Self: self, Word: slugclock.Now, Peers: func() []slugmember.Record { return nil }})
 	m := slugpeer.Message{Protocol: slugpeer.Protocol}
 	for i := range n {
 		for _, k := range []slugmember.Kind{slugmember.KindGate, slugmember.KindControl} {
@@ -249,7 +250,7 @@
 	for i := range int(x) {
 		r := record(i, slugmember.KindGate)
 		records[r.Process] = r
-		statuses = append(statuses, slugpeer.Status{Row: slugpeer.Row{Process: r.Process, Kind: r.Kind, Host: r.Host}, Alive: true, Word: time.Now()})
+		statuses = append(statuses, slugpeer.Status{Row: slugpeer.Row{Process: r.Process, Kind: r.Kind, Host: r.Host}, Alive: true, Word: slugclock.Now()})
 	}
 	d := slugaddress.New(slugaddress.Config{
 		Self: record(0, slugmember.KindGate), Statuses: func() []slugpeer.Status { return statuses },
--- /dev/null
+++ b/internal/version/slugrouting/table_test.go
@@ -0,0 +1,68 @@
+package slugrouting
+
+import (
+	"testing"
+
+	"github.com/sassafraslug/sassafraslug/internal/base/slugname"
+	"github.com/sassafraslug/sassafraslug/internal/version/slugconfig"
+	"gotest.tools/v3/assert"
+)
+
+func table() *Table {
+	urgent := 0
+	return New(Source{
+		Version: 3,
+		Routes: []*Route{
+			{Name: "all", Host: "a.example", Prefix: "/", Targets: []Target{{"plain", 1}}, Priority: 4},
+			{Name: "reviews", Host: "a.example", Prefix: "/reviews/", Targets: []Target{{"llm", 90}, {"llm-2", 10}}},
+		},
+		Services:   []*Service{{Name: "llm"}},
+		Workspaces: []*Workspace{{Name: "hub", Keys: []slugconfig.KeyHash{slugconfig.HashKey("k1")}, Priority: &urgent}},
+	})
+}
+
+func TestMatch(t *testing.T) {
+	for _, c := range []struct{ host, path, want string }{
+		{"a.example", "/reviews/1", "reviews"},
+		{"A.example:8080", "/reviews/1", "reviews"},
+		{"a.example", "/reviews", "all"},
+		{"b.example", "/reviews/1", ""},
+	} {
+		got := ""
+		if r := table().Match(c.host, c.path); r != nil {
+			got = r.Name
+		}
+		assert.Equal(t, got, c.want, "%s%s", c.host, c.path)
+	}
+}
+
+func TestPickByWeight(t *testing.T) {
+	r := table().Match("a.example", "/reviews/1")
+	for x, want := range map[float64]slugname.Service{0: "llm", 0.89: "llm", 0.91: "llm-2", 1: "llm-2"} {
+		assert.Equal(t, r.Pick(x), want, "%v", x)
+	}
+}
+
+func TestAuthenticate(t *testing.T) {
+	x := table()
+	w, ok := x.Authenticate("k1")
+	assert.Assert(t, ok)
+	assert.Equal(t, w.Name, slugname.Workspace("hub"))
+	_, ok = x.Authenticate("k2")
+	assert.Assert(t, !ok)
+	assert.Assert(t, x.Holds("hub", slugconfig.HashKey("k1")))
+	assert.Assert(t, !x.Holds("other", slugconfig.HashKey("k1")))
+	assert.Equal(t, x.Match("a.example", "/x").PriorityFor(w), 0)
+	assert.Equal(t, x.Match("a.example", "/x").PriorityFor(nil), 4)
+}
+
+func TestIdempotent(t *testing.T) {
+	for _, c := range []struct {
+		kind      Kind
+		resumable bool
+		want      bool
+	}{{Safe, false, true}, {Unsafe, true, false}, {Stream, false, false}, {Stream, true, true}} {
+		r := Route{Kind: c.kind, Resumable: c.resumable}
+		assert.Equal(t, r.Idempotent(), c.want, "%v", c)
+	}
+}
