--- a/cmd/sassafraslug-control/main.go
+++ b/cmd/sassafraslug-control/main.go
@@ -13,7 +13,7 @@
 )
 
 func main() {
-	os.Exit(slugdaemon.Main("control", slugsettings.Control, os.Args[1:], func(ctx context.Context, s *slugsettings.Settings, log *slugevent.Log) error {
+	os.Exit(slugdaemon.Main("control", slugsettings.Control, "", os.Args[1:], func(ctx context.Context, s *slugsettings.Settings, log *slugevent.Log) error {
 		return slugcontrol.New(s, slugnetwork.New(), log).Run(ctx)
 	}))
 }
--- a/cmd/sassafraslug/settings.go
+++ b/cmd/sassafraslug/settings.go
@@ -21,22 +21,43 @@
 	c := t.app.Command("settings", "Look at the settings of the daemons.")
 	show := c.Command("show", "Print the effective settings and where each comes from.")
 	file := show.Arg("file", "INI file.").String()
-	daemon := show.Flag("daemon", "gate or control.").Default("gate").Enum("gate", "control")
+	daemon := show.Flag("daemon", "gate, control or host.").Default("gate").Enum("gate", "control", "host")
 	t.command(show, func(context.Context) error { return t.showSettings(*file, *daemon) })
+	check := c.Command("check", "Check a settings file and name every missing or wrong value.")
+	checked := check.Arg("file", "INI file.").Required().String()
+	of := check.Flag("daemon", "gate, control or host.").Default("host").Enum("gate", "control", "host")
+	t.command(check, func(context.Context) error { return t.checkSettings(*checked, *of) })
 	t.command(c.Command("manual", "Print the manual of all settings in Markdown."), func(context.Context) error {
 		slugsettings.Manual(t.out)
 		return nil
 	})
 }
 
-func (t *tool) showSettings(file, daemon string) error {
-	d := slugsettings.Gate
-	if daemon == "control" {
-		d = slugsettings.Control
-	}
+// loadSettings reads a file as one of the daemons does.
+func loadSettings(file, daemon string) (*slugsettings.Loader, error) {
+	d, _ := slugsettings.ParseDaemon(daemon)
 	l := slugsettings.New(d)
 	if _, err := l.Load(file); err != nil {
-		return &status{exitRefused, err}
+		return nil, &status{exitRefused, err}
+	}
+	return l, nil
+}
+
+func (t *tool) checkSettings(file, daemon string) error {
+	l, err := loadSettings(file, daemon)
+	if err != nil {
+		return err
+	}
+	n := len(l.Effective())
+	return t.show(map[string]int{"settings": n}, func(w io.Writer) {
+		_, _ = fmt.Fprintf(w, "%s: %d settings of the %s daemon are right\n", file, n, daemon)
+	})
+}
+
+func (t *tool) showSettings(file, daemon string) error {
+	l, err := loadSettings(file, daemon)
+	if err != nil {
+		return err
 	}
 	var list []effective
 	for _, e := range l.Effective() {
--- a/internal/base/slugsettings/manual.go
+++ b/internal/base/slugsettings/manual.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"strings"
 )
 
 // Manual writes the manual of all settings in Markdown.
@@ -24,14 +25,29 @@
 	return "`" + v + "`"
 }
 
+// daemonNames are the daemons in the order of the manual.
+var daemonNames = []struct {
+	daemon Daemon
+	name   string
+}{{Gate, "gate"}, {Control, "control"}, {Host, "host"}}
+
 // String returns the names of the daemons.
 func (d Daemon) String() string {
-	switch d {
-	case Gate:
-		return "gate"
-	case Control:
-		return "control"
-	default:
-		return "gate, control"
+	var names []string
+	for _, x := range daemonNames {
+		if d&x.daemon != 0 {
+			names = append(names, x.name)
+		}
+	}
+	return strings.Join(names, ", ")
+}
+
+// ParseDaemon returns the daemon of a name, and false for an unknown one.
+func ParseDaemon(name string) (Daemon, bool) {
+	for _, x := range daemonNames {
+		if x.name == name {
+			return x.daemon, true
+		}
 	}
+	return 0, false
 }
--- a/internal/base/slugsettings/settings.go
+++ b/internal/base/slugsettings/settings.go
@@ -51,6 +51,32 @@
 	UsageWindow time.Duration
 	LeaseTime   time.Duration
 	LogLevel    string
+
+	ReadyListen     string
+	DirectoryListen string
+	MetricsListen   string
+	DutiesAddress   string
+	Bounds
+}
+
+// Bounds are what the platform's operators hold the system to.
+type Bounds struct {
+	// Revoke is how long after a key was taken away a request with it may still run.
+	Revoke time.Duration
+	// ConfigApply is how long after its acceptance a configuration is in force.
+	ConfigApply time.Duration
+	// Drain is how long a leaving endpoint may still receive work.
+	Drain time.Duration
+	// Grace is how long a process has to end after it was told.
+	Grace time.Duration
+	// Stability is how long a disturbance is felt after its end.
+	Stability time.Duration
+	// RetryWindow, RetryRatio and RetryExtra bound the requests sent again.
+	RetryWindow time.Duration
+	RetryRatio  float64
+	RetryExtra  float64
+	// UsageLate is how long after its end a window's usage is due.
+	UsageLate time.Duration
 }
 
 // Daemon is the set of settings that a program has.
@@ -60,7 +86,10 @@
 const (
 	Gate Daemon = 1 << iota
 	Control
+	// Host is the daemon that does a whole host's work on a shared platform.
+	Host
 	both = Gate | Control
+	all  = both | Host
 )
 
 // Setting is one setting.
--- a/internal/base/slugsettings/table.go
+++ b/internal/base/slugsettings/table.go
@@ -17,8 +17,8 @@
 		name("host", "name", "Name of this host in the platform's host list", func(s *Settings) *string { return (*string)(&s.Host) }),
 		name("host", "dataCentre", "Data centre of this host", func(s *Settings) *string { return (*string)(&s.DataCentre) }),
 		name("host", "region", "Region of this host", func(s *Settings) *string { return (*string)(&s.Region) }),
-		{"platform", "address", "http://127.0.0.1:7000", "http:// or https:// address", "Address of the platform's services", both, urlValue(func(s *Settings) *string { return &s.PlatformAddress })},
-		address("callers", "listen", "127.0.0.1:8080", "Address for callers", Gate, false, func(s *Settings) *string { return &s.CallersListen }),
+		{"platform", "address", "http://127.0.0.1:7000", "http:// or https:// address", "Address of the platform's services", all, urlValue(func(s *Settings) *string { return &s.PlatformAddress })},
+		address("callers", "listen", "127.0.0.1:8080", "Address for callers", Gate|Host, false, func(s *Settings) *string { return &s.CallersListen }),
 		address("callers", "advertise", "", "Address that callers are told; empty means callers.listen", Gate, true, func(s *Settings) *string { return &s.CallersAdvertise }),
 		text("callers", "tlsCertificate", "Certificate chain for callers in PEM; empty means no TLS", Gate, func(s *Settings) *string { return &s.CallersCertificate }),
 		text("callers", "tlsKey", "Key of the certificate in PEM", Gate, func(s *Settings) *string { return &s.CallersKey }),
@@ -28,17 +28,30 @@
 		number("callers", "maxConnections", "20000", 1, 1<<20, "Greatest number of callers' connections", Gate, func(s *Settings) *int64 { return &s.MaxConnections }),
 		duration("callers", "bodyTimeout", "30s", "Time to receive a body", Gate, func(s *Settings) *time.Duration { return &s.BodyTimeout }),
 		duration("callers", "writeTimeout", "30s", "Time for a caller to take what is written", Gate, func(s *Settings) *time.Duration { return &s.WriteTimeout }),
-		number("callers", "queueLength", "1024", 1, 1<<20, "Greatest number of waiting requests of a service", Gate, func(s *Settings) *int64 { return &s.QueueLength }),
-		duration("callers", "answerAge", "10s", "How long callers keep the answer of a look-up", Gate, func(s *Settings) *time.Duration { return &s.AnswerAge }),
+		number("callers", "queueLength", "1024", 1, 1<<20, "Greatest number of waiting requests of a service", Gate|Host, func(s *Settings) *int64 { return &s.QueueLength }),
+		duration("callers", "answerAge", "10s", "How long callers keep the answer of a look-up", Gate|Host, func(s *Settings) *time.Duration { return &s.AnswerAge }),
 		duration("callers", "progress", "5s", "How long an answer may go without an event before its connection is distrusted", Gate, func(s *Settings) *time.Duration { return &s.Progress }),
 		address("operators", "listen", "127.0.0.1:8081", "Address for operators", both, false, func(s *Settings) *string { return &s.OperatorsListen }),
 		address("operators", "advertise", "", "Address that other processes are told; empty means operators.listen", both, true, func(s *Settings) *string { return &s.OperatorsAdvertise }),
 		text("operators", "tokenFile", "File with the token that operators present", both, func(s *Settings) *string { return &s.OperatorsTokenFile }),
-		address("peers", "listen", "127.0.0.1:8082", "UDP address for other processes", both, false, func(s *Settings) *string { return &s.PeersListen }),
-		address("peers", "advertise", "", "Address that other processes are told; empty means peers.listen", both, true, func(s *Settings) *string { return &s.PeersAdvertise }),
-		duration("usage", "window", "1m0s", "Length of an accounting window, in whole seconds, equal on all hosts", both, func(s *Settings) *time.Duration { return &s.UsageWindow }),
-		duration("duties", "leaseTime", "9s", "How long a duty is held without a renewal, equal on all hosts", Control, func(s *Settings) *time.Duration { return &s.LeaseTime }),
-		{"log", "level", "info", "error, warn, info or debug", "Least severity of log lines", both, levelValue},
+		address("peers", "listen", "127.0.0.1:8082", "UDP address for other processes", all, false, func(s *Settings) *string { return &s.PeersListen }),
+		address("peers", "advertise", "", "Address that other processes are told; empty means peers.listen", all, true, func(s *Settings) *string { return &s.PeersAdvertise }),
+		duration("usage", "window", "1m0s", "Length of an accounting window, in whole seconds, equal on all hosts", all, func(s *Settings) *time.Duration { return &s.UsageWindow }),
+		duration("duties", "leaseTime", "9s", "How long a duty is held without a renewal, equal on all hosts", Control|Host, func(s *Settings) *time.Duration { return &s.LeaseTime }),
+		{"log", "level", "info", "error, warn, info or debug", "Least severity of log lines", all, levelValue},
+		address("ready", "listen", "127.0.0.1:8083", "Address for the platform's question whether the host is ready", Host, false, func(s *Settings) *string { return &s.ReadyListen }),
+		address("directory", "listen", "127.0.0.1:8084", "Address for callers' look-ups", Host, false, func(s *Settings) *string { return &s.DirectoryListen }),
+		address("metrics", "listen", "127.0.0.1:8085", "Address for metrics", Host, false, func(s *Settings) *string { return &s.MetricsListen }),
+		{"duties", "address", "http://127.0.0.1:7000", "http:// or https:// address", "Address of the interfaces for ordering endpoints and for usage reports", Host, urlValue(func(s *Settings) *string { return &s.DutiesAddress })},
+		bound("revoke", "5s", "How long after a key was taken away a request with it may still run", func(s *Settings) *time.Duration { return &s.Revoke }),
+		bound("configApply", "2s", "How long after its acceptance a configuration must be in force", func(s *Settings) *time.Duration { return &s.ConfigApply }),
+		bound("drain", "2s", "How long a leaving endpoint may still receive work", func(s *Settings) *time.Duration { return &s.Drain }),
+		bound("grace", "8s", "How long a process has to end after it was told", func(s *Settings) *time.Duration { return &s.Grace }),
+		bound("stability", "3s", "How long a disturbance is felt after its end", func(s *Settings) *time.Duration { return &s.Stability }),
+		bound("retryWindow", "10s", "Time over which requests sent again are counted", func(s *Settings) *time.Duration { return &s.RetryWindow }),
+		fraction("retryRatio", "0.2", 0, 1, "Requests sent again for each request", func(s *Settings) *float64 { return &s.RetryRatio }),
+		fraction("retryExtra", "50", 0, 1e6, "Requests that may be sent again besides, in each window, by all processes together", func(s *Settings) *float64 { return &s.RetryExtra }),
+		bound("usageLate", "10s", "How long after its end a window's usage is due", func(s *Settings) *time.Duration { return &s.UsageLate }),
 	}
 }
 
@@ -52,7 +65,7 @@
 }
 
 func name(section, key, purpose string, field func(*Settings) *string) Setting {
-	return Setting{section, key, "", "1 to 63 lower-case letters, digits, dots and hyphens", purpose, both, func(s *Settings, v string) error {
+	return Setting{section, key, "", "1 to 63 lower-case letters, digits, dots and hyphens", purpose, all, func(s *Settings, v string) error {
 		*field(s) = v
 		return check(slugname.Host(v).Valid())
 	}}
@@ -101,6 +114,25 @@
 	}}
 }
 
+// bound is a time that the platform's operators hold the system to.
+func bound(key, standard, purpose string, field func(*Settings) *time.Duration) Setting {
+	allowed := "0s to " + mostDuration.String()
+	return Setting{"bounds", key, standard, allowed, purpose, Host, func(s *Settings, v string) error {
+		x, err := time.ParseDuration(v)
+		*field(s) = x
+		return errors.CombineErrors(err, check(x >= 0 && x <= mostDuration))
+	}}
+}
+
+func fraction(key, standard string, least, most float64, purpose string, field func(*Settings) *float64) Setting {
+	allowed := strconv.FormatFloat(least, 'g', -1, 64) + " to " + strconv.FormatFloat(most, 'g', -1, 64)
+	return Setting{"bounds", key, standard, allowed, purpose, Host, func(s *Settings, v string) error {
+		x, err := strconv.ParseFloat(v, 64)
+		*field(s) = x
+		return errors.CombineErrors(err, check(x >= least && x <= most))
+	}}
+}
+
 func urlValue(field func(*Settings) *string) func(*Settings, string) error {
 	return func(s *Settings, v string) error {
 		*field(s) = v
--- a/internal/connection/slugsend/sender.go
+++ b/internal/connection/slugsend/sender.go
@@ -19,7 +19,7 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
-	"sync/atomic"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -56,6 +56,11 @@
 type Request struct {
 	Method string
 	URL    string
+	// Host is the host name in the request; empty means that of the URL.
+	Host string
+	// Target is the request's target as it goes over the wire; empty means that of the
+	// URL.
+	Target string
 	Header http.Header
 	Body   []byte
 	// Repeatable requests may be sent twice. They use pooled connections.
@@ -93,23 +98,62 @@
 // Close does nothing.
 func (body) Close() error { return nil }
 
-// Send sends a request and returns the answer. sent is false only when no byte
-// of the request was handed to a connection.
-func (s *Sender) Send(ctx context.Context, x Request) (resp *http.Response, sent bool, err error) {
-	var handed atomic.Bool
+// Exchange is a request that was sent, with its answer.
+type Exchange struct {
+	// Answer is nil when there is none.
+	Answer *http.Response
+	// Sent is false only when no byte of the request was handed to a connection.
+	Sent bool
+	// Reused tells that the connection had carried other requests.
+	Reused bool
+	conn   net.Conn
+}
+
+// Drop closes the connection, so that nothing that still comes on it is taken for
+// the answer to another request.
+func (e *Exchange) Drop() {
+	if e.conn != nil {
+		_ = e.conn.Close()
+	}
+	if e.Answer != nil {
+		_ = e.Answer.Body.Close()
+	}
+}
+
+// Open sends a request and waits for the head of the answer. The Exchange is never
+// nil.
+func (s *Sender) Open(ctx context.Context, x Request) (*Exchange, error) {
+	var mu sync.Mutex
+	e := &Exchange{}
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { handed.Store(true) },
+		GotConn: func(i httptrace.GotConnInfo) {
+			mu.Lock()
+			defer mu.Unlock()
+			e.Sent, e.Reused, e.conn = true, i.Reused, i.Conn
+		},
 	})
 	r, err := s.request(ctx, x)
 	if err != nil {
-		return nil, false, slugfault.Wrap(err, "make request", x.URL)
+		return e, slugfault.Wrap(err, "make request", x.URL)
 	}
 	c := s.fresh
 	if x.Repeatable {
 		c = s.pooled
 	}
-	resp, err = c.Do(r)
-	return resp, handed.Load(), slugfault.Wrap(err, "send request", r.URL.Host)
+	answer, err := c.Do(r)
+	mu.Lock()
+	defer mu.Unlock()
+	// A late connection must not change what the caller sees from here on.
+	out := *e
+	out.Answer = answer
+	return &out, slugfault.Wrap(err, "send request", r.URL.Host)
+}
+
+// Send sends a request and returns the answer. sent is false only when no byte
+// of the request was handed to a connection.
+func (s *Sender) Send(ctx context.Context, x Request) (resp *http.Response, sent bool, err error) {
+	e, err := s.Open(ctx, x)
+	return e.Answer, e.Sent, err
 }
 
 func (s *Sender) request(ctx context.Context, x Request) (*http.Request, error) {
@@ -120,6 +164,13 @@
 	if x.Header != nil {
 		r.Header = x.Header
 	}
+	if x.Host != "" {
+		r.Host = x.Host
+	}
+	if x.Target != "" {
+		// An opaque target reaches the endpoint as the caller wrote it.
+		r.URL.Opaque = x.Target
+	}
 	if len(x.Body) > 0 {
 		r.Body = body{bytes.NewReader(x.Body)}
 		r.ContentLength = int64(len(x.Body))
--- a/internal/daemon/slugdaemon/daemon.go
+++ b/internal/daemon/slugdaemon/daemon.go
@@ -4,7 +4,7 @@
 // # Usage
 //
 //	func main() {
-//		os.Exit(slugdaemon.Main("gate", slugsettings.Gate, os.Args[1:], run))
+//		os.Exit(slugdaemon.Main("gate", slugsettings.Gate, "", os.Args[1:], run))
 //	}
 package slugdaemon
 
@@ -35,10 +35,11 @@
 )
 
 // Main runs a daemon and returns its exit status. The first SIGTERM or SIGINT
-// begins a graceful shutdown, the second ends the process at once.
-func Main(name string, d slugsettings.Daemon, args []string, run Run) int {
+// begins a graceful shutdown, the second ends the process at once. file is where the
+// settings are unless a flag says otherwise.
+func Main(name string, d slugsettings.Daemon, file string, args []string, run Run) int {
 	app := kingpin.New("sassafraslug-"+name, "The "+name+" daemon of sassafraslug.")
-	path := app.Flag("settings", "INI file with the settings.").Short('s').PlaceHolder("FILE").String()
+	path := app.Flag("settings", "INI file with the settings.").Short('s').PlaceHolder("FILE").Default(file).String()
 	loader := slugsettings.New(d)
 	loader.Flags(app)
 	if _, err := app.Parse(args); err != nil {
@@ -51,7 +52,7 @@
 		return ExitUsage
 	}
 	level, _ := logrus.ParseLevel(s.LogLevel)
-	log := slugevent.New(os.Stderr, level, string(s.Host)+"-"+name)
+	log := slugevent.New(os.Stdout, level, string(s.Host)+"-"+name)
 	if err := run(signalContext(), s, log); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return ExitFailed
--- /dev/null
+++ b/internal/daemon/slughost/host.go
@@ -0,0 +1,234 @@
+// Package slughost is the daemon that does all of a host's work on a shared platform:
+// it serves callers and their look-ups, and takes its turn at the duties that one
+// process of the system does at a time.
+//
+// # Usage
+//
+//	h := slughost.New(settings, slugnetwork.New(), adapter, log)
+//	err := h.Run(ctx) // the first end of ctx begins a graceful shutdown
+package slughost
+
+import (
+	"context"
+	"expvar"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sassafraslug/sassafraslug/internal/base/slugbackoff"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugclock"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugevent"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugname"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugsettings"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugstep"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugstore"
+	"github.com/sassafraslug/sassafraslug/internal/connection/slugsend"
+	"github.com/sassafraslug/sassafraslug/internal/daemon/slugcounters"
+	"github.com/sassafraslug/sassafraslug/internal/daemon/slugnetwork"
+	"github.com/sassafraslug/sassafraslug/internal/daemon/slugserve"
+	"github.com/sassafraslug/sassafraslug/internal/decision/slugbudget"
+	"github.com/sassafraslug/sassafraslug/internal/decision/slugplacement"
+	"github.com/sassafraslug/sassafraslug/internal/decision/slugsuspect"
+	"github.com/sassafraslug/sassafraslug/internal/fleet/slugregistry"
+	"github.com/sassafraslug/sassafraslug/internal/membership/slugmember"
+	"github.com/sassafraslug/sassafraslug/internal/membership/slugnewest"
+	"github.com/sassafraslug/sassafraslug/internal/membership/slugpeer"
+	"github.com/sassafraslug/sassafraslug/internal/request/slugdispatch"
+	"golang.org/x/sync/errgroup"
+)
+
+const (
+	// exchangeEvery is the time between exchanges with peers. Load at endpoints lasts
+	// some 100 ms, so that older word of it is of little use.
+	exchangeEvery = 200 * time.Millisecond
+	// exchangeFanout is the number of peers called each time.
+	exchangeFanout = 2
+	// sweepEvery is the time between looks at what has lapsed.
+	sweepEvery = 250 * time.Millisecond
+	// freshPart is the part of the time in which a withdrawn key must stop working for
+	// which word of the configuration is trusted. The rest covers watches that the
+	// store leaves without news for a second.
+	freshPart = 0.72
+	// keepServing is how long a leaving process takes new connections: callers keep
+	// look-ups for a while.
+	keepServing = 2500 * time.Millisecond
+	// finishMargin is the part of the grace that is kept for the end itself.
+	finishMargin = 400 * time.Millisecond
+	// lookupAge is how long callers keep the answer to a look-up.
+	lookupAge = 2 * time.Second
+	// publishRetry is the time between tries to publish this process.
+	publishRetry = 200 * time.Millisecond
+	// closeTimeout bounds the last writes of a leaving process.
+	closeTimeout = time.Second
+	// storeConnections bounds the idle connections to the store.
+	storeConnections = 8
+	// reserve is the part of the budget for sending again that is never used.
+	reserve = 0.15
+)
+
+// Host is the daemon.
+type Host struct {
+	settings *slugsettings.Settings
+	network  *slugnetwork.Network
+	adapter  Adapter
+	log      *slugevent.Log
+	metrics  *expvar.Map
+	counters *slugcounters.Counters
+
+	storeClient *http.Client
+	store       *slugstore.Store
+	link        slugpeer.Carrier
+	member      *slugmember.Member
+	table       *slugpeer.Table
+	follower    *slugnewest.Follower
+	registry    *slugregistry.Registry
+	sender      *slugsend.Sender
+	suspects    *slugsuspect.Tracker
+	dispatcher  *slugdispatch.Dispatcher
+
+	requests, lookups, readiness, metricsServer *slugserve.Server
+
+	leaving atomic.Bool
+	stop    context.CancelFunc
+
+	mu      sync.Mutex
+	placers map[slugname.Service]*slugplacement.Placer
+	budgets map[slugname.Service]*slugbudget.Budget
+}
+
+// New returns a Host that does nothing yet.
+func New(s *slugsettings.Settings, n *slugnetwork.Network, a Adapter, log *slugevent.Log) *Host {
+	return &Host{
+		settings: s, network: n, adapter: a, log: log, metrics: new(expvar.Map).Init(), counters: slugcounters.New(),
+		placers: map[slugname.Service]*slugplacement.Placer{}, budgets: map[slugname.Service]*slugbudget.Budget{},
+	}
+}
+
+// Run runs the daemon. When ctx ends it leaves gracefully: callers are sent
+// elsewhere, every request is finished, and Run returns.
+func (h *Host) Run(ctx context.Context) error {
+	work, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	h.stop = stop
+	h.log.Emit(slugevent.ProcessStarted, slugevent.Fields{"host": h.settings.Host, "dataCentre": h.settings.DataCentre, "callers": h.settings.CallersListen, "peers": h.settings.PeersListen})
+	err := slugstep.Run(work, h.log, []slugstep.Step{
+		{Name: "join the system", Run: h.join},
+		{Name: "build the request path", Run: h.build},
+		{Name: "open listeners", Run: h.listen},
+		{Name: "follow the configuration", Run: h.follow},
+		{Name: "follow the endpoints", Run: h.followEndpoints},
+		{Name: "exchange with peers", Run: h.exchange},
+		{Name: "serve callers", Run: h.serve},
+		{Name: "leave when told", Run: func(_ context.Context, g *errgroup.Group) error {
+			g.Go(func() error { return h.leaveAfter(ctx, work) })
+			return nil
+		}},
+	})
+	h.log.Emit(slugevent.ProcessEnded, nil)
+	return err
+}
+
+// Abort ends the daemon at once, without finishing anything, as a crash would.
+func (h *Host) Abort() { h.stop() }
+
+// build makes the parts of the request path.
+func (h *Host) build(_ context.Context, _ *errgroup.Group) error {
+	h.sender = slugsend.New(slugsend.Config{Dial: h.network.Dial})
+	h.suspects = slugsuspect.New(slugsuspect.Config{}, func(slugsuspect.Suspicion) { go h.tellSuspicions() })
+	h.dispatcher = slugdispatch.New(slugdispatch.Config{
+		Table: h.follower.Table, Fresh: h.fresh,
+		Age:    func() time.Duration { return slugclock.Since(h.follower.Word()) },
+		Placer: h.placer, Budget: h.budget, Suspects: h.suspects, Codec: h.adapter.Codec, Open: h.sender.Open,
+		Started: h.started, Ended: h.counters.Ended, Log: h.log,
+	})
+	return nil
+}
+
+// fresh reports whether the configuration is young enough for requests with keys.
+func (h *Host) fresh() bool {
+	limit := time.Duration(freshPart * float64(h.settings.Revoke))
+	return slugclock.Since(h.follower.Word()) < limit
+}
+
+// ready reports whether this host takes requests.
+func (h *Host) ready() bool {
+	return !h.leaving.Load() && h.follower.Version() > 0 && h.registry.Synced()
+}
+
+// placer returns the placer of a service.
+func (h *Host) placer(s slugname.Service) *slugplacement.Placer {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	p := h.placers[s]
+	if p == nil {
+		p = slugplacement.New(slugplacement.Config{DataCentre: h.settings.DataCentre})
+		h.placers[s] = p
+	}
+	return p
+}
+
+// budget returns the budget of a service for sending again.
+func (h *Host) budget(s slugname.Service) *slugbudget.Budget {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	b := h.budgets[s]
+	if b == nil {
+		b = slugbudget.New(slugbudget.Config{Ratio: h.settings.RetryRatio, Window: h.settings.RetryWindow, Reserve: reserve})
+		b.SetExtra(h.settings.RetryExtra / float64(h.hosts()))
+		h.budgets[s] = b
+	}
+	return b
+}
+
+// hosts returns the number of hosts that are known, this one included.
+func (h *Host) hosts() int {
+	seen := map[slugname.Host]bool{h.settings.Host: true}
+	for _, r := range h.member.Records() {
+		seen[r.Host] = true
+	}
+	return len(seen)
+}
+
+// followEndpoints follows the endpoints' entries.
+func (h *Host) followEndpoints(ctx context.Context, g *errgroup.Group) error {
+	g.Go(func() error {
+		return h.store.For("endpoints").Watch(ctx, slugstore.Watcher{
+			Prefix: h.adapter.EntryPrefix, Foreign: true, Wait: func() time.Duration { return entriesWait },
+			Changed: h.registry.Take, Lost: h.registry.Lost,
+		})
+	})
+	g.Go(func() error {
+		for slugbackoff.Sleep(ctx, sweepEvery) == nil {
+			h.registry.Sweep()
+		}
+		return nil
+	})
+	return nil
+}
+
+// entriesWait is how long one watch of the endpoints waits. It bounds how long a
+// connection that went silent hides that an endpoint leaves.
+const entriesWait = 2500 * time.Millisecond
+
+// endpointsChanged puts changed endpoints into use.
+func (h *Host) endpointsChanged(services []slugname.Service) {
+	t := h.follower.Table()
+	for _, s := range services {
+		memory := 0
+		if t != nil && t.Service(s) != nil && t.Service(s).Engine != nil {
+			memory = t.Service(s).Engine.CacheTokens
+		}
+		var list []slugplacement.Endpoint
+		for _, e := range h.registry.Endpoints(s) {
+			if e.Leaving {
+				continue
+			}
+			list = append(list, slugplacement.Endpoint{
+				Name: e.Name, Incarnation: int64(e.Incarnation), Address: e.Address, DataCentre: e.DataCentre,
+				Role: e.Role, Slots: e.Slots, CacheTokens: memory,
+			})
+		}
+		h.placer(s).SetEndpoints(list)
+	}
+}
--- /dev/null
+++ b/internal/daemon/slughost/join.go
@@ -0,0 +1,202 @@
+package slughost
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"expvar"
+	"net/http"
+	"time"
+
+	"github.com/sassafraslug/sassafraslug/internal/base/slugbackoff"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugevent"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugname"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugstore"
+	"github.com/sassafraslug/sassafraslug/internal/decision/slugplacement"
+	"github.com/sassafraslug/sassafraslug/internal/fleet/slugregistry"
+	"github.com/sassafraslug/sassafraslug/internal/membership/slugmember"
+	"github.com/sassafraslug/sassafraslug/internal/membership/slugnewest"
+	"github.com/sassafraslug/sassafraslug/internal/membership/slugpeer"
+	"github.com/sassafraslug/sassafraslug/internal/version/slugrouting"
+	"golang.org/x/sync/errgroup"
+)
+
+// processIDBytes is the length of the random part of a process's name.
+const processIDBytes = 4
+
+// join makes the parts that tie this process to the others. It sends nothing.
+func (h *Host) join(_ context.Context, _ *errgroup.Group) error {
+	h.newStore()
+	link, err := h.network.Peers(h.settings.PeersListen, h.log)
+	if err != nil {
+		return err
+	}
+	h.link = link
+	h.member = slugmember.New(slugmember.Config{Self: h.record(), Store: h.store.For("members"), Changed: h.membersChanged})
+	link.SetLookup(h.member.ByCertificate)
+	h.follower = slugnewest.New(slugnewest.Config{
+		Name: h.adapter.ConfigName, Store: h.store.For("config"), Decode: h.adapter.DecodeConfig,
+		FromPeer: func(ctx context.Context, r revision) ([]byte, error) { return h.table.FetchBundle(ctx, r) },
+		InForce:  h.configChanged, Log: h.log,
+	})
+	h.registry = slugregistry.New(slugregistry.Config{Decode: h.adapter.DecodeEntry, Changed: h.endpointsChanged, Log: h.log})
+	h.table = slugpeer.New(slugpeer.Config{
+		Self: h.member.Self(), Call: link.Call, Peers: h.member.Records, Word: h.follower.Word,
+		Heard: h.heard, HeardWord: h.follower.Heard, Bundle: h.follower.Raw, Fanout: exchangeFanout, Every: exchangeEvery,
+	})
+	return nil
+}
+
+func (h *Host) newStore() {
+	counts := new(expvar.Map).Init()
+	h.metrics.Set("storeCalls", counts)
+	h.storeClient = &http.Client{Transport: &http.Transport{DialContext: h.network.Dial, MaxIdleConnsPerHost: storeConnections}}
+	address := hostPort(h.settings.PlatformAddress)
+	h.store = slugstore.New(slugstore.Config{BaseURL: address, Backend: h.adapter.Store(address, h.storeClient.Do), Counts: counts})
+}
+
+func (h *Host) record() slugmember.Record {
+	id := make([]byte, processIDBytes)
+	_, _ = rand.Read(id)
+	s := h.settings
+	return slugmember.Record{
+		Process: slugname.Process(string(s.Host) + "-" + hex.EncodeToString(id)), Kind: slugmember.KindGate,
+		Host: s.Host, DataCentre: s.DataCentre, Region: s.Region, PeerAddress: h.link.Address,
+		CallersAddress: s.CallersListen, CertificateHash: h.link.Hash, StartedAtMs: time.Now().UnixMilli(),
+	}
+}
+
+// membersChanged shares the budget among the hosts.
+func (h *Host) membersChanged() {
+	extra := h.settings.RetryExtra / float64(h.hosts())
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, b := range h.budgets {
+		b.SetExtra(extra)
+	}
+}
+
+// follow follows the configuration.
+func (h *Host) follow(ctx context.Context, g *errgroup.Group) error {
+	g.Go(func() error { return h.follower.Run(ctx) })
+	return nil
+}
+
+// configChanged puts a configuration into use.
+func (h *Host) configChanged(t *slugrouting.Table) {
+	h.table.Update(func(r *slugpeer.Row) { r.Revision = t.Version })
+	h.endpointsChanged(h.registry.Services())
+}
+
+// exchange publishes this process and exchanges with peers.
+func (h *Host) exchange(ctx context.Context, g *errgroup.Group) error {
+	g.Go(func() error { return h.publish(ctx) })
+	g.Go(func() error { return h.member.Run(ctx) })
+	g.Go(func() error { return h.link.Serve(ctx, h.table.Serve) })
+	g.Go(func() error { return h.table.Run(ctx) })
+	g.Go(func() error {
+		for slugbackoff.Sleep(ctx, exchangeEvery) == nil {
+			h.tell()
+		}
+		return nil
+	})
+	g.Go(func() error {
+		<-ctx.Done()
+		h.storeClient.CloseIdleConnections()
+		return h.link.Close()
+	})
+	return nil
+}
+
+// publish writes this process's record, and removes those of earlier processes of this
+// host.
+func (h *Host) publish(ctx context.Context) error {
+	for {
+		err := h.member.Publish(ctx)
+		if err == nil || ctx.Err() != nil {
+			break
+		}
+		h.log.Error(slugevent.StoreUnavailable, err, nil)
+		_ = slugbackoff.Sleep(ctx, publishRetry)
+	}
+	return nil
+}
+
+// tell updates what peers are told of this process's load.
+func (h *Host) tell() {
+	loads := map[slugname.Endpoint]slugpeer.Load{}
+	for _, p := range h.allPlacers() {
+		for name, l := range p.Own() {
+			loads[name] = encodeLoad(l)
+		}
+	}
+	suspicions := h.suspects.Suspicions(time.Now())
+	h.table.Update(func(r *slugpeer.Row) { r.Loads, r.Suspicions = loads, suspicions })
+	h.takeLoads()
+}
+
+func (h *Host) allPlacers() []*slugplacement.Placer {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	out := make([]*slugplacement.Placer, 0, len(h.placers))
+	for _, p := range h.placers {
+		out = append(out, p)
+	}
+	return out
+}
+
+// takeLoads sums what the other live processes told of their load.
+func (h *Host) takeLoads() {
+	sums := map[slugname.Endpoint]slugplacement.Load{}
+	self := h.member.Self().Process
+	for _, s := range h.table.Statuses() {
+		if !s.Alive || s.Process == self {
+			continue
+		}
+		for name, l := range s.Loads {
+			sums[name] = addLoad(sums[name], l)
+		}
+	}
+	for _, p := range h.allPlacers() {
+		p.SetOthers(sums)
+	}
+}
+
+func encodeLoad(l slugplacement.Load) slugpeer.Load {
+	x := slugpeer.Load{Streams: uint32(max(0, l.Streams)), CacheTokens: uint32(max(0, l.CacheTokens))}
+	for _, d := range l.Prefill {
+		x.PrefillMs = append(x.PrefillMs, uint32(max(0, d.Milliseconds())))
+	}
+	return x
+}
+
+func addLoad(sum slugplacement.Load, l slugpeer.Load) slugplacement.Load {
+	for i, ms := range l.PrefillMs {
+		if i < len(sum.Prefill) {
+			sum.Prefill[i] += time.Duration(ms) * time.Millisecond
+		}
+	}
+	sum.Streams += int(l.Streams)
+	sum.CacheTokens += int(l.CacheTokens)
+	return sum
+}
+
+// heard takes a peer's row.
+func (h *Host) heard(r slugpeer.Row) {
+	if h.suspects == nil {
+		return
+	}
+	now := time.Now()
+	for _, s := range r.Suspicions {
+		h.suspects.Heard(s, now)
+	}
+}
+
+// tellSuspicions tells peers at once.
+func (h *Host) tellSuspicions() {
+	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
+	defer cancel()
+	list := h.suspects.Suspicions(time.Now())
+	h.table.Update(func(r *slugpeer.Row) { r.Suspicions = list })
+	h.table.Push(ctx)
+}
--- /dev/null
+++ b/internal/daemon/slughost/serve.go
@@ -0,0 +1,153 @@
+package slughost
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugbackoff"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugclock"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugevent"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugname"
+	"github.com/sassafraslug/sassafraslug/internal/daemon/slugmetrics"
+	"github.com/sassafraslug/sassafraslug/internal/daemon/slugserve"
+	"github.com/sassafraslug/sassafraslug/internal/membership/slugpeer"
+	"github.com/sassafraslug/sassafraslug/internal/version/slugconfig"
+	"golang.org/x/sync/errgroup"
+)
+
+// revision is the version of a configuration.
+type revision = slugconfig.Revision
+
+// hostPort returns the host and port of an address with a scheme.
+func hostPort(address string) string {
+	_, rest, ok := strings.Cut(address, "://")
+	if !ok {
+		return address
+	}
+	return rest
+}
+
+// listen opens all listeners, so that a port in use ends the start.
+func (h *Host) listen(_ context.Context, _ *errgroup.Group) error {
+	handlers := h.adapter.Handlers(Ingress{
+		DataCentre: h.settings.DataCentre, Serve: h.dispatcher.Serve, Addresses: h.addresses, Ready: h.ready,
+		Leaving: h.leaving.Load, MaxBodyBytes: h.maxBodyBytes,
+	})
+	var err error
+	open := func(address string, handler http.Handler) *slugserve.Server {
+		if err != nil {
+			return nil
+		}
+		var s *slugserve.Server
+		s, err = slugserve.New(slugserve.Config{Address: address, Handler: handler, Log: h.log, Listen: h.network.Listen})
+		return s
+	}
+	h.requests = open(h.settings.CallersListen, handlers.Requests)
+	h.lookups = open(h.settings.DirectoryListen, handlers.Lookups)
+	h.readiness = open(h.settings.ReadyListen, handlers.Ready)
+	h.metricsServer = open(h.settings.MetricsListen, http.HandlerFunc(h.serveMetrics))
+	return err
+}
+
+func (h *Host) serveMetrics(w http.ResponseWriter, _ *http.Request) {
+	h.counters.Fill(h.metrics)
+	slugmetrics.Write(w, h.metrics, h.link.Bytes())
+}
+
+func (h *Host) maxBodyBytes() int64 {
+	if t := h.follower.Table(); t != nil {
+		return t.Limits.MaxBodyBytes
+	}
+	return 0
+}
+
+// addresses returns the live hosts for a caller, those that it is near to first. Hosts
+// whose configuration may be out of date are left out as long as there are others.
+func (h *Host) addresses(near slugname.DataCentre) ([]string, time.Duration) {
+	var fresh, other []string
+	limit := time.Duration(freshPart * float64(h.settings.Revoke))
+	self := h.member.Self().Process
+	for _, s := range h.table.Statuses() {
+		r, ok := h.member.Record(s.Process)
+		if !ok || !s.Alive || s.Leaving {
+			continue
+		}
+		if s.Process == self && !h.ready() {
+			continue
+		}
+		if slugclock.Since(s.Word) < limit {
+			fresh = append(fresh, r.CallersAddress)
+		} else {
+			other = append(other, r.CallersAddress)
+		}
+	}
+	if len(fresh) == 0 {
+		fresh = other
+	}
+	return fresh, lookupAge
+}
+
+// serve serves callers and the platform.
+func (h *Host) serve(ctx context.Context, g *errgroup.Group) error {
+	for _, s := range h.servers() {
+		g.Go(func() error { return s.Serve(ctx) })
+	}
+	return nil
+}
+
+func (h *Host) servers() []*slugserve.Server {
+	return []*slugserve.Server{h.requests, h.lookups, h.readiness, h.metricsServer}
+}
+
+// leaveAfter waits for the word to leave, and leaves.
+func (h *Host) leaveAfter(told, work context.Context) error {
+	select {
+	case <-told.Done():
+		return h.leave(work)
+	case <-work.Done():
+	}
+	var err error
+	for _, s := range h.servers() {
+		err = errors.CombineErrors(err, s.Close())
+	}
+	return err
+}
+
+// leave ends the daemon without cutting a request: callers go elsewhere first, then the
+// listener closes, and what is under way is finished within the grace.
+func (h *Host) leave(ctx context.Context) error {
+	begun := time.Now()
+	h.log.Emit(slugevent.ShutdownBegun, slugevent.Fields{"requests": h.dispatcher.Running()})
+	h.leaving.Store(true)
+	h.table.Update(func(r *slugpeer.Row) { r.Leaving = true })
+	pushCtx, cancel := context.WithTimeout(ctx, closeTimeout)
+	h.table.Push(pushCtx)
+	cancel()
+	_ = slugbackoff.Sleep(ctx, keepServing-time.Since(begun))
+	h.requests.Discourage()
+	finishCtx, cancel := context.WithDeadline(ctx, begun.Add(h.settings.Grace-finishMargin))
+	defer cancel()
+	err := h.requests.Finish(finishCtx)
+	h.withdraw(ctx)
+	h.log.Emit(slugevent.ShutdownDone, slugevent.Fields{"requests": h.dispatcher.Running()})
+	h.stop()
+	for _, s := range h.servers() {
+		err = errors.CombineErrors(err, s.Close())
+	}
+	return err
+}
+
+// withdraw removes this process's record.
+func (h *Host) withdraw(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, closeTimeout)
+	defer cancel()
+	if err := h.member.Withdraw(ctx); err != nil {
+		h.log.Error(slugevent.StoreUnavailable, err, slugevent.Fields{"step": "withdraw this process"})
+	}
+}
+
+// started counts a request that began to run.
+func (h *Host) started(w slugname.Workspace) {}
--- /dev/null
+++ b/internal/decision/slugplacement/placer.go
@@ -0,0 +1,485 @@
+// Package slugplacement decides which endpoint of a service takes which stage of a
+// request.
+//
+// It answers the load of many prompts that share long parts, arriving at many hosts
+// at once, while endpoints come and go: a prompt goes where its shared parts are
+// kept, as long as the wait there costs less than processing them again elsewhere.
+// All hosts take the same endpoint for the home of a shared part, by rendezvous
+// hashing, so that they find it there without telling each other. The second choice
+// is the same for all as well, so that a part in great demand is kept twice and not
+// everywhere.
+//
+// The package does no input or output. Load is what this process has sent and not
+// seen the end of, and what the others tell of theirs.
+//
+// # Usage
+//
+//	p := slugplacement.New(slugplacement.Config{DataCentre: "dc-a"})
+//	p.SetEndpoints(endpoints)
+//	c, ok := p.Prefill(job, nil, time.Now())
+//	...
+//	c.End(slugplacement.Served, time.Now())
+package slugplacement
+
+import (
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugname"
+	"github.com/sassafraslug/sassafraslug/internal/decision/slugplan"
+)
+
+// Priorities is the number of urgencies that are told apart.
+const Priorities = 4
+
+// Endpoint is one endpoint that may be chosen.
+type Endpoint struct {
+	Name        slugname.Endpoint
+	Incarnation int64
+	Address     string
+	DataCentre  slugname.DataCentre
+	Role        slugplan.Role
+	Slots       int
+	// CacheTokens is the memory for prompts and answers; 0 for plain services.
+	CacheTokens int
+}
+
+// Load is work at an endpoint.
+type Load struct {
+	// Prefill is the time that waiting and running prompts need, by urgency.
+	Prefill [Priorities]time.Duration
+	// Streams is the number of requests that run or wait.
+	Streams int
+	// CacheTokens is the memory that they need.
+	CacheTokens int
+}
+
+// Outcome is how a stage at an endpoint ended.
+type Outcome int
+
+// The outcomes.
+const (
+	// Served means that the endpoint did its part.
+	Served Outcome = iota
+	// Failed means that the endpoint broke off, did not answer in time or spoiled its
+	// answer.
+	Failed
+	// Full means that the endpoint refused for want of room.
+	Full
+	// Wrong means that another endpoint answers at the address.
+	Wrong
+	// Abandoned means that the caller left; it tells nothing of the endpoint.
+	Abandoned
+)
+
+const (
+	// failureHalfLife is how long a failure counts half.
+	failureHalfLife = 3 * time.Second
+	// failurePenalty is the time that an endpoint's first recent failure adds to
+	// what is expected of it; it grows with the square of their number.
+	failurePenalty = 120 * time.Millisecond
+	// avoidAfter is the number of recent failures from which an endpoint is avoided.
+	avoidAfter = 1.5
+	// avoidFor is how long it is avoided.
+	avoidFor = 1500 * time.Millisecond
+	// fullFor is how long an endpoint that refused for want of room is avoided.
+	fullFor = 120 * time.Millisecond
+	// slowSmoothing is the part of the newest measurement in an endpoint's slowness.
+	slowSmoothing = 0.25
+	// slowMemory is how long a measured slowness is believed without a newer one.
+	slowMemory = 6 * time.Second
+	// maxSlowness bounds what one measurement can say.
+	maxSlowness = 20
+	// cacheUse is the part of an endpoint's memory that running requests may take.
+	cacheUse = 0.9
+	// homes is the number of endpoints that are taken for the keepers of a shared part.
+	homes = 1
+)
+
+// Config makes a Placer.
+type Config struct {
+	DataCentre slugname.DataCentre
+	Cost       Cost
+	// Random returns a number from 0 up to 1, to break ties; nil means the runtime's.
+	Random func() float64
+}
+
+// state is what is known of an endpoint.
+type state struct {
+	Endpoint
+	own    Load
+	others Load
+	cache  *cache
+	// slowness is the measured time over the expected one, 1 at first.
+	slowness   float64
+	slownessAt time.Time
+	// failures is the decayed number of failures.
+	failures   float64
+	failuresAt time.Time
+	avoidUntil time.Time
+}
+
+// Placer chooses among the endpoints of one service.
+type Placer struct {
+	cfg Config
+
+	mu    sync.Mutex
+	state map[slugname.Endpoint]*state
+	list  []*state
+}
+
+// New returns a Placer without endpoints.
+func New(cfg Config) *Placer {
+	if cfg.Cost == (Cost{}) {
+		cfg.Cost = DefaultCost
+	}
+	if cfg.Random == nil {
+		cfg.Random = rand.Float64
+	}
+	return &Placer{cfg: cfg, state: map[slugname.Endpoint]*state{}}
+}
+
+// SetEndpoints replaces the endpoints that take new work. What is known of those that
+// stay is kept, unless they started again.
+func (p *Placer) SetEndpoints(list []Endpoint) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	next := make(map[slugname.Endpoint]*state, len(list))
+	p.list = p.list[:0]
+	for _, e := range list {
+		s := p.state[e.Name]
+		if s == nil || s.Incarnation != e.Incarnation {
+			s = &state{cache: newCache(e.CacheTokens), slowness: 1}
+		}
+		if s.Role != e.Role {
+			s.cache = newCache(e.CacheTokens)
+		}
+		s.Endpoint = e
+		next[e.Name] = s
+		p.list = append(p.list, s)
+	}
+	p.state = next
+}
+
+// SetOthers replaces what other processes told of their load.
+func (p *Placer) SetOthers(loads map[slugname.Endpoint]Load) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for name, s := range p.state {
+		s.others = loads[name]
+	}
+}
+
+// Own returns this process's load, without endpoints that have none.
+func (p *Placer) Own() map[slugname.Endpoint]Load {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	out := map[slugname.Endpoint]Load{}
+	for name, s := range p.state {
+		if s.own != (Load{}) {
+			out[name] = s.own
+		}
+	}
+	return out
+}
+
+// Len returns the number of endpoints with a role, or of all for an empty one.
+func (p *Placer) Len(r slugplan.Role) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := 0
+	for _, s := range p.list {
+		if r == "" || s.Role == r {
+			n++
+		}
+	}
+	return n
+}
+
+// Choice is an endpoint that was chosen, with the work noted there until End.
+type Choice struct {
+	Endpoint
+	// Predicted is when the stage is expected to be done.
+	Predicted time.Duration
+	// Cached is the number of prompt tokens believed to be kept there.
+	Cached int
+
+	p       *Placer
+	s       *state
+	job     Job
+	at      time.Time
+	work    time.Duration
+	stage   slugplan.Role
+	ended   bool
+	wait    time.Duration
+	predict time.Duration
+}
+
+// usable returns the endpoints with a role that are not excluded. Avoided ones are
+// left out as long as there are others; p.mu is held.
+func (p *Placer) usable(r slugplan.Role, exclude []slugname.Endpoint, now time.Time) []*state {
+	var good, avoided []*state
+	for _, s := range p.list {
+		if s.Role != r || slices.Contains(exclude, s.Name) {
+			continue
+		}
+		if now.Before(s.avoidUntil) {
+			avoided = append(avoided, s)
+			continue
+		}
+		good = append(good, s)
+	}
+	if len(good) == 0 {
+		return avoided
+	}
+	return good
+}
+
+// weight is the rendezvous weight of an endpoint for a shared part.
+func weight(part PartID, e slugname.Endpoint) uint64 {
+	return xxhash.Sum64String(string(part) + "\x00" + string(e))
+}
+
+// keepers returns the endpoints that all hosts take for the keepers of a part. They
+// are drawn from all endpoints of the role, so that one that is avoided for a
+// moment does not change the homes of the others.
+func (p *Placer) keepers(part PartID, r slugplan.Role) []*state {
+	if part == "" {
+		return nil
+	}
+	var best []*state
+	for _, s := range p.list {
+		if s.Role != r {
+			continue
+		}
+		best = append(best, s)
+		slices.SortFunc(best, func(a, b *state) int {
+			if weight(part, a.Name) > weight(part, b.Name) {
+				return -1
+			}
+			return 1
+		})
+		best = best[:min(len(best), homes)]
+	}
+	return best
+}
+
+// Prefill chooses the endpoint that processes a prompt: the one where it is expected
+// to be done first.
+func (p *Placer) Prefill(j Job, exclude []slugname.Endpoint, now time.Time) (*Choice, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var best *Choice
+	keepers := p.keepers(j.subject(), slugplan.RolePrefill)
+	for _, s := range p.usable(slugplan.RolePrefill, exclude, now) {
+		cached := s.cache.cached(j.Parts)
+		if slices.Contains(keepers, s) {
+			cached = max(cached, j.shared())
+		}
+		c := p.prefillAt(s, j, min(cached, j.Tokens), now)
+		if best == nil || c.predict < best.predict {
+			best = c
+		}
+	}
+	return p.take(best, slugplan.RolePrefill, now)
+}
+
+// prefillAt predicts a prompt's time at an endpoint; p.mu is held.
+func (p *Placer) prefillAt(s *state, j Job, cached int, now time.Time) *Choice {
+	slow := s.slow(now)
+	work := time.Duration(float64(p.cfg.Cost.Prefill(j.Tokens, cached)) * slow)
+	wait := time.Duration(float64(s.waiting(j.Priority)) * slow)
+	predict := wait + work + s.penalty(now)
+	return &Choice{Endpoint: s.Endpoint, Predicted: wait + work, Cached: cached, p: p, s: s, job: j, work: work, wait: wait, predict: predict}
+}
+
+// waiting returns the work that goes before a prompt of an urgency.
+func (s *state) waiting(priority int) time.Duration {
+	var sum time.Duration
+	for i := range class(priority) + 1 {
+		sum += s.own.Prefill[i] + s.others.Prefill[i]
+	}
+	return sum
+}
+
+// class returns the urgency class of a priority.
+func class(priority int) int { return min(max(priority, 0), Priorities-1) }
+
+// Decode chooses the endpoint that makes the answer from the KV cache at near: one
+// with room, in the same data centre if there is one, with the fewest requests.
+func (p *Placer) Decode(j Job, near slugname.DataCentre, exclude []slugname.Endpoint, now time.Time) (*Choice, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var best *Choice
+	for _, s := range p.usable(slugplan.RoleDecode, exclude, now) {
+		c := &Choice{Endpoint: s.Endpoint, p: p, s: s, job: j}
+		c.predict = p.decodeAt(s, j, near, now)
+		if best == nil || c.predict < best.predict {
+			best = c
+		}
+	}
+	return p.take(best, slugplan.RoleDecode, now)
+}
+
+const (
+	// farPenalty is what a move of KV cache to another data centre costs more, in time.
+	farPenalty = 8 * time.Millisecond
+	// noRoomPenalty is the wait expected at an endpoint without room.
+	noRoomPenalty = 2 * time.Second
+	// perStream is the time by which each request more makes a first event later.
+	perStream = 500 * time.Microsecond
+	// tieSpread is the greatest random time that breaks ties.
+	tieSpread = 200 * time.Microsecond
+)
+
+// decodeAt returns how much later than elsewhere an answer would begin; p.mu is held.
+func (p *Placer) decodeAt(s *state, j Job, near slugname.DataCentre, now time.Time) time.Duration {
+	streams := s.own.Streams + s.others.Streams
+	d := time.Duration(float64(streams)*float64(perStream)*s.slow(now)) + s.penalty(now)
+	d += time.Duration(p.cfg.Random() * float64(tieSpread))
+	if s.DataCentre != near {
+		d += farPenalty
+	}
+	tokens := s.own.CacheTokens + s.others.CacheTokens + j.Tokens + j.Output
+	if streams >= s.Slots || s.CacheTokens > 0 && float64(tokens) > cacheUse*float64(s.CacheTokens) {
+		d += noRoomPenalty
+	}
+	return d
+}
+
+// Plain chooses an endpoint of a plain service: the one with the fewest requests for
+// its slots.
+func (p *Placer) Plain(exclude []slugname.Endpoint, now time.Time) (*Choice, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var best *Choice
+	for _, s := range p.usable("", exclude, now) {
+		c := &Choice{Endpoint: s.Endpoint, p: p, s: s}
+		c.predict = p.plainAt(s, now)
+		if best == nil || c.predict < best.predict {
+			best = c
+		}
+	}
+	return p.take(best, "", now)
+}
+
+// plainWork is the time that one request is taken to need before any was measured.
+const plainWork = 30 * time.Millisecond
+
+// plainAt returns the expected time of a request at a plain endpoint; p.mu is held.
+func (p *Placer) plainAt(s *state, now time.Time) time.Duration {
+	streams := s.own.Streams + s.others.Streams
+	rounds := 1 + float64(streams)/float64(max(1, s.Slots))
+	d := time.Duration(rounds*float64(plainWork)*s.slow(now)) + s.penalty(now)
+	if s.DataCentre != p.cfg.DataCentre {
+		d += time.Millisecond
+	}
+	return d + time.Duration(p.cfg.Random()*float64(tieSpread))
+}
+
+// take notes the work at the chosen endpoint; p.mu is held.
+func (p *Placer) take(c *Choice, stage slugplan.Role, now time.Time) (*Choice, bool) {
+	if c == nil {
+		return nil, false
+	}
+	c.stage, c.at = stage, now
+	c.s.note(c, 1)
+	return c, true
+}
+
+// note adds or takes away the work of a choice.
+func (s *state) note(c *Choice, sign int) {
+	if c.stage == slugplan.RolePrefill {
+		s.own.Prefill[class(c.job.Priority)] += time.Duration(sign) * c.work
+		return
+	}
+	s.own.Streams += sign
+	s.own.CacheTokens += sign * (c.job.Tokens + c.job.Output)
+}
+
+// End takes the work away and learns from how it ended. Later calls do nothing.
+func (c *Choice) End(o Outcome, now time.Time) {
+	p := c.p
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if c.ended {
+		return
+	}
+	c.ended = true
+	c.s.note(c, -1)
+	switch o {
+	case Served:
+		c.served(now)
+	case Failed:
+		c.s.failed(now)
+	case Full:
+		c.s.avoidUntil = later(c.s.avoidUntil, now.Add(fullFor))
+	case Wrong:
+		c.s.avoidUntil = later(c.s.avoidUntil, now.Add(avoidFor))
+	}
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// served learns what the endpoint keeps now and how fast it is; p.mu is held.
+func (c *Choice) served(now time.Time) {
+	if c.stage != slugplan.RolePrefill {
+		return
+	}
+	c.s.cache.used(c.job.Parts)
+	c.s.measured(now.Sub(c.at), c.wait+c.work+fixedTime, now)
+}
+
+// fixedTime is the time of a call beside its work, in a calm system.
+const fixedTime = 10 * time.Millisecond
+
+// measured learns from the time of a stage against the expected one; p.mu is held.
+func (s *state) measured(took, expected time.Duration, now time.Time) {
+	// The expectation held the slowness known so far.
+	ratio := float64(took) / float64(expected) * s.slow(now)
+	ratio = min(max(ratio, 0.5), maxSlowness)
+	s.slowness = s.slow(now)*(1-slowSmoothing) + ratio*slowSmoothing
+	s.slownessAt = now
+}
+
+// slow returns the believed slowness; p.mu is held.
+func (s *state) slow(now time.Time) float64 {
+	if now.Sub(s.slownessAt) > slowMemory {
+		return 1
+	}
+	return s.slowness
+}
+
+func (s *state) failed(now time.Time) {
+	s.failures = s.decayed(now) + 1
+	s.failuresAt = now
+	if s.failures >= avoidAfter {
+		s.avoidUntil = later(s.avoidUntil, now.Add(avoidFor))
+	}
+}
+
+// decayed returns the number of recent failures.
+func (s *state) decayed(now time.Time) float64 {
+	if s.failures == 0 {
+		return 0
+	}
+	f := s.failures
+	for d := now.Sub(s.failuresAt); d >= failureHalfLife && f > 0.01; d -= failureHalfLife {
+		f /= 2
+	}
+	return f
+}
+
+// penalty returns the time that recent failures add to what is expected.
+func (s *state) penalty(now time.Time) time.Duration {
+	f := s.decayed(now)
+	return time.Duration(f * f * float64(failurePenalty))
+}
--- a/internal/membership/slugpeer/row.go
+++ b/internal/membership/slugpeer/row.go
@@ -63,8 +63,8 @@
 // Load is a process's own work at one endpoint.
 type Load struct {
 	_ struct{} `cbor:",toarray"`
-	// PrefillTokens are prompt tokens still to be processed.
-	PrefillTokens uint32
+	// PrefillMs is the time that waiting and running prompts need, by urgency.
+	PrefillMs []uint32
 	// Streams are requests that run or wait.
 	Streams uint32
 	// CacheTokens are the tokens of KV cache that they need.
--- a/internal/request/slugrefusal/refusal.go
+++ b/internal/request/slugrefusal/refusal.go
@@ -58,6 +58,10 @@
 	CodeUpgrade           Code = "upgradeUnsupported"
 	CodeInternal          Code = "internal"
 	CodeStreamInterrupted Code = "streamInterrupted"
+	CodeTimeout           Code = "timeout"
+	// CodeQuarantinedUnrun refuses a request that crashed endpoints before, where the
+	// caller may repeat it.
+	CodeQuarantinedUnrun Code = "quarantinedUnrun"
 )
 
 // RanHeader carries Ran in refusals.
@@ -75,6 +79,7 @@
 	CodeEndpointFailed: http.StatusBadGateway, CodeEndpointRefused: http.StatusServiceUnavailable,
 	CodeClaimUnavailable: http.StatusServiceUnavailable, CodeClaimMismatch: http.StatusUnprocessableEntity,
 	CodeOutcomeUnknown: http.StatusConflict, CodeUpgrade: http.StatusNotImplemented,
+	CodeTimeout: http.StatusGatewayTimeout, CodeQuarantinedUnrun: http.StatusServiceUnavailable,
 	CodeInternal: http.StatusInternalServerError, CodeStreamInterrupted: http.StatusBadGateway,
 }
 
