--- /dev/null
+++ b/internal/authority/slugcapacityduty/duty.go
@@ -0,0 +1,369 @@
+// Package slugcapacityduty brings the engines of a service to the numbers and roles that
+// slugcapacity plans. It runs in the one process that holds the duty.
+//
+// What was ordered is written into the store before it is sent: a process that lost the
+// duty cannot write, so it cannot send, and its successor knows what stands. An engine
+// is asked how many orders it has accepted before it gets the next, and the order names
+// that number, so that one which is carried out late has no effect.
+//
+// # Usage
+//
+//	d := slugcapacityduty.New(slugcapacityduty.Config{...})
+//	err := d.Run(ctx, right)
+package slugcapacityduty
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sassafraslug/sassafraslug/internal/authority/slugcommand"
+	"github.com/sassafraslug/sassafraslug/internal/authority/sluglease"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugbackoff"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugevent"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugname"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugstore"
+	"github.com/sassafraslug/sassafraslug/internal/decision/slugcapacity"
+	"github.com/sassafraslug/sassafraslug/internal/decision/slugplan"
+	"github.com/sassafraslug/sassafraslug/internal/fleet/slugregistry"
+	"github.com/sassafraslug/sassafraslug/internal/version/slugrouting"
+)
+
+const (
+	// reviewEvery is the time between looks at the plan.
+	reviewEvery = 400 * time.Millisecond
+	// callTimeout bounds one order. It must fit into the rest of a right.
+	callTimeout = 800 * time.Millisecond
+	// settle is how long after a service was first seen its number of engines counts
+	// as what it began with: they register one after the other.
+	settle = 1500 * time.Millisecond
+	// comingSlack is how much longer than planned new engines may take.
+	comingSlack = 3 * time.Second
+	// roleRetry is the time between tries to change an engine's role.
+	roleRetry = 1500 * time.Millisecond
+)
+
+// Name is the object that holds the plan.
+const Name = "plans/capacity"
+
+// Demand is what callers asked of a service lately, at its greatest.
+type Demand struct {
+	// PrefillBusy is the number of engines that prompts keep busy.
+	PrefillBusy float64
+	// Streams is the number of answers under way.
+	Streams float64
+}
+
+// Config makes a Duty.
+type Config struct {
+	Host     slugname.Host
+	Store    *slugstore.Store
+	Table    func() *slugrouting.Table
+	Registry *slugregistry.Registry
+	Demand   func(slugname.Service) Demand
+	Commands slugcommand.Commands
+	// Address is that of the interface for ordering endpoints.
+	Address string
+	// Do sends a command as long as the right lasts.
+	Do  func(*sluglease.Right) slugcommand.Do
+	Log *slugevent.Log
+}
+
+// place is a service in a data centre.
+type place struct {
+	Service    slugname.Service    `json:"service"`
+	DataCentre slugname.DataCentre `json:"dataCentre"`
+}
+
+// standing is what was ordered for a place.
+type standing struct {
+	place
+	// Initial is the number of engines that the service began with.
+	Initial int `json:"initial"`
+	// Regular and Cheap are the ordered numbers, -1 before the first order.
+	Regular int `json:"regular"`
+	Cheap   int `json:"cheap"`
+}
+
+// record is the content of the plan object.
+type record struct {
+	Fence  sluglease.Fence `json:"fence"`
+	Places []standing      `json:"places"`
+}
+
+// Duty plans and orders.
+type Duty struct {
+	cfg Config
+
+	version slugstore.Version
+	record  record
+	// first is when the duty first saw engines.
+	first time.Time
+	// dry is when a place was last refused reclaimable engines.
+	dry map[place]time.Time
+	// cheapAt is when reclaimable engines were last ordered for a place.
+	cheapAt map[place]time.Time
+	// roleAt is when an engine was last told its role.
+	roleAt map[slugname.Endpoint]time.Time
+	// wanted is the role that an engine was told to take.
+	wanted map[slugname.Endpoint]slugplan.Role
+}
+
+// New returns a Duty.
+func New(cfg Config) *Duty { return &Duty{cfg: cfg} }
+
+// Run plans and orders until the right ends.
+func (d *Duty) Run(ctx context.Context, right *sluglease.Right) error {
+	d.dry, d.cheapAt = map[place]time.Time{}, map[place]time.Time{}
+	d.roleAt, d.wanted = map[slugname.Endpoint]time.Time{}, map[slugname.Endpoint]slugplan.Role{}
+	if err := d.load(ctx); err != nil {
+		return err
+	}
+	for ctx.Err() == nil {
+		if err := d.review(ctx, right); err != nil {
+			return err
+		}
+		_ = slugbackoff.Sleep(ctx, reviewEvery)
+	}
+	return nil
+}
+
+func (d *Duty) load(ctx context.Context) error {
+	o, err := d.cfg.Store.Get(ctx, Name)
+	if err != nil {
+		return err
+	}
+	d.version, d.record = o.Version, record{}
+	if o.Body == nil {
+		return nil
+	}
+	return o.Decode(&d.record)
+}
+
+// write stores a plan. It fails when another holder has written.
+func (d *Duty) write(ctx context.Context, next record, fence sluglease.Fence) error {
+	next.Fence = fence
+	version, err := d.cfg.Store.Put(ctx, Name, d.version, next)
+	if err != nil {
+		return err
+	}
+	d.version, d.record = version, next
+	return nil
+}
+
+func (d *Duty) review(ctx context.Context, right *sluglease.Right) error {
+	t := d.cfg.Table()
+	if t == nil || !d.cfg.Registry.Synced() {
+		return nil
+	}
+	for _, s := range t.Services {
+		if s.Engine == nil || s.Scaling == nil {
+			continue
+		}
+		engines := d.cfg.Registry.Endpoints(s.Name)
+		if len(engines) == 0 || !d.settled() {
+			continue
+		}
+		if err := d.orderEndpoints(ctx, right, s, engines); err != nil {
+			return err
+		}
+		d.orderRoles(ctx, right, s, engines)
+	}
+	return nil
+}
+
+// settled reports whether the engines have had time to register.
+func (d *Duty) settled() bool {
+	if d.first.IsZero() {
+		d.first = time.Now()
+	}
+	return time.Since(d.first) >= settle
+}
+
+// standingOf returns what was ordered for a place, adding it when it is new.
+func (d *Duty) standingOf(p place, engines []slugregistry.Endpoint) *standing {
+	for i := range d.record.Places {
+		if d.record.Places[i].place == p {
+			return &d.record.Places[i]
+		}
+	}
+	n := 0
+	for _, e := range engines {
+		if e.DataCentre == p.DataCentre {
+			n++
+		}
+	}
+	d.record.Places = append(d.record.Places, standing{place: p, Initial: n, Regular: -1, Cheap: -1})
+	return &d.record.Places[len(d.record.Places)-1]
+}
+
+// state returns the service as the plan sees it.
+func (d *Duty) state(s *slugrouting.Service, engines []slugregistry.Endpoint, now time.Time) slugcapacity.Service {
+	demand := d.cfg.Demand(s.Name)
+	x := slugcapacity.Service{
+		Min: s.Scaling.Min, Max: s.Scaling.Max, HasCheap: s.Scaling.CheapPrice > 0 && s.Scaling.CheapPrice < 1,
+		PrefillBusy: demand.PrefillBusy, Streams: demand.Streams,
+	}
+	for _, dc := range dataCentres(s, engines) {
+		p := place{s.Name, dc}
+		st := d.standingOf(p, engines)
+		y := slugcapacity.DataCentre{Name: dc, Initial: st.Initial, OrderedRegular: st.Regular, OrderedCheap: st.Cheap, Dry: d.dry[p]}
+		for _, e := range engines {
+			switch {
+			case e.DataCentre != dc || e.Leaving:
+			case e.Cheap:
+				y.Cheap++
+			default:
+				y.Regular++
+			}
+		}
+		if st.Cheap > 0 && y.Cheap < st.Cheap && now.Sub(d.cheapAt[p]) > s.Scaling.Boot+comingSlack {
+			// They should have come: the order is made again.
+			y.OrderedCheap = -1
+		}
+		x.DataCentres = append(x.DataCentres, y)
+	}
+	return x
+}
+
+// dataCentres returns where a service runs or may run.
+func dataCentres(s *slugrouting.Service, engines []slugregistry.Endpoint) []slugname.DataCentre {
+	seen := map[slugname.DataCentre]bool{}
+	for dc := range s.Scaling.Prices {
+		seen[dc] = true
+	}
+	for _, e := range engines {
+		seen[e.DataCentre] = true
+	}
+	out := make([]slugname.DataCentre, 0, len(seen))
+	for dc := range seen {
+		out = append(out, dc)
+	}
+	slices.Sort(out)
+	return out
+}
+
+// orderEndpoints writes down and sends the orders of a service.
+func (d *Duty) orderEndpoints(ctx context.Context, right *sluglease.Right, s *slugrouting.Service, engines []slugregistry.Endpoint) error {
+	now := time.Now()
+	state := d.state(s, engines, now)
+	for _, o := range slugcapacity.Orders(state, now) {
+		if err := d.order(ctx, right, s, o, state); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// order writes one order down and sends it.
+func (d *Duty) order(ctx context.Context, right *sluglease.Right, s *slugrouting.Service, o slugcapacity.Order, state slugcapacity.Service) error {
+	p := place{s.Name, o.DataCentre}
+	next := record{Places: slices.Clone(d.record.Places)}
+	for i := range next.Places {
+		if next.Places[i].place != p {
+			continue
+		}
+		if o.Cheap {
+			next.Places[i].Cheap = o.Count
+		} else {
+			next.Places[i].Regular = o.Count
+		}
+	}
+	if err := d.write(ctx, next, right.Fence); err != nil {
+		return err
+	}
+	if o.Cheap {
+		d.cheapAt[p] = time.Now()
+	}
+	err := right.Do(ctx, callTimeout, func(ctx context.Context) error {
+		e := slugcommand.EndpointOrder{Service: s.Name, DataCentre: o.DataCentre, Count: o.Count, Cheap: o.Cheap}
+		return d.cfg.Commands.OrderEndpoints(ctx, d.cfg.Do(right), d.cfg.Address, e, slugcommand.Holder{Host: d.cfg.Host, Fence: right.Fence})
+	})
+	f := slugevent.Fields{"service": s.Name, "dataCentre": o.DataCentre, "count": o.Count, "cheap": o.Cheap, "reason": o.Reason, "fence": right.Fence, "prefillBusy": fmt.Sprintf("%.2f", state.PrefillBusy), "streams": fmt.Sprintf("%.1f", state.Streams)}
+	if err == nil {
+		d.cfg.Log.Emit(slugevent.EndpointOrdered, f)
+		return nil
+	}
+	d.cfg.Log.Error(slugevent.OrderFailed, err, f)
+	if errors.Is(err, slugcommand.ErrNone) {
+		d.dry[p] = time.Now()
+	}
+	return d.unsettled(ctx, right, p, o)
+}
+
+// unsettled writes down that an order may not stand, so that it is made again.
+func (d *Duty) unsettled(ctx context.Context, right *sluglease.Right, p place, o slugcapacity.Order) error {
+	next := record{Places: slices.Clone(d.record.Places)}
+	for i := range next.Places {
+		if next.Places[i].place == p && o.Cheap {
+			next.Places[i].Cheap = -1
+		} else if next.Places[i].place == p {
+			next.Places[i].Regular = -1
+		}
+	}
+	return d.write(ctx, next, right.Fence)
+}
+
+// orderRoles tells engines the roles that the plan gives them.
+func (d *Duty) orderRoles(ctx context.Context, right *sluglease.Right, s *slugrouting.Service, engines []slugregistry.Endpoint) {
+	list := d.engines(s, engines)
+	demand := d.cfg.Demand(s.Name)
+	places := len(dataCentres(s, engines))
+	changes := slugcapacity.Roles(list, func(_ slugname.DataCentre, n int) int {
+		return slugcapacity.DecodeEngines(n, demand.Streams, places)
+	})
+	for _, c := range changes {
+		if time.Since(d.roleAt[c.Engine]) < roleRetry {
+			continue
+		}
+		i := slices.IndexFunc(engines, func(e slugregistry.Endpoint) bool { return e.Name == c.Engine })
+		d.setRole(ctx, right, s, engines[i], c.Role)
+	}
+}
+
+// engines returns the engines that serve, with the roles that they have or are about to
+// take.
+func (d *Duty) engines(s *slugrouting.Service, endpoints []slugregistry.Endpoint) []slugcapacity.Engine {
+	var out []slugcapacity.Engine
+	for _, e := range endpoints {
+		if e.Leaving {
+			continue
+		}
+		x := slugcapacity.Engine{Name: e.Name, DataCentre: e.DataCentre, Role: e.Role, Cheap: e.Cheap}
+		if w, ok := d.wanted[e.Name]; ok && w != e.Role && time.Since(d.roleAt[e.Name]) < s.Engine.SwitchTime+comingSlack {
+			x.Role, x.Changing = w, true
+		}
+		out = append(out, x)
+	}
+	slices.SortFunc(out, func(a, b slugcapacity.Engine) int { return cmp.Compare(a.Name, b.Name) })
+	return out
+}
+
+// setRole orders one engine to take a role, after it has told how many orders it has
+// accepted.
+func (d *Duty) setRole(ctx context.Context, right *sluglease.Right, s *slugrouting.Service, e slugregistry.Endpoint, r slugplan.Role) {
+	d.roleAt[e.Name] = time.Now()
+	f := slugevent.Fields{"service": s.Name, "endpoint": e.Name, "dataCentre": e.DataCentre, "from": e.Role, "to": r, "fence": right.Fence}
+	err := right.Do(ctx, callTimeout, func(ctx context.Context) error {
+		do := d.cfg.Do(right)
+		report, err := d.cfg.Commands.Report(ctx, do, e.Address)
+		if err != nil {
+			return err
+		}
+		if report.Busy {
+			return slugcommand.ErrBusy
+		}
+		f["orders"] = report.Orders
+		o := slugcommand.RoleOrder{Endpoint: e.Name, Address: e.Address, Role: r, Expected: report.Orders}
+		return d.cfg.Commands.SetRole(ctx, do, o, slugcommand.Holder{Host: d.cfg.Host, Fence: right.Fence})
+	})
+	if err != nil {
+		d.cfg.Log.Error(slugevent.OrderFailed, err, f)
+		return
+	}
+	d.wanted[e.Name] = r
+	d.cfg.Log.Emit(slugevent.RoleChangePlanned, f)
+}
--- a/internal/authority/sluglease/right.go
+++ b/internal/authority/sluglease/right.go
@@ -36,6 +36,14 @@
 	return r.lease.cfg.TTL - r.lease.margin() - since
 }
 
+// Check returns ErrNoRight once the right has ended.
+func (r *Right) Check() error {
+	if r.Remaining() <= 0 {
+		return errors.Wrapf(ErrNoRight, "duty %s", r.lease.cfg.Duty)
+	}
+	return nil
+}
+
 // doPart is the part of a lease's time that one action may take at the most, so
 // that a right renewed in time always suffices.
 const doPart = 2
--- /dev/null
+++ b/internal/authority/slugusageduty/duty.go
@@ -0,0 +1,224 @@
+// Package slugusageduty reports each accounting window once, with one set of figures.
+//
+// The figures of a window are summed from what all processes told of it, and frozen in
+// the store before they are sent. Whoever sends them again, this process or a
+// successor, sends what was frozen.
+//
+// # Usage
+//
+//	d := slugusageduty.New(slugusageduty.Config{...})
+//	err := d.Run(ctx, right)
+package slugusageduty
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sassafraslug/sassafraslug/internal/authority/slugcommand"
+	"github.com/sassafraslug/sassafraslug/internal/authority/sluglease"
+	"github.com/sassafraslug/sassafraslug/internal/authority/slugtally"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugbackoff"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugevent"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugname"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugstore"
+	"github.com/sassafraslug/sassafraslug/internal/membership/slugpeer"
+)
+
+const (
+	// reviewEvery is the time between looks for a window that has ended.
+	reviewEvery = 500 * time.Millisecond
+	// collectFor is how long after a window's end its figures are still collected: they
+	// come from peers once a fraction of a second.
+	collectFor = 2 * time.Second
+	// callTimeout bounds one report. It must fit into the rest of a right.
+	callTimeout = 900 * time.Millisecond
+	// keptWindows is the number of reports that are kept in the store.
+	keptWindows = 8
+	// retryEvery is the time between tries to send a report.
+	retryEvery = 700 * time.Millisecond
+)
+
+// Name is the object that holds the frozen reports.
+const Name = "usage/reports"
+
+// Config makes a Duty.
+type Config struct {
+	Host   slugname.Host
+	Store  *slugstore.Store
+	Window time.Duration
+	// Late is how long after its end a window's report is still wanted.
+	Late time.Duration
+	// Now returns the true time of day.
+	Now func() time.Time
+	// Counts returns what all processes told of the windows.
+	Counts   func() []slugpeer.WindowCount
+	Commands slugcommand.Commands
+	// Address is that of the interface for usage reports.
+	Address string
+	// Do sends a command as long as the right lasts.
+	Do  func(*sluglease.Right) slugcommand.Do
+	Log *slugevent.Log
+}
+
+// report is the frozen report of a window.
+type report struct {
+	Window int64                         `json:"window"`
+	Counts map[slugname.Workspace]uint32 `json:"counts"`
+	Sent   bool                          `json:"sent"`
+}
+
+// record is the content of the object.
+type record struct {
+	Fence   sluglease.Fence `json:"fence"`
+	Reports []report        `json:"reports"`
+}
+
+// Duty freezes and sends reports.
+type Duty struct {
+	cfg     Config
+	version slugstore.Version
+	record  record
+	// from is the first window that this holder reports if there is no earlier report.
+	from int64
+	// tried is when an unsent report was last sent.
+	tried time.Time
+}
+
+// New returns a Duty.
+func New(cfg Config) *Duty { return &Duty{cfg: cfg} }
+
+// Run reports until the right ends.
+func (d *Duty) Run(ctx context.Context, right *sluglease.Right) error {
+	if err := d.load(ctx); err != nil {
+		return err
+	}
+	d.from = slugtally.Window(d.cfg.Now(), d.cfg.Window)
+	for ctx.Err() == nil {
+		if err := d.review(ctx, right); err != nil {
+			return err
+		}
+		_ = slugbackoff.Sleep(ctx, reviewEvery)
+	}
+	return nil
+}
+
+func (d *Duty) load(ctx context.Context) error {
+	o, err := d.cfg.Store.Get(ctx, Name)
+	if err != nil {
+		return err
+	}
+	d.version, d.record = o.Version, record{}
+	if o.Body == nil {
+		return nil
+	}
+	return o.Decode(&d.record)
+}
+
+// write stores the reports. It fails when another holder has written.
+func (d *Duty) write(ctx context.Context, next record, fence sluglease.Fence) error {
+	next.Fence = fence
+	next.Reports = next.Reports[max(0, len(next.Reports)-keptWindows):]
+	version, err := d.cfg.Store.Put(ctx, Name, d.version, next)
+	if err != nil {
+		return err
+	}
+	d.version, d.record = version, next
+	return nil
+}
+
+// review freezes the windows that have ended and sends what has not been sent.
+func (d *Duty) review(ctx context.Context, right *sluglease.Right) error {
+	if err := d.freeze(ctx, right); err != nil {
+		return err
+	}
+	if time.Since(d.tried) < retryEvery {
+		return nil
+	}
+	for i, r := range d.record.Reports {
+		if r.Sent {
+			continue
+		}
+		d.tried = time.Now()
+		if err := d.send(ctx, right, i); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// due returns the windows that have ended and have no report, as long as one is wanted.
+func (d *Duty) due() []int64 {
+	now := d.cfg.Now()
+	last := slugtally.Window(now.Add(-collectFor), d.cfg.Window) - 1
+	first := max(d.from, slugtally.Window(now.Add(-d.cfg.Late), d.cfg.Window))
+	if n := len(d.record.Reports); n > 0 {
+		// A successor also reports the windows that ended while nobody held the duty.
+		first = max(d.record.Reports[n-1].Window+1, slugtally.Window(now.Add(-d.cfg.Late), d.cfg.Window))
+	}
+	var out []int64
+	for k := first; k <= last; k++ {
+		out = append(out, k)
+	}
+	return out
+}
+
+func (d *Duty) freeze(ctx context.Context, right *sluglease.Right) error {
+	due := d.due()
+	if len(due) == 0 {
+		return nil
+	}
+	next := record{Reports: slices.Clone(d.record.Reports)}
+	counts := d.cfg.Counts()
+	for _, k := range due {
+		r := report{Window: k, Counts: sum(counts, k)}
+		next.Reports = append(next.Reports, r)
+		d.cfg.Log.Emit(slugevent.UsageFrozen, slugevent.Fields{"window": k, "requests": total(r.Counts), "fence": right.Fence})
+	}
+	return d.write(ctx, next, right.Fence)
+}
+
+// sum adds what all processes told of a window.
+func sum(counts []slugpeer.WindowCount, k int64) map[slugname.Workspace]uint32 {
+	out := map[slugname.Workspace]uint32{}
+	for _, c := range counts {
+		if c.Window != k {
+			continue
+		}
+		for w, n := range c.Counts {
+			out[w] += n
+		}
+	}
+	return out
+}
+
+func total(counts map[slugname.Workspace]uint32) uint32 {
+	var n uint32
+	for _, x := range counts {
+		n += x
+	}
+	return n
+}
+
+// send sends a frozen report, and notes that it was taken. A report that the platform
+// refuses for good is not sent again.
+func (d *Duty) send(ctx context.Context, right *sluglease.Right, i int) error {
+	r := d.record.Reports[i]
+	err := right.Do(ctx, callTimeout, func(ctx context.Context) error {
+		return d.cfg.Commands.ReportUsage(ctx, d.cfg.Do(right), d.cfg.Address, r.Window, r.Counts, slugcommand.Holder{Host: d.cfg.Host, Fence: right.Fence})
+	})
+	f := slugevent.Fields{"window": r.Window, "requests": total(r.Counts), "fence": right.Fence}
+	if err != nil && !errors.Is(err, slugcommand.ErrRefused) {
+		d.cfg.Log.Error(slugevent.CallFailed, err, f)
+		return nil
+	}
+	if err != nil {
+		d.cfg.Log.Error(slugevent.CallFailed, err, f)
+	} else {
+		d.cfg.Log.Emit(slugevent.WindowReported, f)
+	}
+	next := record{Reports: slices.Clone(d.record.Reports)}
+	next.Reports[i].Sent = true
+	return d.write(ctx, next, right.Fence)
+}
--- a/internal/daemon/slughost/adapter.go
+++ b/internal/daemon/slughost/adapter.go
@@ -5,23 +5,19 @@
 	"net/http"
 	"time"
 
-	"github.com/sassafraslug/sassafraslug/internal/authority/sluglease"
+	"github.com/sassafraslug/sassafraslug/internal/authority/slugcommand"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugname"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugstore"
-	"github.com/sassafraslug/sassafraslug/internal/decision/slugplan"
 	"github.com/sassafraslug/sassafraslug/internal/fleet/slugregistry"
 	"github.com/sassafraslug/sassafraslug/internal/request/slugdispatch"
 	"github.com/sassafraslug/sassafraslug/internal/version/slugrouting"
 )
 
-// Do performs a request.
-type Do func(*http.Request) (*http.Response, error)
-
 // Adapter is how the host speaks with one kind of platform. Its functions translate
 // and decide nothing.
 type Adapter struct {
 	// Store makes the backend of the store at an address.
-	Store func(address string, do Do) *slugstore.Backend
+	Store func(address string, do slugcommand.Do) *slugstore.Backend
 	// ConfigName is the object that holds the configuration; DecodeConfig reads it.
 	ConfigName   string
 	DecodeConfig func([]byte) (*slugrouting.Table, error)
@@ -32,27 +28,8 @@
 	Codec slugdispatch.Codec
 	// Handlers makes what answers callers and the platform.
 	Handlers func(Ingress) Handlers
-	// SetRole orders an endpoint to change its role.
-	SetRole func(ctx context.Context, do Do, e slugregistry.Endpoint, r slugplan.Role, by Holder) error
-	// OrderEndpoints orders a number of endpoints.
-	OrderEndpoints func(ctx context.Context, do Do, address string, o EndpointOrder, by Holder) error
-	// ReportUsage reports the requests of an accounting window.
-	ReportUsage func(ctx context.Context, do Do, address string, window int64, counts map[slugname.Workspace]uint32, by Holder) error
-}
-
-// Holder is the holder of a duty, as endpoints and interfaces are told.
-type Holder struct {
-	Host  slugname.Host
-	Fence sluglease.Fence
-}
-
-// EndpointOrder is the number of endpoints that a service is to have in a data centre.
-type EndpointOrder struct {
-	Service    slugname.Service
-	DataCentre slugname.DataCentre
-	Count      int
-	// Cheap endpoints may be reclaimed. They are counted apart from the others.
-	Cheap bool
+	// Commands are what the holder of a duty sends.
+	Commands slugcommand.Commands
 }
 
 // Ingress is what the handlers need of the host.
--- /dev/null
+++ b/internal/daemon/slughost/duties.go
@@ -0,0 +1,143 @@
+package slughost
+
+import (
+	"context"
+	"time"
+
+	"github.com/sassafraslug/sassafraslug/internal/authority/slugcapacityduty"
+	"github.com/sassafraslug/sassafraslug/internal/authority/slugcommand"
+	"github.com/sassafraslug/sassafraslug/internal/authority/sluglease"
+	"github.com/sassafraslug/sassafraslug/internal/authority/slugusageduty"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugbackoff"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugevent"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugname"
+	"github.com/sassafraslug/sassafraslug/internal/membership/slugmember"
+	"github.com/sassafraslug/sassafraslug/internal/membership/slugpeer"
+	"golang.org/x/sync/errgroup"
+)
+
+const (
+	// duty is the one lease under which this system's duties are done today.
+	duty sluglease.Duty = "duties"
+	// tidyEvery is the time between looks for records of processes that are gone.
+	tidyEvery = 5 * time.Second
+	// goneAfter is how long peers must be without word of a process, and the holder of
+	// the duty must have been up, before its record is removed.
+	goneAfter = 15 * time.Second
+)
+
+// holdDuties takes part in the duties.
+func (h *Host) holdDuties(ctx context.Context, g *errgroup.Group) error {
+	self := h.member.Self()
+	lease := sluglease.New(sluglease.Config{
+		Duty: duty, Self: self.Process, Host: self.Host, Store: h.store.For("lease"), TTL: h.settings.LeaseTime,
+		Rank: h.rank, Eligible: h.ready, Log: h.log,
+	})
+	g.Go(func() error { return lease.Run(ctx, h.work) })
+	h.duties = lease
+	return nil
+}
+
+// rank returns this process's place among those that may hold the duties.
+func (h *Host) rank() int {
+	self := h.member.Self().Process
+	alive := []slugname.Process{}
+	for _, s := range h.table.Statuses() {
+		if _, known := h.member.Record(s.Process); known && s.Alive && !s.Leaving {
+			alive = append(alive, s.Process)
+		}
+	}
+	return slugmember.Rank(string(duty), self, alive)
+}
+
+// work does all duties while the right lasts.
+func (h *Host) work(ctx context.Context, right *sluglease.Right) error {
+	g, ctx := errgroup.WithContext(ctx)
+	g.Go(func() error { return h.capacityDuty().Run(ctx, right) })
+	g.Go(func() error { return h.usageDuty().Run(ctx, right) })
+	g.Go(func() error { return h.tidy(ctx) })
+	return g.Wait()
+}
+
+// commandsUnder sends commands as long as a right lasts.
+func (h *Host) commandsUnder(right *sluglease.Right) slugcommand.Do {
+	return slugcommand.Guarded(h.network.DialReset, right.Check)
+}
+
+func (h *Host) capacityDuty() *slugcapacityduty.Duty {
+	return slugcapacityduty.New(slugcapacityduty.Config{
+		Host: h.settings.Host, Store: h.store.For("capacity"), Table: h.follower.Table, Registry: h.registry,
+		Demand: h.demand, Commands: h.adapter.Commands, Address: hostPort(h.settings.DutiesAddress),
+		Do: h.commandsUnder, Log: h.log,
+	})
+}
+
+func (h *Host) usageDuty() *slugusageduty.Duty {
+	return slugusageduty.New(slugusageduty.Config{
+		Host: h.settings.Host, Store: h.store.For("usage"), Window: h.settings.UsageWindow, Late: h.settings.UsageLate,
+		Now: h.clock.Now, Counts: h.windowCounts, Commands: h.adapter.Commands, Address: hostPort(h.settings.DutiesAddress),
+		Do: h.commandsUnder, Log: h.log,
+	})
+}
+
+// demand sums what all processes told of a service's work.
+func (h *Host) demand(s slugname.Service) slugcapacityduty.Demand {
+	var d slugcapacityduty.Demand
+	for _, x := range h.table.Statuses() {
+		if !x.Alive {
+			continue
+		}
+		d.PrefillBusy += float64(x.Work[s].PrefillBusy)
+		d.Streams += float64(x.Work[s].Streams)
+	}
+	return d
+}
+
+// windowCounts returns what all processes told of the accounting windows, those that
+// have ended meanwhile included.
+func (h *Host) windowCounts() []slugpeer.WindowCount {
+	var out []slugpeer.WindowCount
+	for _, s := range h.table.Statuses() {
+		out = append(out, s.Started...)
+	}
+	return out
+}
+
+// tidy removes the records of processes that are gone: those that no peer has word of,
+// and those of hosts that have a newer process.
+func (h *Host) tidy(ctx context.Context) error {
+	since := map[slugname.Process]time.Time{}
+	for slugbackoff.Sleep(ctx, tidyEvery) == nil {
+		for _, p := range h.gone(since, time.Now()) {
+			if err := h.member.Remove(ctx, p); err != nil {
+				h.log.Error(slugevent.DutyFailed, err, slugevent.Fields{"process": p, "step": "remove record"})
+				continue
+			}
+			h.log.Emit(slugevent.PeerSilent, slugevent.Fields{"process": p, "action": "record removed"})
+		}
+	}
+	return nil
+}
+
+// gone returns the processes without word for long enough. since holds when each was
+// first seen without.
+func (h *Host) gone(since map[slugname.Process]time.Time, now time.Time) []slugname.Process {
+	alive := map[slugname.Process]bool{}
+	for _, s := range h.table.Statuses() {
+		alive[s.Process] = s.Alive
+	}
+	var out []slugname.Process
+	for _, r := range h.member.Records() {
+		if alive[r.Process] || r.Process == h.member.Self().Process {
+			delete(since, r.Process)
+			continue
+		}
+		if since[r.Process].IsZero() {
+			since[r.Process] = now
+		}
+		if now.Sub(since[r.Process]) >= goneAfter {
+			out = append(out, r.Process)
+		}
+	}
+	return out
+}
--- a/internal/daemon/slughost/host.go
+++ b/internal/daemon/slughost/host.go
@@ -16,6 +16,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/sassafraslug/sassafraslug/internal/authority/sluglease"
+	"github.com/sassafraslug/sassafraslug/internal/authority/slugtally"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugbackoff"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugclock"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugevent"
@@ -34,6 +36,7 @@
 	"github.com/sassafraslug/sassafraslug/internal/membership/slugmember"
 	"github.com/sassafraslug/sassafraslug/internal/membership/slugnewest"
 	"github.com/sassafraslug/sassafraslug/internal/membership/slugpeer"
+	"github.com/sassafraslug/sassafraslug/internal/membership/slugtruetime"
 	"github.com/sassafraslug/sassafraslug/internal/request/slugdispatch"
 	"golang.org/x/sync/errgroup"
 )
@@ -86,6 +89,9 @@
 	sender      *slugsend.Sender
 	suspects    *slugsuspect.Tracker
 	dispatcher  *slugdispatch.Dispatcher
+	clock       *slugtruetime.Clock
+	tally       *slugtally.Tally
+	duties      *sluglease.Lease
 
 	requests, lookups, readiness, metricsServer *slugserve.Server
 
@@ -120,6 +126,7 @@
 		{Name: "follow the endpoints", Run: h.followEndpoints},
 		{Name: "exchange with peers", Run: h.exchange},
 		{Name: "serve callers", Run: h.serve},
+		{Name: "take part in the duties", Run: h.holdDuties},
 		{Name: "leave when told", Run: func(_ context.Context, g *errgroup.Group) error {
 			g.Go(func() error { return h.leaveAfter(ctx, work) })
 			return nil
@@ -134,13 +141,14 @@
 
 // build makes the parts of the request path.
 func (h *Host) build(_ context.Context, _ *errgroup.Group) error {
+	h.tally = slugtally.New(slugtally.Config{Window: h.settings.UsageWindow, Now: h.clock.Now})
 	h.sender = slugsend.New(slugsend.Config{Dial: h.network.Dial})
 	h.suspects = slugsuspect.New(slugsuspect.Config{}, func(slugsuspect.Suspicion) { go h.tellSuspicions() })
 	h.dispatcher = slugdispatch.New(slugdispatch.Config{
 		Table: h.follower.Table, Fresh: h.fresh,
 		Age:    func() time.Duration { return slugclock.Since(h.follower.Word()) },
 		Placer: h.placer, Budget: h.budget, Suspects: h.suspects, Codec: h.adapter.Codec, Open: h.sender.Open,
-		Started: h.started, Ended: h.counters.Ended, Log: h.log,
+		Started: h.tally.Count, Ended: h.counters.Ended, Log: h.log,
 	})
 	return nil
 }
--- a/internal/daemon/slughost/join.go
+++ b/internal/daemon/slughost/join.go
@@ -17,6 +17,7 @@
 	"github.com/sassafraslug/sassafraslug/internal/membership/slugmember"
 	"github.com/sassafraslug/sassafraslug/internal/membership/slugnewest"
 	"github.com/sassafraslug/sassafraslug/internal/membership/slugpeer"
+	"github.com/sassafraslug/sassafraslug/internal/membership/slugtruetime"
 	"github.com/sassafraslug/sassafraslug/internal/version/slugrouting"
 	"golang.org/x/sync/errgroup"
 )
@@ -40,7 +41,9 @@
 		InForce:  h.configChanged, Log: h.log,
 	})
 	h.registry = slugregistry.New(slugregistry.Config{Decode: h.adapter.DecodeEntry, Changed: h.endpointsChanged, Log: h.log})
+	h.clock = slugtruetime.New()
 	h.table = slugpeer.New(slugpeer.Config{
+		Clock: h.clock.Count, HeardClock: h.clock.Heard,
 		Self: h.member.Self(), Call: link.Call, Peers: h.member.Records, Word: h.follower.Word,
 		Heard: h.heard, HeardWord: h.follower.Heard, Bundle: h.follower.Raw, Fanout: exchangeFanout, Every: exchangeEvery,
 	})
@@ -130,11 +133,25 @@
 			loads[name] = encodeLoad(l)
 		}
 	}
-	suspicions := h.suspects.Suspicions(time.Now())
-	h.table.Update(func(r *slugpeer.Row) { r.Loads, r.Suspicions = loads, suspicions })
+	suspicions, windows, work := h.suspects.Suspicions(time.Now()), h.tally.Windows(), h.workForPeers()
+	h.table.Update(func(r *slugpeer.Row) {
+		r.Loads, r.Suspicions, r.Started, r.Work = loads, suspicions, windows, work
+	})
 	h.takeLoads()
 }
 
+// workForPeers returns what callers asked of each service lately.
+func (h *Host) workForPeers() map[slugname.Service]slugpeer.Work {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	out := map[slugname.Service]slugpeer.Work{}
+	for name, p := range h.placers {
+		busy, streams := p.Demand(time.Now())
+		out[name] = slugpeer.Work{PrefillBusy: float32(busy), Streams: float32(streams)}
+	}
+	return out
+}
+
 func (h *Host) allPlacers() []*slugplacement.Placer {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/internal/daemon/slughost/serve.go
+++ b/internal/daemon/slughost/serve.go
@@ -148,6 +148,3 @@
 		h.log.Error(slugevent.StoreUnavailable, err, slugevent.Fields{"step": "withdraw this process"})
 	}
 }
-
-// started counts a request that began to run.
-func (h *Host) started(w slugname.Workspace) {}
--- /dev/null
+++ b/internal/decision/slugcapacity/capacity.go
@@ -0,0 +1,191 @@
+// Package slugcapacity decides how many engines a service has in each data centre, of
+// which kind, and which role each of them takes.
+//
+// It answers load whose mix of prompts and outputs shifts within seconds while a new
+// engine takes seconds to start: capacity must stand before the shift, so it is planned
+// from what the service began with and from the greatest demand of late, and it is
+// made of reclaimable engines as far as they are to be had. They cost a fifth, so
+// twice the capacity costs less than half. All reclaimable engines of one data centre
+// may be taken away at once; what is left elsewhere must carry the load until
+// others have started.
+//
+// The package does no input or output.
+//
+// # Usage
+//
+//	orders := slugcapacity.Orders(service, state)
+//	changes := slugcapacity.Roles(engines, 2)
+package slugcapacity
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/sassafraslug/sassafraslug/internal/base/slugname"
+	"github.com/sassafraslug/sassafraslug/internal/decision/slugplan"
+)
+
+const (
+	// headroom is the planned capacity over what the service began with.
+	headroom = 1.34
+	// busyPart is the part of the engines for prompts that may be busy on average:
+	// above it prompts wait too long for each other.
+	busyPart = 0.45
+	// streamsPerEngine is the number of answers that an engine makes side by side
+	// without their events coming late.
+	streamsPerEngine = 24
+	// leastDecode is the number of engines in a data centre that make answers, so
+	// that the loss of one leaves another.
+	leastDecode = 2
+	// leastPrefill is the number of engines in a data centre that process prompts.
+	leastPrefill = 1
+	// dryFor is how long a data centre without reclaimable engines is not asked again.
+	dryFor = 4 * time.Second
+)
+
+// DataCentre is what a service has in a data centre.
+type DataCentre struct {
+	Name slugname.DataCentre
+	// Initial is the number of engines that the service began with.
+	Initial int
+	// Regular and Cheap are the engines that serve.
+	Regular, Cheap int
+	// Ordered numbers, -1 when nothing was ordered yet.
+	OrderedRegular, OrderedCheap int
+	// Dry is when reclaimable engines were last refused.
+	Dry time.Time
+}
+
+// Service is what is known of a service.
+type Service struct {
+	Min, Max int
+	// HasCheap tells that reclaimable engines can be ordered.
+	HasCheap    bool
+	DataCentres []DataCentre
+	// PrefillBusy is the number of engines kept busy by prompts, the greatest of
+	// late.
+	PrefillBusy float64
+	// Streams is the number of answers under way, the greatest of late.
+	Streams float64
+}
+
+// Order is a number of engines to order in a data centre.
+type Order struct {
+	DataCentre slugname.DataCentre
+	Count      int
+	Cheap      bool
+	// Reason says what decided.
+	Reason string
+}
+
+// wanted returns the number of engines that each data centre is to have.
+func (s Service) wanted(d DataCentre) int {
+	n := math.Ceil(float64(d.Initial) * headroom)
+	demand := s.PrefillBusy/busyPart + s.Streams/streamsPerEngine
+	n = max(n, math.Ceil(demand/float64(max(1, len(s.DataCentres)))))
+	return min(max(int(n), s.Min), s.Max)
+}
+
+// Orders returns the orders that bring a service to its plan, those that add engines
+// first. Regular engines are given up only where reclaimable ones serve in their place.
+func Orders(s Service, now time.Time) []Order {
+	var add, drop []Order
+	for _, d := range s.DataCentres {
+		wanted := s.wanted(d)
+		regular := max(s.Min, 1)
+		cheap := wanted - regular
+		reason := "planned capacity"
+		if !s.HasCheap || !d.Dry.IsZero() && now.Sub(d.Dry) < dryFor {
+			regular, cheap = max(regular, min(wanted, max(d.Initial, d.Regular))), d.Cheap
+			reason = "no reclaimable engines to be had"
+		}
+		if s.HasCheap && cheap != d.OrderedCheap && reason == "planned capacity" {
+			add = append(add, Order{d.Name, cheap, true, reason})
+		}
+		have := d.Regular
+		if d.OrderedRegular >= 0 {
+			have = d.OrderedRegular
+		}
+		switch {
+		case regular > have:
+			add = append(add, Order{d.Name, regular, false, reason})
+		case regular < have && d.Cheap >= cheap-1 && d.Cheap > 0:
+			drop = append(drop, Order{d.Name, regular, false, "reclaimable engines serve"})
+		}
+	}
+	return append(add, drop...)
+}
+
+// Engine is one engine that serves.
+type Engine struct {
+	Name       slugname.Endpoint
+	DataCentre slugname.DataCentre
+	Role       slugplan.Role
+	Cheap      bool
+	// Changing tells that an order is being carried out.
+	Changing bool
+}
+
+// Change is a role that an engine is to take.
+type Change struct {
+	Engine slugname.Endpoint
+	Role   slugplan.Role
+}
+
+// DecodeEngines returns the number of engines of one data centre that make answers.
+func DecodeEngines(engines int, streams float64, dataCentres int) int {
+	n := int(math.Ceil(streams / streamsPerEngine / float64(max(1, dataCentres))))
+	n = max(n, leastDecode)
+	return max(0, min(n, engines-leastPrefill))
+}
+
+// Roles returns the role changes that give each data centre its number of engines that
+// make answers. Regular engines make answers first, since the loss of an engine cuts
+// answers but only delays prompts. An engine whose change is under way counts as
+// having made it.
+func Roles(engines []Engine, decode func(slugname.DataCentre, int) int) []Change {
+	byPlace := map[slugname.DataCentre][]Engine{}
+	for _, e := range engines {
+		byPlace[e.DataCentre] = append(byPlace[e.DataCentre], e)
+	}
+	var out []Change
+	for place, list := range byPlace {
+		out = append(out, rolesIn(list, decode(place, len(list)))...)
+	}
+	slices.SortFunc(out, func(a, b Change) int { return cmp.Compare(a.Engine, b.Engine) })
+	return out
+}
+
+func rolesIn(list []Engine, decode int) []Change {
+	has := 0
+	for _, e := range list {
+		if e.Role == slugplan.RoleDecode {
+			has++
+		}
+	}
+	from, to, n := slugplan.RoleDecode, slugplan.RolePrefill, has-decode
+	if n < 0 {
+		from, to, n = to, from, -n
+	}
+	slices.SortFunc(list, func(a, b Engine) int { return cmp.Or(before(a, b, to), cmp.Compare(a.Name, b.Name)) })
+	var out []Change
+	for _, e := range list {
+		if len(out) < n && e.Role == from && !e.Changing {
+			out = append(out, Change{e.Name, to})
+		}
+	}
+	return out
+}
+
+// before orders engines by how well they suit a role.
+func before(a, b Engine, to slugplan.Role) int {
+	if a.Cheap == b.Cheap {
+		return 0
+	}
+	if a.Cheap == (to == slugplan.RolePrefill) {
+		return -1
+	}
+	return 1
+}
--- /dev/null
+++ b/internal/decision/slugcapacity/capacity_test.go
@@ -0,0 +1,94 @@
+package slugcapacity
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/sassafraslug/sassafraslug/internal/base/slugname"
+	"github.com/sassafraslug/sassafraslug/internal/decision/slugplan"
+	"gotest.tools/v3/assert"
+)
+
+var now = time.Unix(1000, 0)
+
+func place(name slugname.DataCentre, regular, cheap int) DataCentre {
+	return DataCentre{Name: name, Initial: 6, Regular: regular, Cheap: cheap, OrderedRegular: -1, OrderedCheap: -1}
+}
+
+func service(d ...DataCentre) Service {
+	return Service{Min: 1, Max: 12, HasCheap: true, DataCentres: d}
+}
+
+func describe(orders []Order) string {
+	out := ""
+	for _, o := range orders {
+		kind := "regular"
+		if o.Cheap {
+			kind = "cheap"
+		}
+		out += fmt.Sprintf("%s %d %s; ", o.DataCentre, o.Count, kind)
+	}
+	return out
+}
+
+func TestOrders(t *testing.T) {
+	ordered := place("a", 6, 7)
+	ordered.OrderedCheap = 8
+	settled := place("a", 1, 8)
+	settled.OrderedCheap, settled.OrderedRegular = 8, 1
+	dry := place("a", 1, 0)
+	dry.OrderedRegular, dry.OrderedCheap, dry.Dry = 1, 8, now.Add(-time.Second)
+	for name, c := range map[string]struct {
+		s    Service
+		want string
+	}{
+		"before traffic, cheap engines come first":             {service(place("a", 6, 0)), "a 8 cheap; "},
+		"regular ones go once cheap ones serve":                {service(ordered), "a 1 regular; "},
+		"nothing is ordered twice":                             {service(settled), ""},
+		"reclaimed and none to be had: regular ones take over": {service(dry), "a 6 regular; "},
+		"without cheap engines nothing is given up":            {Service{Min: 1, Max: 12, DataCentres: []DataCentre{place("a", 6, 0)}}, ""},
+	} {
+		assert.Equal(t, describe(Orders(c.s, now)), c.want, name)
+	}
+}
+
+// TestDemandOverThePlan replays a shift to prompts that keeps more engines busy than
+// the plan has.
+func TestDemandOverThePlan(t *testing.T) {
+	d := place("a", 1, 8)
+	d.OrderedRegular, d.OrderedCheap = 1, 8
+	s := service(d)
+	s.PrefillBusy = 4.5
+	assert.Equal(t, describe(Orders(s, now)), "a 9 cheap; ")
+	s.PrefillBusy = 50
+	assert.Equal(t, describe(Orders(s, now)), "a 11 cheap; ", "bounded by the maximum")
+}
+
+func TestRoles(t *testing.T) {
+	engine := func(name slugname.Endpoint, r slugplan.Role, cheap bool) Engine {
+		return Engine{Name: name, DataCentre: "a", Role: r, Cheap: cheap}
+	}
+	const p, d = slugplan.RolePrefill, slugplan.RoleDecode
+	for name, c := range map[string]struct {
+		engines []Engine
+		decode  int
+		want    []Change
+	}{
+		"cheap engines leave decoding first":    {[]Engine{engine("1", d, false), engine("2", d, true), engine("3", d, true)}, 1, []Change{{"2", p}, {"3", p}}},
+		"regular engines take decoding first":   {[]Engine{engine("1", p, true), engine("2", p, false)}, 1, []Change{{"2", d}}},
+		"nothing changes when the number holds": {[]Engine{engine("1", p, false), engine("2", d, true)}, 1, nil},
+	} {
+		assert.DeepEqual(t, Roles(c.engines, func(slugname.DataCentre, int) int { return c.decode }), c.want)
+		_ = name
+	}
+	changing := []Engine{{Name: "1", DataCentre: "a", Role: d, Changing: true}, engine("2", p, true)}
+	assert.DeepEqual(t, Roles(changing, func(slugname.DataCentre, int) int { return 0 }), []Change(nil))
+}
+
+func TestDecodeEngines(t *testing.T) {
+	assert.Equal(t, DecodeEngines(8, 0, 3), 2)
+	assert.Equal(t, DecodeEngines(8, 240, 3), 4)
+	assert.Equal(t, DecodeEngines(2, 0, 3), 1)
+	assert.Equal(t, DecodeEngines(1, 500, 3), 0)
+}
--- a/internal/decision/slugplacement/placer.go
+++ b/internal/decision/slugplacement/placer.go
@@ -126,9 +126,10 @@
 type Placer struct {
 	cfg Config
 
-	mu    sync.Mutex
-	state map[slugname.Endpoint]*state
-	list  []*state
+	mu     sync.Mutex
+	state  map[slugname.Endpoint]*state
+	list   []*state
+	demand demand
 }
 
 // New returns a Placer without endpoints.
@@ -387,6 +388,9 @@
 	}
 	c.stage, c.at = stage, now
 	c.s.note(c, 1)
+	if stage == slugplan.RolePrefill {
+		p.demand.add(c.work, now)
+	}
 	return c, true
 }
 
--- a/internal/fleet/slugregistry/registry.go
+++ b/internal/fleet/slugregistry/registry.go
@@ -40,8 +40,6 @@
 	Leaving bool
 	// Cheap endpoints may be reclaimed.
 	Cheap bool
-	// Orders is the number of orders that the endpoint has accepted.
-	Orders int64
 	// Slow is how long the endpoint remains slow after its start.
 	Slow time.Duration
 }
@@ -201,7 +199,7 @@
 	}
 	r.cfg.Log.Emit(slugevent.EndpointChanged, slugevent.Fields{
 		"endpoint": name, "service": e.Service, "dataCentre": e.DataCentre, "address": e.Address, "role": e.Role,
-		"leaving": e.Leaving, "cheap": e.Cheap, "incarnation": e.Incarnation, "orders": e.Orders, "version": o.Version,
+		"leaving": e.Leaving, "cheap": e.Cheap, "incarnation": e.Incarnation, "version": o.Version,
 	})
 }
 
--- a/internal/membership/slugpeer/row.go
+++ b/internal/membership/slugpeer/row.go
@@ -54,7 +54,7 @@
 	Loads map[slugname.Endpoint]Load `cbor:"14,keyasint,omitempty"`
 	// Started are the requests that began to run, by accounting window.
 	Started []WindowCount `cbor:"15,keyasint,omitempty"`
-	// Demand of services, in units of endpoints kept busy.
+	// Work is what callers asked of each service.
 	Work map[slugname.Service]Work `cbor:"16,keyasint,omitempty"`
 	// Draining are endpoints that the process knows to leave.
 	Draining []slugname.Endpoint `cbor:"17,keyasint,omitempty"`
@@ -71,15 +71,13 @@
 	CacheTokens uint32
 }
 
-// Work is what a process's callers asked of a service lately, a second.
+// Work is what a process's callers asked of a service lately.
 type Work struct {
 	_ struct{} `cbor:",toarray"`
-	// PrefillTokens are prompt tokens that had to be processed.
-	PrefillTokens float32
+	// PrefillBusy is the number of engines that prompts keep busy.
+	PrefillBusy float32
 	// Streams is the mean number of answers under way.
 	Streams float32
-	// Refused is the number of requests turned away.
-	Refused float32
 }
 
 // WindowCount is the number of requests that began to run in an accounting window.
@@ -126,6 +124,8 @@
 	WantBundle slugconfig.Revision `cbor:"4,keyasint,omitempty"`
 	// Bundle is an encoded configuration.
 	Bundle []byte `cbor:"5,keyasint,omitempty"`
+	// ClockNs is the sender's count of the time of day in nanoseconds since 1970.
+	ClockNs int64 `cbor:"7,keyasint,omitempty"`
 }
 
 // Carrier carries messages between processes.
--- a/internal/membership/slugpeer/table.go
+++ b/internal/membership/slugpeer/table.go
@@ -30,6 +30,10 @@
 	// HeardWord is called with each peer's revision and the time of its word; it
 	// may be nil.
 	HeardWord func(slugconfig.Revision, slugclock.Instant)
+	// Clock returns this process's count of the time of day, and HeardClock takes a
+	// peer's, which was true at an instant. Both may be nil.
+	Clock      func() time.Time
+	HeardClock func(slugname.Process, time.Time, slugclock.Instant)
 	// Bundle encodes the configuration in force for a peer; it may be nil.
 	Bundle func() []byte
 	// Fanout is the number of peers called a round.
@@ -234,6 +238,7 @@
 		return
 	}
 	t.take(answer, asked)
+	t.takeClock(p.Process, answer, asked)
 	rows, want := t.compare(answer.Digest)
 	rows = append(rows, t.rowsOf(answer.Want)...)
 	if len(rows)+len(want) == 0 {
@@ -247,6 +252,9 @@
 // Serve answers a message of a process.
 func (t *Table) Serve(_ slugname.Process, m Message) Message {
 	answer := Message{Protocol: Protocol}
+	if t.cfg.Clock != nil {
+		answer.ClockNs = t.cfg.Clock().UnixNano()
+	}
 	t.take(m, slugclock.Instant{})
 	if m.WantBundle > 0 && t.cfg.Bundle != nil {
 		answer.Bundle = t.cfg.Bundle()
@@ -360,6 +368,14 @@
 	}
 }
 
+// takeClock takes the count of a peer that answered, as of the middle of the call.
+func (t *Table) takeClock(p slugname.Process, answer Message, asked slugclock.Instant) {
+	if t.cfg.HeardClock == nil || answer.ClockNs == 0 {
+		return
+	}
+	t.cfg.HeardClock(p, time.Unix(0, answer.ClockNs), asked.Add(slugclock.Since(asked)/2))
+}
+
 func (t *Table) takeRow(r VersionedRow, now time.Time) {
 	id := slugmember.IDOf(r.Row.Process)
 	if id == t.self {
