Plan capacity from what may be ordered; order missing engines again, all of them

Cause: after a reclaim or a slow start the duty took its own order for unmade and asked for the first part only, which took five serving engines a data centre away; engines that were being given another role still received answers to make.

--- a/internal/authority/slugcapacityduty/duty.go
+++ b/internal/authority/slugcapacityduty/duty.go
@@ -37,9 +37,6 @@
 	reviewEvery = 400 * time.Millisecond
 	// callTimeout bounds one order. It must fit into the rest of a right.
 	callTimeout = 800 * time.Millisecond
-	// settle is how long after a service was first seen its number of engines counts
-	// as what it began with: they register one after the other.
-	settle = 1500 * time.Millisecond
 	// comingSlack is how much longer than planned new engines may take.
 	comingSlack = 3 * time.Second
 	// roleRetry is the time between tries to change an engine's role.
@@ -64,6 +61,8 @@
 	Table    func() *slugrouting.Table
 	Registry *slugregistry.Registry
 	Demand   func(slugname.Service) Demand
+	// Planned is called before an engine is told to take a role.
+	Planned  func(slugname.Endpoint, slugplan.Role)
 	Commands slugcommand.Commands
 	// Address is that of the interface for ordering endpoints.
 	Address string
@@ -100,8 +99,6 @@
 
 	version slugstore.Version
 	record  record
-	// first is when the duty first saw engines.
-	first time.Time
 	// dry is when a place was last refused reclaimable engines.
 	dry map[place]time.Time
 	// cheapAt is when reclaimable engines were last ordered for a place.
@@ -164,9 +161,6 @@
 			continue
 		}
 		engines := d.cfg.Registry.Endpoints(s.Name)
-		if len(engines) == 0 || !d.settled() {
-			continue
-		}
 		if err := d.orderEndpoints(ctx, right, s, engines); err != nil {
 			return err
 		}
@@ -175,27 +169,24 @@
 	return nil
 }
 
-// settled reports whether the engines have had time to register.
-func (d *Duty) settled() bool {
-	if d.first.IsZero() {
-		d.first = time.Now()
-	}
-	return time.Since(d.first) >= settle
-}
-
 // standingOf returns what was ordered for a place, adding it when it is new.
 func (d *Duty) standingOf(p place, engines []slugregistry.Endpoint) *standing {
-	for i := range d.record.Places {
-		if d.record.Places[i].place == p {
-			return &d.record.Places[i]
-		}
-	}
 	n := 0
 	for _, e := range engines {
-		if e.DataCentre == p.DataCentre {
+		if e.DataCentre == p.DataCentre && !e.Cheap {
 			n++
 		}
 	}
+	for i := range d.record.Places {
+		st := &d.record.Places[i]
+		if st.place == p {
+			if st.Regular < 0 {
+				// Engines that register late count as well.
+				st.Initial = max(st.Initial, n)
+			}
+			return st
+		}
+	}
 	d.record.Places = append(d.record.Places, standing{place: p, Initial: n, Regular: -1, Cheap: -1})
 	return &d.record.Places[len(d.record.Places)-1]
 }
@@ -220,10 +211,7 @@
 				y.Regular++
 			}
 		}
-		if st.Cheap > 0 && y.Cheap < st.Cheap && now.Sub(d.cheapAt[p]) > s.Scaling.Boot+comingSlack {
-			// They should have come: the order is made again.
-			y.OrderedCheap = -1
-		}
+		y.Missing = y.Cheap < st.Cheap && now.Sub(d.cheapAt[p]) > s.Scaling.Boot+comingSlack
 		x.DataCentres = append(x.DataCentres, y)
 	}
 	return x
@@ -324,6 +312,12 @@
 	}
 }
 
+// changing reports whether an engine was told to take another role and may still do it.
+func (d *Duty) changing(s *slugrouting.Service, e slugregistry.Endpoint) bool {
+	w, ok := d.wanted[e.Name]
+	return ok && w != e.Role && time.Since(d.roleAt[e.Name]) < s.Engine.SwitchTime+comingSlack
+}
+
 // engines returns the engines that serve, with the roles that they have or are about to
 // take.
 func (d *Duty) engines(s *slugrouting.Service, endpoints []slugregistry.Endpoint) []slugcapacity.Engine {
@@ -333,8 +327,8 @@
 			continue
 		}
 		x := slugcapacity.Engine{Name: e.Name, DataCentre: e.DataCentre, Role: e.Role, Cheap: e.Cheap}
-		if w, ok := d.wanted[e.Name]; ok && w != e.Role && time.Since(d.roleAt[e.Name]) < s.Engine.SwitchTime+comingSlack {
-			x.Role, x.Changing = w, true
+		if d.changing(s, e) {
+			x.Role, x.Changing = d.wanted[e.Name], true
 		}
 		out = append(out, x)
 	}
@@ -346,6 +340,8 @@
 // accepted.
 func (d *Duty) setRole(ctx context.Context, right *sluglease.Right, s *slugrouting.Service, e slugregistry.Endpoint, r slugplan.Role) {
 	d.roleAt[e.Name] = time.Now()
+	d.wanted[e.Name] = r
+	d.cfg.Planned(e.Name, r)
 	f := slugevent.Fields{"service": s.Name, "endpoint": e.Name, "dataCentre": e.DataCentre, "from": e.Role, "to": r, "fence": right.Fence}
 	err := right.Do(ctx, callTimeout, func(ctx context.Context) error {
 		do := d.cfg.Do(right)
@@ -361,9 +357,9 @@
 		return d.cfg.Commands.SetRole(ctx, do, o, slugcommand.Holder{Host: d.cfg.Host, Fence: right.Fence})
 	})
 	if err != nil {
+		delete(d.wanted, e.Name)
 		d.cfg.Log.Error(slugevent.OrderFailed, err, f)
 		return
 	}
-	d.wanted[e.Name] = r
 	d.cfg.Log.Emit(slugevent.RoleChangePlanned, f)
 }
--- a/internal/base/slugevent/event.go
+++ b/internal/base/slugevent/event.go
@@ -150,7 +150,7 @@
 	ClaimUnsettled:          {logrus.WarnLevel, "outcome of a claimed call not stored", "look at the store; later uses of the key are told that the outcome is unknown"},
 	RequestServed:           {logrus.InfoLevel, "request served", "none"},
 	RequestFailed:           {logrus.WarnLevel, "request failed", "look at the lines of the same request"},
-	EndpointChosen:          {logrus.DebugLevel, "endpoint chosen", "none"},
+	EndpointChosen:          {logrus.InfoLevel, "endpoint chosen", "none"},
 	AttemptFailed:           {logrus.WarnLevel, "attempt at an endpoint failed", "look at the endpoint if it goes on"},
 	EndpointAvoided:         {logrus.WarnLevel, "endpoint is avoided for a while", "look at the endpoint"},
 	BurnAlert:               {logrus.WarnLevel, "service level is burning", "run sassafraslug burn"},
--- a/internal/base/slugstore/store.go
+++ b/internal/base/slugstore/store.go
@@ -76,6 +76,8 @@
 	retryBase = 25 * time.Millisecond
 	// retryCap bounds every delay between tries.
 	retryCap = time.Second
+	// watchRetryCap bounds every delay between tries of a watch.
+	watchRetryCap = 400 * time.Millisecond
 	// retryRatio is the number of retries earned by a call.
 	retryRatio = 0.5
 )
@@ -105,6 +107,8 @@
 // shared is the state of all clients of one process.
 type shared struct {
 	retries *slugbackoff.Backoff
+	// watches spaces the tries of watches, which must find the store soon again.
+	watches *slugbackoff.Backoff
 	mu      sync.Mutex
 	seen    map[string]Version
 	// lastAnswer is the time of the last usable answer.
@@ -121,6 +125,7 @@
 	}
 	return &Store{cfg: cfg, duty: "process", shared: &shared{
 		retries: slugbackoff.New(slugbackoff.Config{Base: retryBase, Cap: retryCap, Ratio: retryRatio, Burst: 50}),
+		watches: slugbackoff.New(slugbackoff.Config{Base: retryBase, Cap: watchRetryCap}),
 		seen:    map[string]Version{},
 	}}
 }
--- a/internal/base/slugstore/watch.go
+++ b/internal/base/slugstore/watch.go
@@ -117,12 +117,16 @@
 		if w.Lost != nil {
 			w.Lost(slugfault.Wrap(err, "watch "+w.Prefix, s.cfg.BaseURL))
 		}
-		_ = s.retries.Wait(ctx, failures)
+		_ = s.watches.Wait(ctx, failures)
 		failures++
 	}
 	return nil
 }
 
+// watchSlack is how much longer than asked the answer to a watch may take. It bounds
+// how long a connection that went silent goes unnoticed.
+const watchSlack = 800 * time.Millisecond
+
 // watchOnce makes one call. at is an instant at which the answer was the present
 // state for certain.
 func (s *Store) watchOnce(ctx context.Context, x *watch) (objects []Object, at slugclock.Instant, err error) {
@@ -158,7 +162,7 @@
 }
 
 func (s *Store) waitForChange(ctx context.Context, x *watch, wait time.Duration) (Listing, error) {
-	ctx, cancel := context.WithTimeout(ctx, wait+callTimeout)
+	ctx, cancel := context.WithTimeout(ctx, wait+watchSlack)
 	defer cancel()
 	s.count("watch")
 	l, err := s.cfg.Backend.Watch(ctx, x.Prefix, x.after, wait)
--- a/internal/daemon/slughost/duties.go
+++ b/internal/daemon/slughost/duties.go
@@ -67,7 +67,7 @@
 func (h *Host) capacityDuty() *slugcapacityduty.Duty {
 	return slugcapacityduty.New(slugcapacityduty.Config{
 		Host: h.settings.Host, Store: h.store.For("capacity"), Table: h.follower.Table, Registry: h.registry,
-		Demand: h.demand, Commands: h.adapter.Commands, Address: hostPort(h.settings.DutiesAddress),
+		Demand: h.demand, Planned: h.planned.Set, Commands: h.adapter.Commands, Address: hostPort(h.settings.DutiesAddress),
 		Do: h.commandsUnder, Log: h.log,
 	})
 }
--- a/internal/daemon/slughost/host.go
+++ b/internal/daemon/slughost/host.go
@@ -31,8 +31,10 @@
 	"github.com/sassafraslug/sassafraslug/internal/daemon/slugserve"
 	"github.com/sassafraslug/sassafraslug/internal/decision/slugbudget"
 	"github.com/sassafraslug/sassafraslug/internal/decision/slugplacement"
+	"github.com/sassafraslug/sassafraslug/internal/decision/slugplan"
 	"github.com/sassafraslug/sassafraslug/internal/decision/slugsuspect"
 	"github.com/sassafraslug/sassafraslug/internal/fleet/slugregistry"
+	"github.com/sassafraslug/sassafraslug/internal/fleet/slugroles"
 	"github.com/sassafraslug/sassafraslug/internal/membership/slugmember"
 	"github.com/sassafraslug/sassafraslug/internal/membership/slugnewest"
 	"github.com/sassafraslug/sassafraslug/internal/membership/slugpeer"
@@ -92,6 +94,7 @@
 	clock       *slugtruetime.Clock
 	tally       *slugtally.Tally
 	duties      *sluglease.Lease
+	planned     *slugroles.Roles
 
 	requests, lookups, readiness, metricsServer *slugserve.Server
 
@@ -101,12 +104,24 @@
 	mu      sync.Mutex
 	placers map[slugname.Service]*slugplacement.Placer
 	budgets map[slugname.Service]*slugbudget.Budget
+	// seen holds when each endpoint was first seen.
+	seen map[slugname.Endpoint]seen
+	// draining and roles are what peers told of endpoints.
+	draining map[slugname.Endpoint]bool
+	roles    map[slugname.Endpoint]slugplan.Role
+}
+
+// seen is when an incarnation of an endpoint was first seen.
+type seen struct {
+	incarnation slugregistry.Incarnation
+	at          time.Time
 }
 
 // New returns a Host that does nothing yet.
 func New(s *slugsettings.Settings, n *slugnetwork.Network, a Adapter, log *slugevent.Log) *Host {
 	return &Host{
-		settings: s, network: n, adapter: a, log: log, metrics: new(expvar.Map).Init(), counters: slugcounters.New(),
+		settings: s, network: n, adapter: a, log: log, metrics: new(expvar.Map).Init(), counters: slugcounters.New(), planned: slugroles.New(),
+		seen:    map[slugname.Endpoint]seen{},
 		placers: map[slugname.Service]*slugplacement.Placer{}, budgets: map[slugname.Service]*slugbudget.Budget{},
 	}
 }
@@ -217,7 +232,7 @@
 
 // entriesWait is how long one watch of the endpoints waits. It bounds how long a
 // connection that went silent hides that an endpoint leaves.
-const entriesWait = 2500 * time.Millisecond
+const entriesWait = 1500 * time.Millisecond
 
 // endpointsChanged puts changed endpoints into use.
 func (h *Host) endpointsChanged(services []slugname.Service) {
@@ -228,10 +243,7 @@
 			memory = t.Service(s).Engine.CacheTokens
 		}
 		var list []slugplacement.Endpoint
-		for _, e := range h.registry.Endpoints(s) {
-			if e.Leaving {
-				continue
-			}
+		for _, e := range h.usable(s, time.Now()) {
 			list = append(list, slugplacement.Endpoint{
 				Name: e.Name, Incarnation: int64(e.Incarnation), Address: e.Address, DataCentre: e.DataCentre,
 				Role: e.Role, Slots: e.Slots, CacheTokens: memory,
@@ -240,3 +252,35 @@
 		h.placer(s).SetEndpoints(list)
 	}
 }
+
+// newEngineRest is how long a new engine that makes answers is left alone: the holder
+// of the duty may be about to give it another role.
+const newEngineRest = 900 * time.Millisecond
+
+// usable returns the endpoints of a service that take new requests: not those that
+// leave, as this process or a peer knows, and not those that change their role.
+func (h *Host) usable(s slugname.Service, now time.Time) []slugregistry.Endpoint {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var out, rest []slugregistry.Endpoint
+	answers := false
+	for _, e := range h.registry.Endpoints(s) {
+		planned, ok := h.roles[e.Name]
+		if e.Leaving || h.draining[e.Name] || ok && planned != e.Role {
+			continue
+		}
+		if x := h.seen[e.Name]; x.at.IsZero() || x.incarnation != e.Incarnation {
+			h.seen[e.Name] = seen{e.Incarnation, now}
+		}
+		if e.Role == slugplan.RoleDecode && now.Sub(h.seen[e.Name].at) < newEngineRest {
+			rest = append(rest, e)
+			continue
+		}
+		answers = answers || e.Role == slugplan.RoleDecode
+		out = append(out, e)
+	}
+	if !answers {
+		out = append(out, rest...)
+	}
+	return out
+}
--- a/internal/daemon/slughost/join.go
+++ b/internal/daemon/slughost/join.go
@@ -5,6 +5,7 @@
 	"crypto/rand"
 	"encoding/hex"
 	"expvar"
+	"maps"
 	"net/http"
 	"time"
 
@@ -13,6 +14,7 @@
 	"github.com/sassafraslug/sassafraslug/internal/base/slugname"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugstore"
 	"github.com/sassafraslug/sassafraslug/internal/decision/slugplacement"
+	"github.com/sassafraslug/sassafraslug/internal/decision/slugplan"
 	"github.com/sassafraslug/sassafraslug/internal/fleet/slugregistry"
 	"github.com/sassafraslug/sassafraslug/internal/membership/slugmember"
 	"github.com/sassafraslug/sassafraslug/internal/membership/slugnewest"
@@ -134,10 +136,13 @@
 		}
 	}
 	suspicions, windows, work := h.suspects.Suspicions(time.Now()), h.tally.Windows(), h.workForPeers()
+	planned, draining := h.planned.All(time.Now()), h.leavingEndpoints()
 	h.table.Update(func(r *slugpeer.Row) {
 		r.Loads, r.Suspicions, r.Started, r.Work = loads, suspicions, windows, work
+		r.Planned, r.Draining = planned, draining
 	})
 	h.takeLoads()
+	h.endpointsChanged(h.registry.Services())
 }
 
 // workForPeers returns what callers asked of each service lately.
@@ -162,12 +167,21 @@
 	return out
 }
 
-// takeLoads sums what the other live processes told of their load.
+// takeLoads takes what the live processes told of endpoints: their load, which of them
+// leave, and which are about to change their role.
 func (h *Host) takeLoads() {
 	sums := map[slugname.Endpoint]slugplacement.Load{}
+	draining, roles := map[slugname.Endpoint]bool{}, map[slugname.Endpoint]slugplan.Role{}
 	self := h.member.Self().Process
 	for _, s := range h.table.Statuses() {
-		if !s.Alive || s.Process == self {
+		if !s.Alive {
+			continue
+		}
+		for _, e := range s.Draining {
+			draining[e] = true
+		}
+		maps.Copy(roles, s.Planned)
+		if s.Process == self {
 			continue
 		}
 		for name, l := range s.Loads {
@@ -177,6 +191,22 @@
 	for _, p := range h.allPlacers() {
 		p.SetOthers(sums)
 	}
+	h.mu.Lock()
+	h.draining, h.roles = draining, roles
+	h.mu.Unlock()
+}
+
+// leavingEndpoints returns the endpoints that this process knows to leave.
+func (h *Host) leavingEndpoints() []slugname.Endpoint {
+	var out []slugname.Endpoint
+	for _, s := range h.registry.Services() {
+		for _, e := range h.registry.Endpoints(s) {
+			if e.Leaving {
+				out = append(out, e.Name)
+			}
+		}
+	}
+	return out
 }
 
 func encodeLoad(l slugplacement.Load) slugpeer.Load {
--- a/internal/decision/slugcapacity/capacity.go
+++ b/internal/decision/slugcapacity/capacity.go
@@ -3,8 +3,7 @@
 //
 // It answers load whose mix of prompts and outputs shifts within seconds while a new
 // engine takes seconds to start: capacity must stand before the shift, so it is planned
-// from what the service began with and from the greatest demand of late, and it is
-// made of reclaimable engines as far as they are to be had. They cost a fifth, so
+// from what may be ordered and from the greatest demand of late, and it is made of reclaimable engines as far as they are to be had. They cost a fifth, so
 // twice the capacity costs less than half. All reclaimable engines of one data centre
 // may be taken away at once; what is left elsewhere must carry the load until
 // others have started.
@@ -28,8 +27,12 @@
 )
 
 const (
-	// headroom is the planned capacity over what the service began with.
-	headroom = 1.34
+	// plannedPart is the part of the engines that may be ordered which is planned
+	// whatever the demand: a shift of the mix comes faster than engines start.
+	plannedPart = 0.75
+	// firstPart is the part that is ordered before anything is known of the engines
+	// that the service began with.
+	firstPart = 0.5
 	// busyPart is the part of the engines for prompts that may be busy on average:
 	// above it prompts wait too long for each other.
 	busyPart = 0.45
@@ -50,8 +53,10 @@
 	Name slugname.DataCentre
 	// Initial is the number of engines that the service began with.
 	Initial int
-	// Regular and Cheap are the engines that serve.
+	// Regular and Cheap are the engines that are there.
 	Regular, Cheap int
+	// Missing tells that cheap engines which were ordered should have come by now.
+	Missing bool
 	// Ordered numbers, -1 when nothing was ordered yet.
 	OrderedRegular, OrderedCheap int
 	// Dry is when reclaimable engines were last refused.
@@ -82,7 +87,7 @@
 
 // wanted returns the number of engines that each data centre is to have.
 func (s Service) wanted(d DataCentre) int {
-	n := math.Ceil(float64(d.Initial) * headroom)
+	n := max(float64(d.Initial), math.Ceil(float64(s.Max)*plannedPart))
 	demand := s.PrefillBusy/busyPart + s.Streams/streamsPerEngine
 	n = max(n, math.Ceil(demand/float64(max(1, len(s.DataCentres)))))
 	return min(max(int(n), s.Min), s.Max)
@@ -95,13 +100,18 @@
 	for _, d := range s.DataCentres {
 		wanted := s.wanted(d)
 		regular := max(s.Min, 1)
-		cheap := wanted - regular
+		// Both kinds together are bounded, so that cheap engines may have to wait for
+		// regular ones to go.
+		cheap := min(wanted-regular, s.Max-max(d.Regular, d.OrderedRegular))
+		if d.OrderedCheap < 0 {
+			cheap = min(cheap, int(float64(s.Max)*firstPart))
+		}
 		reason := "planned capacity"
 		if !s.HasCheap || !d.Dry.IsZero() && now.Sub(d.Dry) < dryFor {
 			regular, cheap = max(regular, min(wanted, max(d.Initial, d.Regular))), d.Cheap
 			reason = "no reclaimable engines to be had"
 		}
-		if s.HasCheap && cheap != d.OrderedCheap && reason == "planned capacity" {
+		if s.HasCheap && reason == "planned capacity" && (cheap != d.OrderedCheap || d.Missing) {
 			add = append(add, Order{d.Name, cheap, true, reason})
 		}
 		have := d.Regular
@@ -109,9 +119,11 @@
 			have = d.OrderedRegular
 		}
 		switch {
+		case have == 0:
+			// Engines that the service began with may still have to register.
 		case regular > have:
 			add = append(add, Order{d.Name, regular, false, reason})
-		case regular < have && d.Cheap >= cheap-1 && d.Cheap > 0:
+		case regular < have && d.Cheap > 0 && d.Cheap >= min(cheap, d.Initial)-1:
 			drop = append(drop, Order{d.Name, regular, false, "reclaimable engines serve"})
 		}
 	}
--- a/internal/decision/slugplacement/placer.go
+++ b/internal/decision/slugplacement/placer.go
@@ -213,12 +213,16 @@
 	job     Job
 	at      time.Time
 	work    time.Duration
+	nominal time.Duration
 	stage   slugplan.Role
 	ended   bool
 	wait    time.Duration
 	predict time.Duration
 }
 
+// Began returns when the endpoint was chosen.
+func (c *Choice) Began() time.Time { return c.at }
+
 // usable returns the endpoints with a role that are not excluded. Avoided ones are
 // left out as long as there are others; p.mu is held.
 func (p *Placer) usable(r slugplan.Role, exclude []slugname.Endpoint, now time.Time) []*state {
@@ -290,11 +294,12 @@
 
 // prefillAt predicts a prompt's time at an endpoint; p.mu is held.
 func (p *Placer) prefillAt(s *state, j Job, cached int, now time.Time) *Choice {
-	slow := s.slow(now)
-	work := time.Duration(float64(p.cfg.Cost.Prefill(j.Tokens, cached)) * slow)
+	slow := p.relative(s, now)
+	nominal := p.cfg.Cost.Prefill(j.Tokens, cached)
+	work := time.Duration(float64(nominal) * slow)
 	wait := time.Duration(float64(s.waiting(j.Priority)) * slow)
 	predict := wait + work + s.penalty(now)
-	return &Choice{Endpoint: s.Endpoint, Predicted: wait + work, Cached: cached, p: p, s: s, job: j, work: work, wait: wait, predict: predict}
+	return &Choice{Endpoint: s.Endpoint, Predicted: wait + work, Cached: cached, p: p, s: s, job: j, work: work, nominal: nominal, wait: wait, predict: predict}
 }
 
 // waiting returns the work that goes before a prompt of an urgency.
@@ -339,7 +344,7 @@
 // decodeAt returns how much later than elsewhere an answer would begin; p.mu is held.
 func (p *Placer) decodeAt(s *state, j Job, near slugname.DataCentre, now time.Time) time.Duration {
 	streams := s.own.Streams + s.others.Streams
-	d := time.Duration(float64(streams)*float64(perStream)*s.slow(now)) + s.penalty(now)
+	d := time.Duration(float64(streams)*float64(perStream)*p.relative(s, now)) + s.penalty(now)
 	d += time.Duration(p.cfg.Random() * float64(tieSpread))
 	if s.DataCentre != near {
 		d += farPenalty
@@ -374,7 +379,7 @@
 func (p *Placer) plainAt(s *state, now time.Time) time.Duration {
 	streams := s.own.Streams + s.others.Streams
 	rounds := 1 + float64(streams)/float64(max(1, s.Slots))
-	d := time.Duration(rounds*float64(plainWork)*s.slow(now)) + s.penalty(now)
+	d := time.Duration(rounds*float64(plainWork)*p.relative(s, now)) + s.penalty(now)
 	if s.DataCentre != p.cfg.DataCentre {
 		d += time.Millisecond
 	}
@@ -389,7 +394,7 @@
 	c.stage, c.at = stage, now
 	c.s.note(c, 1)
 	if stage == slugplan.RolePrefill {
-		p.demand.add(c.work, now)
+		p.demand.add(c.nominal, now)
 	}
 	return c, true
 }
@@ -439,7 +444,7 @@
 		return
 	}
 	c.s.cache.used(c.job.Parts)
-	c.s.measured(now.Sub(c.at), c.wait+c.work+fixedTime, now)
+	c.s.measured(now.Sub(c.at), c.wait+c.nominal+fixedTime, now)
 }
 
 // fixedTime is the time of a call beside its work, in a calm system.
@@ -447,13 +452,28 @@
 
 // measured learns from the time of a stage against the expected one; p.mu is held.
 func (s *state) measured(took, expected time.Duration, now time.Time) {
-	// The expectation held the slowness known so far.
-	ratio := float64(took) / float64(expected) * s.slow(now)
-	ratio = min(max(ratio, 0.5), maxSlowness)
+	ratio := min(max(float64(took)/float64(expected), 0.5), maxSlowness)
 	s.slowness = s.slow(now)*(1-slowSmoothing) + ratio*slowSmoothing
 	s.slownessAt = now
 }
 
+// relative returns how much slower than the others of its role an endpoint is. What
+// slows all of them, such as load that this process does not know of, is no reason to
+// prefer one; p.mu is held.
+func (p *Placer) relative(s *state, now time.Time) float64 {
+	var all []float64
+	for _, x := range p.list {
+		if x.Role == s.Role {
+			all = append(all, x.slow(now))
+		}
+	}
+	if len(all) == 0 {
+		return 1
+	}
+	slices.Sort(all)
+	return max(1, s.slow(now)/max(1, all[len(all)/2]))
+}
+
 // slow returns the believed slowness; p.mu is held.
 func (s *state) slow(now time.Time) float64 {
 	if now.Sub(s.slownessAt) > slowMemory {
--- a/internal/membership/slugpeer/row.go
+++ b/internal/membership/slugpeer/row.go
@@ -19,6 +19,7 @@
 
 	"github.com/sassafraslug/sassafraslug/internal/base/slugname"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugstore"
+	"github.com/sassafraslug/sassafraslug/internal/decision/slugplan"
 	"github.com/sassafraslug/sassafraslug/internal/decision/slugsuspect"
 	"github.com/sassafraslug/sassafraslug/internal/membership/slugmember"
 	"github.com/sassafraslug/sassafraslug/internal/version/slugconfig"
@@ -58,6 +59,8 @@
 	Work map[slugname.Service]Work `cbor:"16,keyasint,omitempty"`
 	// Draining are endpoints that the process knows to leave.
 	Draining []slugname.Endpoint `cbor:"17,keyasint,omitempty"`
+	// Planned are the roles that engines were told to take lately.
+	Planned map[slugname.Endpoint]slugplan.Role `cbor:"18,keyasint,omitempty"`
 }
 
 // Load is a process's own work at one endpoint.
--- a/internal/request/slugdispatch/stream.go
+++ b/internal/request/slugdispatch/stream.go
@@ -19,7 +19,7 @@
 	// take before it is tried elsewhere.
 	prefillPatience = 3
 	// leastPrefillPatience is what a prompt may take at least.
-	leastPrefillPatience = 400 * time.Millisecond
+	leastPrefillPatience = 1500 * time.Millisecond
 	// maxPrefillShare is the part of the time left that one prompt may take.
 	maxPrefillShare = 0.75
 	// firstPatience is how long the first event may take once the prompt was
@@ -138,6 +138,10 @@
 		x.failedAt(c, "prefill", err)
 		return nil, e.Sent, err
 	}
+	x.cfg.Log.Emit(slugevent.EndpointChosen, slugevent.Fields{
+		"request": x.call.ID, "endpoint": c.Name, "stage": "prefill", "tokens": x.call.Prompt.Tokens, "cached": c.Cached,
+		"predictedMs": c.Predicted.Milliseconds(), "tookMs": time.Since(c.Began()).Milliseconds(), "processed": h.Tokens,
+	})
 	return &stage{c, h}, true, nil
 }
 
