Keep absent entries only through an outage of the store; read settings again at SIGHUP

Now the grace holds only for what disappears with the store's return, and only if the store answered nobody.

--- a/internal/base/slugevent/log.go
+++ b/internal/base/slugevent/log.go
@@ -33,6 +33,9 @@
 	return &Log{entry: l.WithField("process", process)}
 }
 
+// SetLevel sets the least severity of lines.
+func (l *Log) SetLevel(level logrus.Level) { l.entry.Logger.SetLevel(level) }
+
 // Discard returns a Log that writes nothing.
 func Discard() *Log { return New(io.Discard, logrus.PanicLevel, "") }
 
--- a/internal/daemon/slugdaemon/daemon.go
+++ b/internal/daemon/slugdaemon/daemon.go
@@ -14,6 +14,7 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/alecthomas/kingpin/v2"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugevent"
@@ -53,6 +54,7 @@
 	}
 	level, _ := logrus.ParseLevel(s.LogLevel)
 	log := slugevent.New(os.Stdout, level, string(s.Host)+"-"+name)
+	go reload(loader, *path, s, log)
 	if err := run(signalContext(), s, log); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return ExitFailed
@@ -60,6 +62,40 @@
 	return ExitDone
 }
 
+// readAgainEvery is the time between looks at the settings: their file may change
+// without a signal.
+const readAgainEvery = 5 * time.Second
+
+// reload reads the settings again at SIGHUP and now and then. What may change while the
+// daemon runs is put into force; wrong settings leave the present ones there.
+func reload(l *slugsettings.Loader, path string, present *slugsettings.Settings, log *slugevent.Log) {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	ticks := time.NewTicker(readAgainEvery)
+	defer ticks.Stop()
+	last := *present
+	for {
+		told := false
+		select {
+		case <-hangups:
+			told = true
+		case <-ticks.C:
+		}
+		next, err := l.Load(path)
+		if err != nil {
+			log.Error(slugevent.SettingsUnusable, err, slugevent.Fields{"file": path})
+			continue
+		}
+		if !told && *next == last {
+			continue
+		}
+		last = *next
+		level, _ := logrus.ParseLevel(next.LogLevel)
+		log.SetLevel(level)
+		log.Emit(slugevent.SettingsReloaded, slugevent.Fields{"file": path, "signal": told, "inForce": "log level; other changes at the next start"})
+	}
+}
+
 func signalContext() context.Context {
 	ctx, cancel := context.WithCancel(context.Background())
 	signals := make(chan os.Signal, 2)
--- a/internal/daemon/slughost/join.go
+++ b/internal/daemon/slughost/join.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/sassafraslug/sassafraslug/internal/base/slugbackoff"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugclock"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugevent"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugname"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugstore"
@@ -42,7 +43,7 @@
 		FromPeer: func(ctx context.Context, r revision) ([]byte, error) { return h.table.FetchBundle(ctx, r) },
 		InForce:  h.configChanged, Log: h.log,
 	})
-	h.registry = slugregistry.New(slugregistry.Config{Decode: h.adapter.DecodeEntry, Changed: h.endpointsChanged, Log: h.log})
+	h.registry = slugregistry.New(slugregistry.Config{Decode: h.adapter.DecodeEntry, Changed: h.endpointsChanged, OthersHear: h.othersHear, Log: h.log})
 	h.clock = slugtruetime.New()
 	h.table = slugpeer.New(slugpeer.Config{
 		Clock: h.clock.Count, HeardClock: h.clock.Heard,
@@ -52,6 +53,12 @@
 	return nil
 }
 
+// recentWord is how young word of the configuration is while the store answers anybody.
+const recentWord = 2 * time.Second
+
+// othersHear reports whether the store answers some process, as peers tell.
+func (h *Host) othersHear() bool { return slugclock.Since(h.follower.Word()) < recentWord }
+
 func (h *Host) newStore() {
 	counts := new(expvar.Map).Init()
 	h.metrics.Set("storeCalls", counts)
--- a/internal/fleet/slugregistry/registry.go
+++ b/internal/fleet/slugregistry/registry.go
@@ -51,16 +51,22 @@
 	// Changed is called after endpoints came, went or changed, with the services
 	// concerned; it may be nil.
 	Changed func([]slugname.Service)
-	Log     *slugevent.Log
+	// OthersHear reports whether the store answers other processes. Entries do not
+	// lapse when only this one is cut off.
+	OthersHear func() bool
+	Log        *slugevent.Log
 }
 
 const (
 	// absenceGrace is how long after the store's return an entry may still be missing
 	// though its endpoint lives.
-	absenceGrace = 2500 * time.Millisecond
-	// lossMemory is how long after the last failed call an entry's disappearance is
-	// put down to the store's absence.
-	lossMemory = 6 * time.Second
+	absenceGrace = 2200 * time.Millisecond
+	// outageMemory is how long before the store's return its absence must have been
+	// noticed.
+	outageMemory = 3 * time.Second
+	// returnSpan is how long after the store's return the disappearances that it tells
+	// are put down to its absence.
+	returnSpan = 400 * time.Millisecond
 )
 
 // Registry holds the endpoints of all services.
@@ -72,8 +78,11 @@
 	services  map[slugname.Service][]Endpoint
 	// absent are endpoints without an entry, with the end of their grace.
 	absent map[slugname.Endpoint]time.Time
-	// lost is when the store last failed to answer.
-	lost time.Time
+	// failing tells that the last call failed.
+	failing bool
+	// lost is when the store last failed to answer anybody, returned when it first
+	// answered after that.
+	lost, returned time.Time
 	// synced tells that the store has been read once.
 	synced bool
 }
@@ -83,6 +92,9 @@
 	if cfg.Changed == nil {
 		cfg.Changed = func([]slugname.Service) {}
 	}
+	if cfg.OthersHear == nil {
+		cfg.OthersHear = func() bool { return false }
+	}
 	return &Registry{
 		cfg: cfg, endpoints: map[slugname.Endpoint]Endpoint{}, services: map[slugname.Service][]Endpoint{},
 		absent: map[slugname.Endpoint]time.Time{},
@@ -118,9 +130,13 @@
 
 // Lost notes that the store did not answer.
 func (r *Registry) Lost(error) {
+	others := r.cfg.OthersHear()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.lost = time.Now()
+	r.failing = true
+	if !others {
+		r.lost = time.Now()
+	}
 }
 
 // Take takes entries that are new, changed or gone.
@@ -129,6 +145,9 @@
 	changed := map[slugname.Service]bool{}
 	r.mu.Lock()
 	r.synced = true
+	if r.failing {
+		r.failing, r.returned = false, now
+	}
 	for _, o := range objects {
 		r.take(o, now, changed)
 	}
@@ -205,8 +224,9 @@
 
 // absence ends an endpoint, at once or after its grace; r.mu is held.
 func (r *Registry) absence(name slugname.Endpoint, old Endpoint, now time.Time, changed map[slugname.Service]bool) {
-	if now.Sub(r.lost) < lossMemory && !old.Leaving {
-		r.absent[name] = now.Add(absenceGrace)
+	outage := r.returned.Sub(r.lost) < outageMemory && now.Sub(r.returned) < returnSpan
+	if outage && !old.Leaving {
+		r.absent[name] = r.returned.Add(absenceGrace)
 		return
 	}
 	r.remove(name, old, "its entry is gone", changed)
--- a/internal/fleet/slugregistry/registry_test.go
+++ b/internal/fleet/slugregistry/registry_test.go
@@ -85,8 +85,34 @@
 		time.Sleep(2 * time.Second)
 		r.Sweep()
 		assert.Equal(t, names(r, "x"), "a ")
-		time.Sleep(10 * time.Second)
 		r.Take([]slugstore.Object{entry("a", "")})
-		assert.Equal(t, names(r, "x"), "", "long after the outage an entry's end is the endpoint's")
+		assert.Equal(t, names(r, "x"), "", "after the outage an entry's end is the endpoint's")
+	})
+}
+
+// TestEntriesGoneWhileThisProcessWasCutOff replays a host that was cut off from a store
+// which served the others: what left meanwhile is gone, without a grace.
+func TestEntriesGoneWhileThisProcessWasCutOff(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := New(Config{Decode: decode, OthersHear: func() bool { return true }, Log: slugevent.Discard()})
+		r.Take([]slugstore.Object{entry("a", `{"service":"x"}`)})
+		r.Lost(nil)
+		time.Sleep(time.Second)
+		r.Take([]slugstore.Object{entry("a", "")})
+		assert.Equal(t, names(r, "x"), "")
+	})
+}
+
+// TestEntriesGoneSoonAfterAnOutage replays an endpoint that left four seconds after the
+// store had come back.
+func TestEntriesGoneSoonAfterAnOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := registry()
+		r.Take([]slugstore.Object{entry("a", `{"service":"x"}`)})
+		r.Lost(nil)
+		r.Take(nil)
+		time.Sleep(4 * time.Second)
+		r.Take([]slugstore.Object{entry("a", "")})
+		assert.Equal(t, names(r, "x"), "")
 	})
 }
