--- a/internal/decision/slugcapacity/capacity.go
+++ b/internal/decision/slugcapacity/capacity.go
@@ -29,7 +29,7 @@
 const (
 	// plannedPart is the part of the engines that may be ordered which is planned
 	// whatever the demand: a shift of the mix comes faster than engines start.
-	plannedPart = 0.75
+	plannedPart = 1.0
 	// firstPart is the part that is ordered before anything is known of the engines
 	// that the service began with.
 	firstPart = 0.5
@@ -39,9 +39,13 @@
 	// streamsPerEngine is the number of answers that an engine makes side by side
 	// without their events coming late.
 	streamsPerEngine = 24
-	// leastDecode is the number of engines in a data centre that make answers, so
-	// that the loss of one leaves another.
+	// decodePart is the part of a data centre's engines that make answers whatever the
+	// demand, so that the loss of one leaves others.
+	decodePart = 1.0 / 6
+	// leastDecode is the number of engines of a service that make answers at least.
 	leastDecode = 2
+	// decodeHeadroom is the capacity for answers over the greatest number of late.
+	decodeHeadroom = 1.25
 	// leastPrefill is the number of engines in a data centre that process prompts.
 	leastPrefill = 1
 	// dryFor is how long a data centre without reclaimable engines is not asked again.
@@ -148,8 +152,9 @@
 
 // DecodeEngines returns the number of engines of one data centre that make answers.
 func DecodeEngines(engines int, streams float64, dataCentres int) int {
-	n := int(math.Ceil(streams / streamsPerEngine / float64(max(1, dataCentres))))
-	n = max(n, leastDecode)
+	all := max(streams*decodeHeadroom/streamsPerEngine, leastDecode)
+	n := int(math.Ceil(all / float64(max(1, dataCentres))))
+	n = max(n, int(math.Round(float64(engines)*decodePart)))
 	return max(0, min(n, engines-leastPrefill))
 }
 
--- a/internal/decision/slugplacement/placer.go
+++ b/internal/decision/slugplacement/placer.go
@@ -120,6 +120,8 @@
 	failures   float64
 	failuresAt time.Time
 	avoidUntil time.Time
+	// doneAt is when a prompt was last processed there.
+	doneAt time.Time
 }
 
 // Placer chooses among the endpoints of one service.
@@ -220,6 +222,24 @@
 	predict time.Duration
 }
 
+const (
+	// stallFactor is the number of times the expected duration after which a prompt is
+	// late enough to ask whether its endpoint stands still.
+	stallFactor = 2
+	// leastStall is how late it must be at least.
+	leastStall = 900 * time.Millisecond
+)
+
+// Stalled reports whether the prompt is late and nothing was done at its endpoint since
+// it began. A prompt that is only late goes on: to process it again elsewhere would
+// add to the load that made it late.
+func (c *Choice) Stalled(now time.Time) bool {
+	c.p.mu.Lock()
+	defer c.p.mu.Unlock()
+	late := now.Sub(c.at) > max(leastStall, stallFactor*c.Predicted)
+	return late && !c.s.doneAt.After(c.at)
+}
+
 // Began returns when the endpoint was chosen.
 func (c *Choice) Began() time.Time { return c.at }
 
@@ -395,7 +415,13 @@
 	c.s.note(c, 1)
 	if stage == slugplan.RolePrefill {
 		p.demand.add(c.nominal, now)
+		return c, true
+	}
+	n := 0
+	for _, s := range p.list {
+		n += s.own.Streams
 	}
+	p.demand.running(n, now)
 	return c, true
 }
 
@@ -444,6 +470,7 @@
 		return
 	}
 	c.s.cache.used(c.job.Parts)
+	c.s.doneAt = now
 	c.s.measured(now.Sub(c.at), c.wait+c.nominal+fixedTime, now)
 }
 
--- a/internal/request/slugdispatch/stream.go
+++ b/internal/request/slugdispatch/stream.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -12,16 +13,14 @@
 	"github.com/sassafraslug/sassafraslug/internal/connection/slugsend"
 	"github.com/sassafraslug/sassafraslug/internal/decision/slugplacement"
 	"github.com/sassafraslug/sassafraslug/internal/decision/slugplan"
+	"github.com/sassafraslug/sassafraslug/internal/request/slugrefusal"
 )
 
 const (
-	// prefillPatience is the number of times the expected duration that a prompt may
-	// take before it is tried elsewhere.
-	prefillPatience = 3
-	// leastPrefillPatience is what a prompt may take at least.
-	leastPrefillPatience = 1500 * time.Millisecond
-	// maxPrefillShare is the part of the time left that one prompt may take.
-	maxPrefillShare = 0.75
+	// stallLook is the time between looks whether an endpoint stands still.
+	stallLook = 250 * time.Millisecond
+	// answerTime is what the first event takes after the prompt.
+	answerTime = 90 * time.Millisecond
 	// firstPatience is how long the first event may take once the prompt was
 	// processed, before a request that may run again is tried elsewhere.
 	firstPatience = 900 * time.Millisecond
@@ -91,6 +90,10 @@
 			c.End(slugplacement.Abandoned, time.Now())
 			return nil, stop(errors.CombineErrors(last, errBudget))
 		}
+		if wait, hopeless := x.hopeless(c); hopeless {
+			c.End(slugplacement.Abandoned, time.Now())
+			return nil, stop(slugrefusal.NotRun(slugrefusal.CodeOverloaded, "prompts wait for %s", wait.Round(time.Millisecond)).After(x.retryAfter()))
+		}
 		s, sent, err := x.prefillAt(ctx, c)
 		if err == nil {
 			x.prefilled = true
@@ -118,10 +121,9 @@
 // prefillAt has the prompt processed at one endpoint.
 func (x *run) prefillAt(ctx context.Context, c *slugplacement.Choice) (s *stage, sent bool, err error) {
 	x.where = append(x.where, c.Name)
-	limit := max(leastPrefillPatience, prefillPatience*c.Predicted)
-	limit = min(limit, time.Duration(maxPrefillShare*float64(x.left())))
-	callCtx, cancel := context.WithTimeout(ctx, limit)
-	defer cancel()
+	callCtx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	defer x.watchStall(c, cancel)()
 	done := x.cfg.Suspects.Begin(c.Name, x.print, false)
 	e, err := x.cfg.Open(callCtx, x.cfg.Codec.Prefill(x.call, x.target(c)))
 	if e.Sent {
@@ -145,6 +147,38 @@
 	return &stage{c, h}, true, nil
 }
 
+// hopeless reports whether the first event cannot come in time, as far as is known.
+func (x *run) hopeless(c *slugplacement.Choice) (time.Duration, bool) {
+	return c.Predicted, c.Predicted+answerTime > x.left()
+}
+
+// errStalled ends a call to an endpoint that stands still.
+var errStalled = errors.New("endpoint stands still")
+
+// watchStall ends a call when its endpoint stands still. The returned function ends the
+// watch.
+func (x *run) watchStall(c *slugplacement.Choice, cancel context.CancelCauseFunc) func() {
+	var mu sync.Mutex
+	var timer *time.Timer
+	look := func() {
+		mu.Lock()
+		defer mu.Unlock()
+		if c.Stalled(time.Now()) {
+			cancel(errStalled)
+			return
+		}
+		timer.Reset(stallLook)
+	}
+	mu.Lock()
+	defer mu.Unlock()
+	timer = time.AfterFunc(stallLook, look)
+	return func() {
+		mu.Lock()
+		defer mu.Unlock()
+		timer.Stop()
+	}
+}
+
 // readHandle reads the answer to a prefill call.
 func (x *run) readHandle(e *slugsend.Exchange) (Handle, error) {
 	head := x.cfg.Codec.Head(e.Answer)
