Exchange load with peers ten times a second; take prompts for stalled later

Cause: load at engines lasts about 100 ms, word of it was 200 to 400 ms old, so hosts sent to the same engine and spilled prompts to engines without their shared parts; late prompts were taken for stalled because this host had sent nothing else there.

--- a/internal/daemon/slughost/host.go
+++ b/internal/daemon/slughost/host.go
@@ -46,9 +46,9 @@
 const (
 	// exchangeEvery is the time between exchanges with peers. Load at endpoints lasts
 	// some 100 ms, so that older word of it is of little use.
-	exchangeEvery = 200 * time.Millisecond
+	exchangeEvery = 100 * time.Millisecond
 	// exchangeFanout is the number of peers called each time.
-	exchangeFanout = 2
+	exchangeFanout = 3
 	// sweepEvery is the time between looks at what has lapsed.
 	sweepEvery = 250 * time.Millisecond
 	// freshPart is the part of the time in which a withdrawn key must stop working for
--- a/internal/decision/slugplacement/job.go
+++ b/internal/decision/slugplacement/job.go
@@ -60,7 +60,7 @@
 
 // DefaultCost is assumed until measured otherwise. Its speed is that of one
 // accelerator with a model of about a hundred billion parameters.
-var DefaultCost = Cost{TokensPerMs: 48, PairsMsPerMillion: 0.25, FirstMs: 14}
+var DefaultCost = Cost{TokensPerMs: 43, PairsMsPerMillion: 0.25, FirstMs: 14}
 
 // Prefill returns the time to process a prompt of which some tokens are cached.
 func (c Cost) Prefill(tokens, cached int) time.Duration {
--- a/internal/decision/slugplacement/placer.go
+++ b/internal/decision/slugplacement/placer.go
@@ -225,9 +225,9 @@
 const (
 	// stallFactor is the number of times the expected duration after which a prompt is
 	// late enough to ask whether its endpoint stands still.
-	stallFactor = 2
+	stallFactor = 4
 	// leastStall is how late it must be at least.
-	leastStall = 900 * time.Millisecond
+	leastStall = 1500 * time.Millisecond
 )
 
 // Stalled reports whether the prompt is late and nothing was done at its endpoint since
