--- a/internal/authority/sluglease/lease.go
+++ b/internal/authority/sluglease/lease.go
@@ -205,7 +205,7 @@
 	l.mu.Lock()
 	seen, _ := elapsed(l.seenAt, l.cfg.Now())
 	l.mu.Unlock()
-	if version == 0 || r.Released {
+	if version == 0 || r.Released && !r.returning(l.cfg.Host) {
 		return seen >= delay
 	}
 	return seen >= max(r.TTL(), l.cfg.TTL)+l.margin()+delay
@@ -213,7 +213,7 @@
 
 // claim writes the next record. The right counts from before the first try.
 func (l *Lease) claim(ctx context.Context, r Record, version slugstore.Version) (*Right, error) {
-	sent := l.cfg.Now()
+	sent := l.moment()
 	next := r.claimed(l.cfg.Duty, l.cfg.Self, l.cfg.Host, l.cfg.TTL)
 	version, err := l.cfg.Store.Put(ctx, l.name(), version, next)
 	if err != nil {
@@ -307,7 +307,7 @@
 	next, version := l.record, l.version
 	l.mu.Unlock()
 	next.Renewals++
-	sent := l.cfg.Now()
+	sent := l.moment()
 	ctx, cancel := context.WithTimeout(ctx, min(l.cfg.TTL/renewPart, r.Remaining()))
 	defer cancel()
 	version, err := l.cfg.Store.Put(ctx, l.name(), version, next)
--- a/internal/authority/sluglease/record.go
+++ b/internal/authority/sluglease/record.go
@@ -31,8 +31,13 @@
 	Released bool `json:"released,omitempty"`
 	// Unconfirmed are past holders that lost the duty and may not know it.
 	Unconfirmed []Predecessor `json:"unconfirmed,omitempty"`
+	// Earlier are the hosts that held the duty before, the last one first.
+	Earlier []slugname.Host `json:"earlier,omitempty"`
 }
 
+// keptEarlier is the number of earlier hosts that are remembered.
+const keptEarlier = 3
+
 // Predecessor is a past holder.
 type Predecessor struct {
 	Process slugname.Process `json:"process"`
@@ -50,9 +55,21 @@
 	if r.Holder != "" && r.Holder != p && !r.Released {
 		next.Unconfirmed = append(slices.Clone(r.Unconfirmed), Predecessor{r.Holder, r.Host, r.Fence})
 	}
+	if r.Host != "" && r.Host != h {
+		next.Earlier = append([]slugname.Host{r.Host}, r.Earlier...)
+		next.Earlier = next.Earlier[:min(len(next.Earlier), keptEarlier)]
+	} else {
+		next.Earlier = r.Earlier
+	}
 	return next.confirmed(p)
 }
 
+// returning reports whether a host held the duty shortly before another one. Commands
+// of two hosts by turns look like those of two that both believe they hold the duty.
+func (r Record) returning(h slugname.Host) bool {
+	return r.Host != h && slices.Contains(r.Earlier, h)
+}
+
 // confirmed returns the record without a predecessor.
 func (r Record) confirmed(p slugname.Process) Record {
 	r.Unconfirmed = slices.DeleteFunc(slices.Clone(r.Unconfirmed), func(x Predecessor) bool { return x.Process == p })
--- a/internal/authority/sluglease/right.go
+++ b/internal/authority/sluglease/right.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugclock"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugevent"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugname"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugstore"
@@ -19,10 +20,20 @@
 
 	mu sync.Mutex
 	// sent is when the last successful claim or renewal was sent.
-	sent time.Time
+	sent moment
 }
 
-func (r *Right) extend(sent time.Time) {
+// moment is a time by the lease's clock, and by the clocks that a suspension does not
+// stop.
+type moment struct {
+	at      time.Time
+	instant slugclock.Instant
+}
+
+// moment returns the present moment.
+func (l *Lease) moment() moment { return moment{l.cfg.Now(), slugclock.Now()} }
+
+func (r *Right) extend(sent moment) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.sent = sent
@@ -32,7 +43,8 @@
 func (r *Right) Remaining() time.Duration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	_, since := elapsed(r.sent, r.lease.cfg.Now())
+	_, since := elapsed(r.sent.at, r.lease.cfg.Now())
+	since = max(since, slugclock.Since(r.sent.instant))
 	return r.lease.cfg.TTL - r.lease.margin() - since
 }
 
--- a/internal/base/slugstore/watch.go
+++ b/internal/base/slugstore/watch.go
@@ -94,6 +94,8 @@
 	synced bool
 	// known are the objects that exist as far as the watcher was told.
 	known map[string]bool
+	// failures is the number of failed tries in a row.
+	failures int
 }
 
 // Watch follows the objects under a prefix until ctx ends. When the store has
@@ -101,10 +103,10 @@
 // those that are gone as removed.
 func (s *Store) Watch(ctx context.Context, w Watcher) error {
 	x := &watch{Watcher: w, known: map[string]bool{}}
-	for failures := 0; ctx.Err() == nil; {
+	for ctx.Err() == nil {
 		objects, at, err := s.watchOnce(ctx, x)
 		if err == nil {
-			failures = 0
+			x.failures = 0
 			if w.Current != nil {
 				w.Current(at)
 			}
@@ -117,8 +119,8 @@
 		if w.Lost != nil {
 			w.Lost(slugfault.Wrap(err, "watch "+w.Prefix, s.cfg.BaseURL))
 		}
-		_ = s.watches.Wait(ctx, failures)
-		failures++
+		_ = s.watches.Wait(ctx, x.failures)
+		x.failures++
 	}
 	return nil
 }
@@ -148,6 +150,10 @@
 	if x.Wait != nil {
 		wait = x.Wait()
 	}
+	if x.failures > 0 {
+		// A store that answers again is asked for what is new at once.
+		wait = 0
+	}
 	l, err := s.waitForChange(ctx, x, wait)
 	if err != nil {
 		return nil, at, err
