--- a/internal/decision/slugcapacity/capacity.go
+++ b/internal/decision/slugcapacity/capacity.go
@@ -89,6 +89,16 @@
 	Reason string
 }
 
+// regular returns the number of regular engines in a data centre while reclaimable ones
+// are to be had. Both kinds together count towards the least number, and what a data
+// centre loses is carried by the others until new engines have started.
+func (s Service) regular() int {
+	if len(s.DataCentres) > 1 {
+		return 0
+	}
+	return max(s.Min, 1)
+}
+
 // wanted returns the number of engines that each data centre is to have.
 func (s Service) wanted(d DataCentre) int {
 	n := max(float64(d.Initial), math.Ceil(float64(s.Max)*plannedPart))
@@ -103,7 +113,7 @@
 	var add, drop []Order
 	for _, d := range s.DataCentres {
 		wanted := s.wanted(d)
-		regular := max(s.Min, 1)
+		regular := s.regular()
 		// Both kinds together are bounded, so that cheap engines may have to wait for
 		// regular ones to go.
 		cheap := min(wanted-regular, s.Max-max(d.Regular, d.OrderedRegular))
@@ -115,7 +125,9 @@
 			regular, cheap = max(regular, min(wanted, max(d.Initial, d.Regular))), d.Cheap
 			reason = "no reclaimable engines to be had"
 		}
-		if s.HasCheap && reason == "planned capacity" && (cheap != d.OrderedCheap || d.Missing) {
+		// Engines that are on their way are awaited before more are ordered.
+		coming := cheap > d.OrderedCheap && d.Cheap < d.OrderedCheap && !d.Missing
+		if s.HasCheap && reason == "planned capacity" && (cheap != d.OrderedCheap || d.Missing) && !coming {
 			add = append(add, Order{d.Name, cheap, true, reason})
 		}
 		have := d.Regular
@@ -123,7 +135,7 @@
 			have = d.OrderedRegular
 		}
 		switch {
-		case have == 0:
+		case d.OrderedRegular < 0 && have == 0:
 			// Engines that the service began with may still have to register.
 		case regular > have:
 			add = append(add, Order{d.Name, regular, false, reason})
