Copy kept prompts to idle engines; follow what engines tell of their caches

Now an engine copies the beginning of a prompt from the one that keeps it, which takes milliseconds, and each host follows the engines' own news in waiting calls as far as engines allow readers.

--- a/internal/daemon/slughost/adapter.go
+++ b/internal/daemon/slughost/adapter.go
@@ -8,6 +8,7 @@
 	"github.com/sassafraslug/sassafraslug/internal/authority/slugcommand"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugname"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugstore"
+	"github.com/sassafraslug/sassafraslug/internal/fleet/slugcachefeed"
 	"github.com/sassafraslug/sassafraslug/internal/fleet/slugregistry"
 	"github.com/sassafraslug/sassafraslug/internal/request/slugdispatch"
 	"github.com/sassafraslug/sassafraslug/internal/version/slugrouting"
@@ -28,6 +29,8 @@
 	Codec slugdispatch.Codec
 	// Handlers makes what answers callers and the platform.
 	Handlers func(Ingress) Handlers
+	// CacheEvents waits for what an engine tells of the prompt parts that it keeps.
+	CacheEvents func(ctx context.Context, do slugcommand.Do, address string, since int64, wait time.Duration) (slugcachefeed.Page, error)
 	// Commands are what the holder of a duty sends.
 	Commands slugcommand.Commands
 }
--- /dev/null
+++ b/internal/daemon/slughost/caches.go
@@ -0,0 +1,71 @@
+package slughost
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/sassafraslug/sassafraslug/internal/base/slugbackoff"
+	"github.com/sassafraslug/sassafraslug/internal/decision/slugplacement"
+	"github.com/sassafraslug/sassafraslug/internal/decision/slugplan"
+	"github.com/sassafraslug/sassafraslug/internal/fleet/slugcachefeed"
+	"golang.org/x/sync/errgroup"
+)
+
+const (
+	// followEvery is the time between looks at which engines are to be read.
+	followEvery = 500 * time.Millisecond
+	// eventConnections bounds the idle connections to one engine.
+	eventConnections = 1
+)
+
+// followCaches follows what engines tell of the prompt parts that they keep, as long as
+// all hosts together stay within the number of readers that an engine allows.
+func (h *Host) followCaches(ctx context.Context, g *errgroup.Group) error {
+	client := &http.Client{Transport: &http.Transport{DialContext: h.network.Dial, MaxIdleConnsPerHost: eventConnections}}
+	feed := slugcachefeed.New(slugcachefeed.Config{
+		Read: func(ctx context.Context, address string, since int64, wait time.Duration) (slugcachefeed.Page, error) {
+			return h.adapter.CacheEvents(ctx, client.Do, address, since, wait)
+		},
+		Apply: h.cacheTold,
+	})
+	g.Go(func() error {
+		for slugbackoff.Sleep(ctx, followEvery) == nil {
+			feed.Follow(ctx, h.enginesToRead())
+		}
+		feed.Wait()
+		client.CloseIdleConnections()
+		return nil
+	})
+	return nil
+}
+
+// enginesToRead returns the engines that process prompts, of the services that allow
+// enough readers.
+func (h *Host) enginesToRead() []slugcachefeed.Engine {
+	t := h.follower.Table()
+	if t == nil {
+		return nil
+	}
+	hosts := h.hosts()
+	var out []slugcachefeed.Engine
+	for _, s := range t.Services {
+		if s.Engine == nil || s.Engine.MostEventReaders < hosts {
+			continue
+		}
+		for _, e := range h.usable(s.Name, time.Now()) {
+			if e.Role == slugplan.RolePrefill {
+				out = append(out, slugcachefeed.Engine{Name: e.Name, Address: e.Address, Service: s.Name})
+			}
+		}
+	}
+	return out
+}
+
+func (h *Host) cacheTold(e slugcachefeed.Engine, p slugcachefeed.Page, fresh bool) {
+	parts := make([]slugplacement.Part, len(p.Changes))
+	for i, c := range p.Changes {
+		parts[i] = slugplacement.Part{ID: c.Part, Tokens: c.Tokens}
+	}
+	h.placer(e.Service).CacheTold(e.Name, parts, fresh)
+}
--- a/internal/daemon/slughost/host.go
+++ b/internal/daemon/slughost/host.go
@@ -139,6 +139,7 @@
 		{Name: "open listeners", Run: h.listen},
 		{Name: "follow the configuration", Run: h.follow},
 		{Name: "follow the endpoints", Run: h.followEndpoints},
+		{Name: "follow the caches of engines", Run: h.followCaches},
 		{Name: "exchange with peers", Run: h.exchange},
 		{Name: "serve callers", Run: h.serve},
 		{Name: "take part in the duties", Run: h.holdDuties},
--- a/internal/daemon/slughost/serve.go
+++ b/internal/daemon/slughost/serve.go
@@ -64,9 +64,10 @@
 	return 0
 }
 
-// addresses returns the live hosts for a caller, those that it is near to first. Hosts
-// whose configuration may be out of date are left out as long as there are others.
-func (h *Host) addresses(near slugname.DataCentre) ([]string, time.Duration) {
+// addresses returns the live hosts. All callers get all of them, wherever they are: data
+// centres have unequal demand. Hosts whose configuration may be out of date are left out
+// as long as there are others.
+func (h *Host) addresses(slugname.DataCentre) ([]string, time.Duration) {
 	var fresh, other []string
 	limit := time.Duration(freshPart * float64(h.settings.Revoke))
 	self := h.member.Self().Process
--- a/internal/decision/slugplacement/cache.go
+++ b/internal/decision/slugplacement/cache.go
@@ -5,12 +5,14 @@
 )
 
 // cache is what is believed of the prompt parts that an endpoint keeps: those used
-// there last, up to its memory.
+// there last, up to its memory, corrected by what the endpoint tells.
 type cache struct {
 	capacity int
 	tokens   int
 	order    *list.List
 	parts    map[PartID]*list.Element
+	// told tells that the endpoint tells what it keeps.
+	told bool
 }
 
 func newCache(capacity int) *cache {
@@ -20,29 +22,43 @@
 // used notes that a prompt was processed.
 func (c *cache) used(parts []Part) {
 	for _, p := range parts {
-		if e := c.parts[p.ID]; e != nil {
-			c.order.MoveToFront(e)
-			continue
-		}
-		c.parts[p.ID] = c.order.PushFront(p)
-		c.tokens += p.Tokens
+		c.keep(p)
 	}
+}
+
+// keep notes that a part is kept.
+func (c *cache) keep(p Part) {
+	c.drop(p.ID)
+	c.parts[p.ID] = c.order.PushFront(p)
+	c.tokens += p.Tokens
 	for c.tokens > c.capacity && c.order.Len() > 0 {
-		last := c.order.Back()
-		p := c.order.Remove(last).(Part)
-		delete(c.parts, p.ID)
-		c.tokens -= p.Tokens
+		c.drop(c.order.Back().Value.(Part).ID)
+	}
+}
+
+// drop notes that a part is not kept.
+func (c *cache) drop(id PartID) {
+	e := c.parts[id]
+	if e == nil {
+		return
 	}
+	c.tokens -= c.order.Remove(e).(Part).Tokens
+	delete(c.parts, id)
 }
 
 // cached returns the tokens of the leading parts that are kept.
 func (c *cache) cached(parts []Part) int {
 	n := 0
 	for _, p := range parts {
-		if c.parts[p.ID] == nil {
+		e := c.parts[p.ID]
+		if e == nil {
+			break
+		}
+		kept := min(p.Tokens, e.Value.(Part).Tokens)
+		n += kept
+		if kept < p.Tokens {
 			break
 		}
-		n += p.Tokens
 	}
 	return n
 }
--- a/internal/decision/slugplacement/placer.go
+++ b/internal/decision/slugplacement/placer.go
@@ -167,6 +167,28 @@
 	p.state = next
 }
 
+// CacheTold takes what an endpoint told of the parts that it keeps: those with tokens
+// are kept, the others are not. fresh tells that it kept nothing before.
+func (p *Placer) CacheTold(e slugname.Endpoint, parts []Part, fresh bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.state[e]
+	if s == nil {
+		return
+	}
+	if fresh {
+		s.cache = newCache(s.CacheTokens)
+	}
+	s.cache.told = true
+	for _, x := range parts {
+		if x.Tokens > 0 {
+			s.cache.keep(x)
+		} else {
+			s.cache.drop(x.ID)
+		}
+	}
+}
+
 // SetOthers replaces what other processes told of their load.
 func (p *Placer) SetOthers(loads map[slugname.Endpoint]Load) {
 	p.mu.Lock()
@@ -209,6 +231,9 @@
 	Predicted time.Duration
 	// Cached is the number of prompt tokens believed to be kept there.
 	Cached int
+	// FetchFrom is the address of an endpoint from which it may copy more of the
+	// prompt's KV cache, empty when there is none.
+	FetchFrom string
 
 	p       *Placer
 	s       *state
@@ -298,13 +323,18 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var best *Choice
+	usable := p.usable(slugplan.RolePrefill, exclude, now)
+	kept := p.kept(j, usable)
+	source := mostKept(usable, kept)
 	keepers := p.keepers(j.subject(), slugplan.RolePrefill)
-	for _, s := range p.usable(slugplan.RolePrefill, exclude, now) {
-		cached := s.cache.cached(j.Parts)
+	for i, s := range usable {
+		c := p.prefillAt(s, j, kept[i], now)
 		if slices.Contains(keepers, s) {
-			cached = max(cached, j.shared())
+			c.predict -= homeBonus
+		}
+		if f := p.fetching(s, j, source, now); f != nil && f.predict < c.predict {
+			c = f
 		}
-		c := p.prefillAt(s, j, min(cached, j.Tokens), now)
 		if best == nil || c.predict < best.predict {
 			best = c
 		}
@@ -312,6 +342,72 @@
 	return p.take(best, slugplan.RolePrefill, now)
 }
 
+// kept returns the number of a prompt's tokens that each endpoint is believed to keep;
+// p.mu is held.
+func (p *Placer) kept(j Job, list []*state) []int {
+	keepers := p.keepers(j.subject(), slugplan.RolePrefill)
+	out := make([]int, len(list))
+	for i, s := range list {
+		out[i] = s.cache.cached(j.Parts)
+		if !s.cache.told && slices.Contains(keepers, s) {
+			out[i] = max(out[i], j.shared())
+		}
+		out[i] = min(out[i], j.Tokens)
+	}
+	return out
+}
+
+// keeper is an endpoint that keeps the beginning of a prompt.
+type keeper struct {
+	*state
+	tokens int
+}
+
+// mostKept returns the endpoint that keeps most of a prompt.
+func mostKept(list []*state, kept []int) keeper {
+	var best keeper
+	for i, s := range list {
+		if kept[i] > best.tokens {
+			best = keeper{s, kept[i]}
+		}
+	}
+	return best
+}
+
+// homeBonus is the time by which the home of a shared part is preferred, so that all
+// hosts bring it to one endpoint as long as nobody keeps it.
+const homeBonus = 15 * time.Millisecond
+
+const (
+	// leastFetch is the number of tokens below which copying is not worth a call.
+	leastFetch = 512
+	// fetchTime is the fixed time of copying KV cache between endpoints. It is set
+	// above the measured setup, so that an idle keeper goes first: copies everywhere
+	// would take the memory of other prompts.
+	fetchTime = 25 * time.Millisecond
+	// fetchPerToken is the time of copying one token's KV cache.
+	fetchPerToken = 500 * time.Nanosecond
+)
+
+// fetching predicts a prompt's time at an endpoint that copies the beginning from the
+// keeper, as the related paper on moving data to idle places suggests. It returns nil
+// where there is nothing to copy; p.mu is held.
+func (p *Placer) fetching(s *state, j Job, k keeper, now time.Time) *Choice {
+	if k.state == nil || k.state == s || k.tokens < leastFetch {
+		return nil
+	}
+	c := p.prefillAt(s, j, k.tokens, now)
+	copying := fetchTime + time.Duration(k.tokens)*fetchPerToken
+	if k.DataCentre != s.DataCentre {
+		copying += time.Duration(k.tokens) * fetchPerToken
+	}
+	c.work += copying
+	c.Predicted += copying
+	c.predict += copying
+	c.FetchFrom = k.Address
+	return c
+}
+
 // prefillAt predicts a prompt's time at an endpoint; p.mu is held.
 func (p *Placer) prefillAt(s *state, j Job, cached int, now time.Time) *Choice {
 	slow := p.relative(s, now)
--- a/internal/request/slugdispatch/call.go
+++ b/internal/request/slugdispatch/call.go
@@ -47,6 +47,9 @@
 	Priority int
 	// Source says where the prompt's KV cache is kept; empty means nowhere.
 	Source string
+	// FetchFrom is the address of an endpoint that keeps the beginning of the prompt;
+	// empty means that none is known.
+	FetchFrom string
 	// ResumeAfter is the last event that is not wanted again.
 	ResumeAfter string
 	// Idempotent requests may share connections and be repeated.
--- a/internal/request/slugdispatch/dispatcher.go
+++ b/internal/request/slugdispatch/dispatcher.go
@@ -274,7 +274,8 @@
 func (x *run) target(c *slugplacement.Choice) Target {
 	return Target{
 		Address: c.Address, Endpoint: c.Name, Workspace: x.workspaceName(), Left: x.left(),
-		Priority: x.route.PriorityFor(x.workspace), ResumeAfter: x.lastEvent, Idempotent: x.route.Idempotent(),
+		Priority: x.route.PriorityFor(x.workspace), FetchFrom: c.FetchFrom, ResumeAfter: x.lastEvent,
+		Idempotent: x.route.Idempotent(),
 	}
 }
 
--- a/internal/request/slugdispatch/stream.go
+++ b/internal/request/slugdispatch/stream.go
@@ -141,7 +141,7 @@
 		return nil, e.Sent, err
 	}
 	x.cfg.Log.Emit(slugevent.EndpointChosen, slugevent.Fields{
-		"request": x.call.ID, "endpoint": c.Name, "stage": "prefill", "tokens": x.call.Prompt.Tokens, "cached": c.Cached,
+		"request": x.call.ID, "endpoint": c.Name, "stage": "prefill", "tokens": x.call.Prompt.Tokens, "cached": c.Cached, "fetchFrom": c.FetchFrom,
 		"predictedMs": c.Predicted.Milliseconds(), "tookMs": time.Since(c.Began()).Milliseconds(), "processed": h.Tokens,
 	})
 	return &stage{c, h}, true, nil
