--- a/internal/base/slugevent/log.go
+++ b/internal/base/slugevent/log.go
@@ -21,6 +21,8 @@
 // Log writes events of one process.
 type Log struct {
 	entry *logrus.Entry
+	// bound limits the lines; nil does not.
+	bound *bound
 }
 
 // New returns a Log that writes JSON lines to w. The process name goes into
@@ -42,11 +44,17 @@
 // Emit writes one event with its fields.
 func (l *Log) Emit(e Event, f Fields) {
 	d := e.Describe()
+	if !l.entry.Logger.IsLevelEnabled(d.Level) || !l.bound.allow(e) {
+		return
+	}
 	l.entry.WithField("event", int(e)).WithFields(f).Log(d.Level, d.Message)
 }
 
 // Error writes one event with an error.
 func (l *Log) Error(e Event, err error, f Fields) {
 	d := e.Describe()
+	if !l.entry.Logger.IsLevelEnabled(d.Level) || !l.bound.allow(e) {
+		return
+	}
 	l.entry.WithField("event", int(e)).WithFields(f).WithError(err).Log(d.Level, d.Message)
 }
--- a/internal/daemon/slugdaemon/daemon.go
+++ b/internal/daemon/slugdaemon/daemon.go
@@ -22,6 +22,9 @@
 	"github.com/sirupsen/logrus"
 )
 
+// flushTime bounds the writing of the last log lines.
+const flushTime = 200 * time.Millisecond
+
 // Run runs a daemon until ctx ends.
 type Run func(ctx context.Context, s *slugsettings.Settings, log *slugevent.Log) error
 
@@ -53,7 +56,8 @@
 		return ExitUsage
 	}
 	level, _ := logrus.ParseLevel(s.LogLevel)
-	log := slugevent.New(os.Stdout, level, string(s.Host)+"-"+name)
+	log, flush := slugevent.NewBounded(os.Stdout, level, string(s.Host)+"-"+name)
+	defer flush(flushTime)
 	go reload(loader, *path, s, log)
 	if err := run(signalContext(), s, log); err != nil {
 		fmt.Fprintln(os.Stderr, err)
--- a/internal/decision/slugplacement/placer.go
+++ b/internal/decision/slugplacement/placer.go
@@ -22,6 +22,7 @@
 package slugplacement
 
 import (
+	"math/bits"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -95,8 +96,6 @@
 	maxSlowness = 20
 	// cacheUse is the part of an endpoint's memory that running requests may take.
 	cacheUse = 0.9
-	// homes is the number of endpoints that are taken for the keepers of a shared part.
-	homes = 1
 )
 
 // Config makes a Placer.
@@ -110,6 +109,8 @@
 // state is what is known of an endpoint.
 type state struct {
 	Endpoint
+	// hash is that of the name.
+	hash   uint64
 	own    Load
 	others Load
 	cache  *cache
@@ -155,7 +156,7 @@
 	for _, e := range list {
 		s := p.state[e.Name]
 		if s == nil || s.Incarnation != e.Incarnation {
-			s = &state{cache: newCache(e.CacheTokens), slowness: 1}
+			s = &state{hash: xxhash.Sum64String(string(e.Name)), cache: newCache(e.CacheTokens), slowness: 1}
 		}
 		if s.Role != e.Role {
 			s.cache = newCache(e.CacheTokens)
@@ -288,31 +289,38 @@
 	return good
 }
 
-// weight is the rendezvous weight of an endpoint for a shared part.
-func weight(part PartID, e slugname.Endpoint) uint64 {
-	return xxhash.Sum64String(string(part) + "\x00" + string(e))
+// weight is the rendezvous weight of an endpoint for a shared part, from their hashes.
+func weight(part, endpoint uint64) uint64 {
+	x := part ^ bits.RotateLeft64(endpoint, rotation)
+	x *= mixFactor
+	x ^= x >> mixShift
+	return x * mixFactor
 }
 
-// keepers returns the endpoints that all hosts take for the keepers of a part. They
-// are drawn from all endpoints of the role, so that one that is avoided for a
-// moment does not change the homes of the others.
-func (p *Placer) keepers(part PartID, r slugplan.Role) []*state {
+// Constants of the mixing of two hashes, as splitmix64 has them.
+const (
+	rotation  = 23
+	mixFactor = 0x9e3779b97f4a7c15
+	mixShift  = 29
+)
+
+// home returns the endpoint that all hosts take for the keeper of a part. It is drawn
+// from all endpoints of the role, so that one that is avoided for a moment does not
+// change the homes of the others; p.mu is held.
+func (p *Placer) home(part PartID, r slugplan.Role) *state {
 	if part == "" {
 		return nil
 	}
-	var best []*state
+	hash := xxhash.Sum64String(string(part))
+	var best *state
+	var most uint64
 	for _, s := range p.list {
 		if s.Role != r {
 			continue
 		}
-		best = append(best, s)
-		slices.SortFunc(best, func(a, b *state) int {
-			if weight(part, a.Name) > weight(part, b.Name) {
-				return -1
-			}
-			return 1
-		})
-		best = best[:min(len(best), homes)]
+		if w := weight(hash, s.hash); best == nil || w > most {
+			best, most = s, w
+		}
 	}
 	return best
 }
@@ -324,15 +332,16 @@
 	defer p.mu.Unlock()
 	var best *Choice
 	usable := p.usable(slugplan.RolePrefill, exclude, now)
-	kept := p.kept(j, usable)
+	home := p.home(j.subject(), slugplan.RolePrefill)
+	kept := p.kept(j, usable, home)
 	source := mostKept(usable, kept)
-	keepers := p.keepers(j.subject(), slugplan.RolePrefill)
+	median := p.median(slugplan.RolePrefill, now)
 	for i, s := range usable {
-		c := p.prefillAt(s, j, kept[i], now)
-		if slices.Contains(keepers, s) {
+		c := p.prefillAt(s, j, kept[i], median, now)
+		if s == home {
 			c.predict -= homeBonus
 		}
-		if f := p.fetching(s, j, source, now); f != nil && f.predict < c.predict {
+		if f := p.fetching(s, j, source, median, now); f != nil && f.predict < c.predict {
 			c = f
 		}
 		if best == nil || c.predict < best.predict {
@@ -344,12 +353,11 @@
 
 // kept returns the number of a prompt's tokens that each endpoint is believed to keep;
 // p.mu is held.
-func (p *Placer) kept(j Job, list []*state) []int {
-	keepers := p.keepers(j.subject(), slugplan.RolePrefill)
+func (p *Placer) kept(j Job, list []*state, home *state) []int {
 	out := make([]int, len(list))
 	for i, s := range list {
 		out[i] = s.cache.cached(j.Parts)
-		if !s.cache.told && slices.Contains(keepers, s) {
+		if !s.cache.told && s == home {
 			out[i] = max(out[i], j.shared())
 		}
 		out[i] = min(out[i], j.Tokens)
@@ -392,11 +400,11 @@
 // fetching predicts a prompt's time at an endpoint that copies the beginning from the
 // keeper, as the related paper on moving data to idle places suggests. It returns nil
 // where there is nothing to copy; p.mu is held.
-func (p *Placer) fetching(s *state, j Job, k keeper, now time.Time) *Choice {
+func (p *Placer) fetching(s *state, j Job, k keeper, median float64, now time.Time) *Choice {
 	if k.state == nil || k.state == s || k.tokens < leastFetch {
 		return nil
 	}
-	c := p.prefillAt(s, j, k.tokens, now)
+	c := p.prefillAt(s, j, k.tokens, median, now)
 	copying := fetchTime + time.Duration(k.tokens)*fetchPerToken
 	if k.DataCentre != s.DataCentre {
 		copying += time.Duration(k.tokens) * fetchPerToken
@@ -409,8 +417,8 @@
 }
 
 // prefillAt predicts a prompt's time at an endpoint; p.mu is held.
-func (p *Placer) prefillAt(s *state, j Job, cached int, now time.Time) *Choice {
-	slow := p.relative(s, now)
+func (p *Placer) prefillAt(s *state, j Job, cached int, median float64, now time.Time) *Choice {
+	slow := s.relative(median, now)
 	nominal := p.cfg.Cost.Prefill(j.Tokens, cached)
 	work := time.Duration(float64(nominal) * slow)
 	wait := time.Duration(float64(s.waiting(j.Priority)) * slow)
@@ -436,9 +444,10 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var best *Choice
+	median := p.median(slugplan.RoleDecode, now)
 	for _, s := range p.usable(slugplan.RoleDecode, exclude, now) {
 		c := &Choice{Endpoint: s.Endpoint, p: p, s: s, job: j}
-		c.predict = p.decodeAt(s, j, near, now)
+		c.predict = p.decodeAt(s, j, near, median, now)
 		if best == nil || c.predict < best.predict {
 			best = c
 		}
@@ -458,9 +467,9 @@
 )
 
 // decodeAt returns how much later than elsewhere an answer would begin; p.mu is held.
-func (p *Placer) decodeAt(s *state, j Job, near slugname.DataCentre, now time.Time) time.Duration {
+func (p *Placer) decodeAt(s *state, j Job, near slugname.DataCentre, median float64, now time.Time) time.Duration {
 	streams := s.own.Streams + s.others.Streams
-	d := time.Duration(float64(streams)*float64(perStream)*p.relative(s, now)) + s.penalty(now)
+	d := time.Duration(float64(streams)*float64(perStream)*s.relative(median, now)) + s.penalty(now)
 	d += time.Duration(p.cfg.Random() * float64(tieSpread))
 	if s.DataCentre != near {
 		d += farPenalty
@@ -478,9 +487,10 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var best *Choice
+	median := p.median("", now)
 	for _, s := range p.usable("", exclude, now) {
 		c := &Choice{Endpoint: s.Endpoint, p: p, s: s}
-		c.predict = p.plainAt(s, now)
+		c.predict = p.plainAt(s, median, now)
 		if best == nil || c.predict < best.predict {
 			best = c
 		}
@@ -492,10 +502,10 @@
 const plainWork = 30 * time.Millisecond
 
 // plainAt returns the expected time of a request at a plain endpoint; p.mu is held.
-func (p *Placer) plainAt(s *state, now time.Time) time.Duration {
+func (p *Placer) plainAt(s *state, median float64, now time.Time) time.Duration {
 	streams := s.own.Streams + s.others.Streams
 	rounds := 1 + float64(streams)/float64(max(1, s.Slots))
-	d := time.Duration(rounds*float64(plainWork)*p.relative(s, now)) + s.penalty(now)
+	d := time.Duration(rounds*float64(plainWork)*s.relative(median, now)) + s.penalty(now)
 	if s.DataCentre != p.cfg.DataCentre {
 		d += time.Millisecond
 	}
@@ -580,21 +590,25 @@
 	s.slownessAt = now
 }
 
-// relative returns how much slower than the others of its role an endpoint is. What
-// slows all of them, such as load that this process does not know of, is no reason to
-// prefer one; p.mu is held.
-func (p *Placer) relative(s *state, now time.Time) float64 {
+// median returns the median slowness of the endpoints of a role; p.mu is held.
+func (p *Placer) median(r slugplan.Role, now time.Time) float64 {
 	var all []float64
-	for _, x := range p.list {
-		if x.Role == s.Role {
-			all = append(all, x.slow(now))
+	for _, s := range p.list {
+		if s.Role == r {
+			all = append(all, s.slow(now))
 		}
 	}
 	if len(all) == 0 {
 		return 1
 	}
 	slices.Sort(all)
-	return max(1, s.slow(now)/max(1, all[len(all)/2]))
+	return max(1, all[len(all)/2])
+}
+
+// relative returns how much slower than the median an endpoint is. What slows all of
+// them, such as load that this process does not know of, is no reason to prefer one.
+func (s *state) relative(median float64, now time.Time) float64 {
+	return max(1, s.slow(now)/median)
 }
 
 // slow returns the believed slowness; p.mu is held.
