--- a/internal/daemon/slughost/host.go
+++ b/internal/daemon/slughost/host.go
@@ -218,7 +218,7 @@
 func (h *Host) followEndpoints(ctx context.Context, g *errgroup.Group) error {
 	g.Go(func() error {
 		return h.store.For("endpoints").Watch(ctx, slugstore.Watcher{
-			Prefix: h.adapter.EntryPrefix, Foreign: true, Wait: func() time.Duration { return entriesWait },
+			Prefix: h.adapter.EntryPrefix, Foreign: true, Wait: func() time.Duration { return entriesWait }, Gather: entriesGather,
 			Changed: h.registry.Take, Lost: h.registry.Lost,
 		})
 	})
@@ -235,6 +235,10 @@
 // connection that went silent hides that an endpoint leaves.
 const entriesWait = 1500 * time.Millisecond
 
+// entriesGather is the pause after a change of the endpoints. It delays word of an
+// endpoint that leaves, which may still receive work for much longer.
+const entriesGather = 150 * time.Millisecond
+
 // endpointsChanged puts changed endpoints into use.
 func (h *Host) endpointsChanged(services []slugname.Service) {
 	t := h.follower.Table()
