--- a/internal/daemon/slughost/host.go
+++ b/internal/daemon/slughost/host.go
@@ -47,6 +47,9 @@
 	// exchangeEvery is the time between exchanges with peers. Load at endpoints lasts
 	// some 100 ms, so that older word of it is of little use.
 	exchangeEvery = 100 * time.Millisecond
+	// exchangePerHost is the time between exchanges for each host there is, where that
+	// is more: a round costs as much as there are hosts.
+	exchangePerHost = 8 * time.Millisecond
 	// exchangeFanout is the number of peers called each time.
 	exchangeFanout = 3
 	// sweepEvery is the time between looks at what has lapsed.
--- a/internal/daemon/slughost/join.go
+++ b/internal/daemon/slughost/join.go
@@ -48,11 +48,16 @@
 	h.table = slugpeer.New(slugpeer.Config{
 		Clock: h.clock.Count, HeardClock: h.clock.Heard,
 		Self: h.member.Self(), Call: link.Call, Peers: h.member.Records, Word: h.follower.Word,
-		Heard: h.heard, HeardWord: h.follower.Heard, Bundle: h.follower.Raw, Fanout: exchangeFanout, Every: exchangeEvery,
+		Heard: h.heard, HeardWord: h.follower.Heard, Bundle: h.follower.Raw, Fanout: exchangeFanout, Every: h.exchangeInterval,
 	})
 	return nil
 }
 
+// exchangeInterval returns the time between exchanges with peers.
+func (h *Host) exchangeInterval() time.Duration {
+	return max(exchangeEvery, time.Duration(len(h.member.Records()))*exchangePerHost)
+}
+
 // recentWord is how young word of the configuration is while the store answers anybody.
 const recentWord = 2 * time.Second
 
@@ -107,7 +112,7 @@
 	g.Go(func() error { return h.link.Serve(ctx, h.table.Serve) })
 	g.Go(func() error { return h.table.Run(ctx) })
 	g.Go(func() error {
-		for slugbackoff.Sleep(ctx, exchangeEvery) == nil {
+		for slugbackoff.Sleep(ctx, h.exchangeInterval()) == nil {
 			h.tell()
 		}
 		return nil
--- a/internal/membership/slugpeer/table.go
+++ b/internal/membership/slugpeer/table.go
@@ -38,8 +38,8 @@
 	Bundle func() []byte
 	// Fanout is the number of peers called a round.
 	Fanout int
-	// Every is the time between rounds; 0 means Round.
-	Every time.Duration
+	// Every returns the time between rounds; nil means Round.
+	Every func() time.Duration
 }
 
 // Times of the exchange.
@@ -86,8 +86,8 @@
 	if cfg.Fanout == 0 {
 		cfg.Fanout = defaultFanout
 	}
-	if cfg.Every == 0 {
-		cfg.Every = Round
+	if cfg.Every == nil {
+		cfg.Every = func() time.Duration { return Round }
 	}
 	t := &Table{cfg: cfg, self: slugmember.IDOf(cfg.Self.Process), rows: map[slugmember.ID]*held{}}
 	t.rows[t.self] = &held{version: 1, row: Row{Process: cfg.Self.Process, Kind: cfg.Self.Kind, Host: cfg.Self.Host}, heardAt: time.Now()}
@@ -154,7 +154,8 @@
 		t.beat()
 		// A peer that does not answer must not hold the next round up.
 		wg.Go(func() { t.round(ctx, t.cfg.Fanout) })
-		jitter := t.cfg.Every*9/10 + time.Duration(rand.Int64N(int64(t.cfg.Every/5)))
+		every := t.cfg.Every()
+		jitter := every*9/10 + time.Duration(rand.Int64N(int64(every/5)))
 		_ = slugbackoff.Sleep(ctx, jitter)
 	}
 	return nil
