--- a/internal/authority/slugcapacityduty/duty.go
+++ b/internal/authority/slugcapacityduty/duty.go
@@ -22,6 +22,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/sassafraslug/sassafraslug/internal/authority/slugcommand"
 	"github.com/sassafraslug/sassafraslug/internal/authority/sluglease"
+	"github.com/sassafraslug/sassafraslug/internal/authority/slugrecord"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugbackoff"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugevent"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugname"
@@ -97,8 +98,7 @@
 type Duty struct {
 	cfg Config
 
-	version slugstore.Version
-	record  record
+	record *slugrecord.Record[record]
 	// dry is when a place was last refused reclaimable engines.
 	dry map[place]time.Time
 	// cheapAt is when reclaimable engines were last ordered for a place.
@@ -116,7 +116,8 @@
 func (d *Duty) Run(ctx context.Context, right *sluglease.Right) error {
 	d.dry, d.cheapAt = map[place]time.Time{}, map[place]time.Time{}
 	d.roleAt, d.wanted = map[slugname.Endpoint]time.Time{}, map[slugname.Endpoint]slugplan.Role{}
-	if err := d.load(ctx); err != nil {
+	var err error
+	if d.record, err = slugrecord.Load[record](ctx, d.cfg.Store, Name); err != nil {
 		return err
 	}
 	for ctx.Err() == nil {
@@ -128,27 +129,10 @@
 	return nil
 }
 
-func (d *Duty) load(ctx context.Context) error {
-	o, err := d.cfg.Store.Get(ctx, Name)
-	if err != nil {
-		return err
-	}
-	d.version, d.record = o.Version, record{}
-	if o.Body == nil {
-		return nil
-	}
-	return o.Decode(&d.record)
-}
-
 // write stores a plan. It fails when another holder has written.
 func (d *Duty) write(ctx context.Context, next record, fence sluglease.Fence) error {
 	next.Fence = fence
-	version, err := d.cfg.Store.Put(ctx, Name, d.version, next)
-	if err != nil {
-		return err
-	}
-	d.version, d.record = version, next
-	return nil
+	return d.record.Write(ctx, next)
 }
 
 func (d *Duty) review(ctx context.Context, right *sluglease.Right) error {
@@ -177,8 +161,8 @@
 			n++
 		}
 	}
-	for i := range d.record.Places {
-		st := &d.record.Places[i]
+	for i := range d.record.Value.Places {
+		st := &d.record.Value.Places[i]
 		if st.place == p {
 			if st.Regular < 0 {
 				// Engines that register late count as well.
@@ -187,8 +171,8 @@
 			return st
 		}
 	}
-	d.record.Places = append(d.record.Places, standing{place: p, Initial: n, Regular: -1, Cheap: -1})
-	return &d.record.Places[len(d.record.Places)-1]
+	d.record.Value.Places = append(d.record.Value.Places, standing{place: p, Initial: n, Regular: -1, Cheap: -1})
+	return &d.record.Value.Places[len(d.record.Value.Places)-1]
 }
 
 // state returns the service as the plan sees it.
@@ -249,7 +233,7 @@
 // order writes one order down and sends it.
 func (d *Duty) order(ctx context.Context, right *sluglease.Right, s *slugrouting.Service, o slugcapacity.Order, state slugcapacity.Service) error {
 	p := place{s.Name, o.DataCentre}
-	next := record{Places: slices.Clone(d.record.Places)}
+	next := record{Places: slices.Clone(d.record.Value.Places)}
 	for i := range next.Places {
 		if next.Places[i].place != p {
 			continue
@@ -284,7 +268,7 @@
 
 // unsettled writes down that an order may not stand, so that it is made again.
 func (d *Duty) unsettled(ctx context.Context, right *sluglease.Right, p place, o slugcapacity.Order) error {
-	next := record{Places: slices.Clone(d.record.Places)}
+	next := record{Places: slices.Clone(d.record.Value.Places)}
 	for i := range next.Places {
 		if next.Places[i].place == p && o.Cheap {
 			next.Places[i].Cheap = -1
--- /dev/null
+++ b/internal/authority/slugrecord/record_test.go
@@ -0,0 +1,31 @@
+package slugrecord
+
+import (
+	"testing"
+	"testing/synctest"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugstore"
+	"github.com/sassafraslug/sassafraslug/internal/standin/slugplatform"
+	"gotest.tools/v3/assert"
+)
+
+type plan struct {
+	Count int `json:"count"`
+}
+
+func TestSuccessorTakesOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := slugstore.New(slugstore.Config{BaseURL: "http://platform", Do: slugplatform.New(slugplatform.Config{}).Link("a").Do})
+		a, err := Load[plan](t.Context(), s, "plans/test")
+		assert.NilError(t, err)
+		assert.NilError(t, a.Write(t.Context(), plan{1}))
+		b, err := Load[plan](t.Context(), s, "plans/test")
+		assert.NilError(t, err)
+		assert.Equal(t, b.Value.Count, 1)
+		assert.NilError(t, b.Write(t.Context(), plan{2}))
+		err = a.Write(t.Context(), plan{3})
+		assert.Assert(t, errors.Is(err, slugstore.ErrConflict), "%v", err)
+		assert.Equal(t, a.Value.Count, 1)
+	})
+}
--- a/internal/authority/slugusageduty/duty.go
+++ b/internal/authority/slugusageduty/duty.go
@@ -18,6 +18,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/sassafraslug/sassafraslug/internal/authority/slugcommand"
 	"github.com/sassafraslug/sassafraslug/internal/authority/sluglease"
+	"github.com/sassafraslug/sassafraslug/internal/authority/slugrecord"
 	"github.com/sassafraslug/sassafraslug/internal/authority/slugtally"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugbackoff"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugevent"
@@ -77,9 +78,8 @@
 
 // Duty freezes and sends reports.
 type Duty struct {
-	cfg     Config
-	version slugstore.Version
-	record  record
+	cfg    Config
+	record *slugrecord.Record[record]
 	// from is the first window that this holder reports if there is no earlier report.
 	from int64
 	// tried is when an unsent report was last sent.
@@ -91,7 +91,8 @@
 
 // Run reports until the right ends.
 func (d *Duty) Run(ctx context.Context, right *sluglease.Right) error {
-	if err := d.load(ctx); err != nil {
+	var err error
+	if d.record, err = slugrecord.Load[record](ctx, d.cfg.Store, Name); err != nil {
 		return err
 	}
 	d.from = slugtally.Window(d.cfg.Now(), d.cfg.Window)
@@ -104,28 +105,11 @@
 	return nil
 }
 
-func (d *Duty) load(ctx context.Context) error {
-	o, err := d.cfg.Store.Get(ctx, Name)
-	if err != nil {
-		return err
-	}
-	d.version, d.record = o.Version, record{}
-	if o.Body == nil {
-		return nil
-	}
-	return o.Decode(&d.record)
-}
-
 // write stores the reports. It fails when another holder has written.
 func (d *Duty) write(ctx context.Context, next record, fence sluglease.Fence) error {
 	next.Fence = fence
 	next.Reports = next.Reports[max(0, len(next.Reports)-keptWindows):]
-	version, err := d.cfg.Store.Put(ctx, Name, d.version, next)
-	if err != nil {
-		return err
-	}
-	d.version, d.record = version, next
-	return nil
+	return d.record.Write(ctx, next)
 }
 
 // review freezes the windows that have ended and sends what has not been sent.
@@ -136,7 +120,7 @@
 	if time.Since(d.tried) < retryEvery {
 		return nil
 	}
-	for i, r := range d.record.Reports {
+	for i, r := range d.record.Value.Reports {
 		if r.Sent {
 			continue
 		}
@@ -153,9 +137,9 @@
 	now := d.cfg.Now()
 	last := slugtally.Window(now.Add(-collectFor), d.cfg.Window) - 1
 	first := max(d.from, slugtally.Window(now.Add(-d.cfg.Late), d.cfg.Window))
-	if n := len(d.record.Reports); n > 0 {
+	if n := len(d.record.Value.Reports); n > 0 {
 		// A successor also reports the windows that ended while nobody held the duty.
-		first = max(d.record.Reports[n-1].Window+1, slugtally.Window(now.Add(-d.cfg.Late), d.cfg.Window))
+		first = max(d.record.Value.Reports[n-1].Window+1, slugtally.Window(now.Add(-d.cfg.Late), d.cfg.Window))
 	}
 	var out []int64
 	for k := first; k <= last; k++ {
@@ -169,7 +153,7 @@
 	if len(due) == 0 {
 		return nil
 	}
-	next := record{Reports: slices.Clone(d.record.Reports)}
+	next := record{Reports: slices.Clone(d.record.Value.Reports)}
 	counts := d.cfg.Counts()
 	for _, k := range due {
 		r := report{Window: k, Counts: sum(counts, k)}
@@ -204,7 +188,7 @@
 // send sends a frozen report, and notes that it was taken. A report that the platform
 // refuses for good is not sent again.
 func (d *Duty) send(ctx context.Context, right *sluglease.Right, i int) error {
-	r := d.record.Reports[i]
+	r := d.record.Value.Reports[i]
 	err := right.Do(ctx, callTimeout, func(ctx context.Context) error {
 		return d.cfg.Commands.ReportUsage(ctx, d.cfg.Do(right), d.cfg.Address, r.Window, r.Counts, slugcommand.Holder{Host: d.cfg.Host, Fence: right.Fence})
 	})
@@ -218,7 +202,7 @@
 	} else {
 		d.cfg.Log.Emit(slugevent.WindowReported, f)
 	}
-	next := record{Reports: slices.Clone(d.record.Reports)}
+	next := record{Reports: slices.Clone(d.record.Value.Reports)}
 	next.Reports[i].Sent = true
 	return d.write(ctx, next, right.Fence)
 }
--- /dev/null
+++ b/internal/decision/slugplacement/predict.go
@@ -0,0 +1,132 @@
+package slugplacement
+
+import (
+	"math/bits"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/sassafraslug/sassafraslug/internal/decision/slugplan"
+)
+
+// weight is the rendezvous weight of an endpoint for a shared part, from their hashes.
+func weight(part, endpoint uint64) uint64 {
+	x := part ^ bits.RotateLeft64(endpoint, rotation)
+	x *= mixFactor
+	x ^= x >> mixShift
+	return x * mixFactor
+}
+
+// Constants of the mixing of two hashes, as splitmix64 has them.
+const (
+	rotation  = 23
+	mixFactor = 0x9e3779b97f4a7c15
+	mixShift  = 29
+)
+
+// home returns the endpoint that all hosts take for the keeper of a part. It is drawn
+// from all endpoints of the role, so that one that is avoided for a moment does not
+// change the homes of the others; p.mu is held.
+func (p *Placer) home(part PartID, r slugplan.Role) *state {
+	if part == "" {
+		return nil
+	}
+	hash := xxhash.Sum64String(string(part))
+	var best *state
+	var most uint64
+	for _, s := range p.list {
+		if s.Role != r {
+			continue
+		}
+		if w := weight(hash, s.hash); best == nil || w > most {
+			best, most = s, w
+		}
+	}
+	return best
+}
+
+// kept returns the number of a prompt's tokens that each endpoint is believed to keep;
+// p.mu is held.
+func (p *Placer) kept(j Job, list []*state, home *state) []int {
+	out := make([]int, len(list))
+	for i, s := range list {
+		out[i] = s.cache.cached(j.Parts)
+		if !s.cache.told && s == home {
+			out[i] = max(out[i], j.shared())
+		}
+		out[i] = min(out[i], j.Tokens)
+	}
+	return out
+}
+
+// keeper is an endpoint that keeps the beginning of a prompt.
+type keeper struct {
+	*state
+	tokens int
+}
+
+// mostKept returns the endpoint that keeps most of a prompt.
+func mostKept(list []*state, kept []int) keeper {
+	var best keeper
+	for i, s := range list {
+		if kept[i] > best.tokens {
+			best = keeper{s, kept[i]}
+		}
+	}
+	return best
+}
+
+// homeBonus is the time by which the home of a shared part is preferred, so that all
+// hosts bring it to one endpoint as long as nobody keeps it.
+const homeBonus = 15 * time.Millisecond
+
+const (
+	// leastFetch is the number of tokens below which copying is not worth a call.
+	leastFetch = 512
+	// fetchTime is the fixed time of copying KV cache between endpoints. It is set
+	// above the measured setup, so that an idle keeper goes first: copies everywhere
+	// would take the memory of other prompts.
+	fetchTime = 25 * time.Millisecond
+	// fetchPerToken is the time of copying one token's KV cache.
+	fetchPerToken = 500 * time.Nanosecond
+)
+
+// fetching predicts a prompt's time at an endpoint that copies the beginning from the
+// keeper, as the related paper on moving data to idle places suggests. It returns nil
+// where there is nothing to copy; p.mu is held.
+func (p *Placer) fetching(s *state, j Job, k keeper, median float64, now time.Time) *Choice {
+	if k.state == nil || k.state == s || k.tokens < leastFetch {
+		return nil
+	}
+	c := p.prefillAt(s, j, k.tokens, median, now)
+	copying := fetchTime + time.Duration(k.tokens)*fetchPerToken
+	if k.DataCentre != s.DataCentre {
+		copying += time.Duration(k.tokens) * fetchPerToken
+	}
+	c.work += copying
+	c.Predicted += copying
+	c.predict += copying
+	c.FetchFrom = k.Address
+	return c
+}
+
+// prefillAt predicts a prompt's time at an endpoint; p.mu is held.
+func (p *Placer) prefillAt(s *state, j Job, cached int, median float64, now time.Time) *Choice {
+	slow := s.relative(median, now)
+	nominal := p.cfg.Cost.Prefill(j.Tokens, cached)
+	work := time.Duration(float64(nominal) * slow)
+	wait := time.Duration(float64(s.waiting(j.Priority)) * slow)
+	predict := wait + work + s.penalty(now)
+	return &Choice{Endpoint: s.Endpoint, Predicted: wait + work, Cached: cached, p: p, s: s, job: j, work: work, nominal: nominal, wait: wait, predict: predict}
+}
+
+// waiting returns the work that goes before a prompt of an urgency.
+func (s *state) waiting(priority int) time.Duration {
+	var sum time.Duration
+	for i := range class(priority) + 1 {
+		sum += s.own.Prefill[i] + s.others.Prefill[i]
+	}
+	return sum
+}
+
+// class returns the urgency class of a priority.
+func class(priority int) int { return min(max(priority, 0), Priorities-1) }
--- a/internal/request/slugdispatch/dispatcher.go
+++ b/internal/request/slugdispatch/dispatcher.go
@@ -315,7 +315,7 @@
 // leastLeft is the time below which a request is not sent again.
 const leastLeft = 60 * time.Millisecond
 
-// suspect notes that an endpoint failed while the request ran there.
+// failedAt logs an attempt that failed at an endpoint.
 func (x *run) failedAt(c *slugplacement.Choice, stage string, cause error) {
 	x.cfg.Log.Error(slugevent.AttemptFailed, cause, slugevent.Fields{
 		"request": x.call.ID, "endpoint": c.Name, "stage": stage, "route": x.route.Name, "leftMs": x.left().Milliseconds(),
--- a/internal/request/slugdispatch/plain.go
+++ b/internal/request/slugdispatch/plain.go
@@ -43,7 +43,7 @@
 			return nil
 		}
 		last = err
-		x.tried = append(x.tried, c.Name)
+		x.exclude(c.Name)
 		switch {
 		case x.begun, ctx.Err() != nil:
 			return x.failure(ctx, err)
