--- a/internal/fleet/slugcachefeed/feed_test.go
+++ b/internal/fleet/slugcachefeed/feed_test.go
@@ -38,9 +38,10 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		f.Follow(ctx, []Engine{{Name: "e", Address: "here"}})
 		time.Sleep(10 * time.Second)
-		assert.Equal(t, got, "here from 0; [{x 5}] true; here from 3; [{x 0}] false; here from 4; [] true; ")
 		f.Follow(ctx, nil)
+		// The feed's goroutine has ended: what it wrote may be read.
 		f.Wait()
+		assert.Equal(t, got, "here from 0; [{x 5}] true; here from 3; [{x 0}] false; here from 4; [] true; ")
 		cancel()
 	})
 }
