Let a few hosts a data centre watch the store, and the others follow them

Change: watchers are chosen by rendezvous hashing in each data centre; the others hold a call open at one of them, and go elsewhere when it is silent or behind.

--- a/internal/base/slugstore/store.go
+++ b/internal/base/slugstore/store.go
@@ -111,8 +111,9 @@
 	watches *slugbackoff.Backoff
 	mu      sync.Mutex
 	seen    map[string]Version
-	// lastAnswer is the time of the last usable answer.
-	lastAnswer time.Time
+	// lastAnswer is the time of the last usable answer, and lastFailure that of the
+	// last call without one.
+	lastAnswer, lastFailure time.Time
 }
 
 // New returns a client.
@@ -137,11 +138,11 @@
 	return &c
 }
 
-// LastAnswer returns the time of the last usable answer, zero before the first.
-func (s *Store) LastAnswer() time.Time {
+// Failing reports whether the last call got no usable answer, within a time.
+func (s *Store) Failing(within time.Duration) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.lastAnswer
+	return s.lastFailure.After(s.lastAnswer) && time.Since(s.lastFailure) < within
 }
 
 // Get reads an object. An object that does not exist has a nil Body and
@@ -161,10 +162,10 @@
 	defer cancel()
 	s.count("get")
 	v, err := s.cfg.Backend.Get(ctx, name)
+	s.answered(err)
 	if err != nil {
 		return Object{}, err
 	}
-	s.answered()
 	if !s.advance(name, v.Version) {
 		return Object{}, errors.Wrapf(ErrStale, "version %d", v.Version)
 	}
@@ -249,9 +250,7 @@
 	defer cancel()
 	s.count("put")
 	v, err := s.cfg.Backend.Write(ctx, name, expected, value)
-	if err == nil || errors.Is(err, ErrConflict) {
-		s.answered()
-	}
+	s.answered(err)
 	if err != nil {
 		return 0, err
 	}
@@ -294,10 +293,15 @@
 	}
 }
 
-func (s *Store) answered() {
+// answered notes the outcome of a call.
+func (s *Store) answered(err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.lastAnswer = time.Now()
+	if err == nil || errors.Is(err, ErrConflict) || errors.Is(err, ErrHistory) {
+		s.lastAnswer = time.Now()
+	} else {
+		s.lastFailure = time.Now()
+	}
 }
 
 func (s *Store) count(kind string) {
--- a/internal/base/slugstore/watch.go
+++ b/internal/base/slugstore/watch.go
@@ -31,9 +31,7 @@
 	defer cancel()
 	s.count("list")
 	l, err := s.cfg.Backend.List(ctx, prefix)
-	if err == nil {
-		s.answered()
-	}
+	s.answered(err)
 	return l, err
 }
 
@@ -86,6 +84,26 @@
 	Current func(slugclock.Instant)
 	// Lost is called with each failed try; it may be nil.
 	Lost func(error)
+	// From returns the source to ask next, given the number of failed tries in a row;
+	// nil, or a nil function, means the store itself.
+	From func(failures int) *Source
+	// Told is called with each answer before Changed; it may be nil.
+	Told func(News)
+}
+
+// Source is another place that knows the objects, such as a process that watches them.
+type Source struct {
+	// Follow waits for changes after a version; version 0 asks for all objects.
+	Follow func(ctx context.Context, prefix string, after Version, wait time.Duration) (News, error)
+}
+
+// News is an answer to a watch.
+type News struct {
+	Listing
+	// Whole tells that the values are all objects, and not changes only.
+	Whole bool
+	// Current is an instant at which there was no change beyond Revision.
+	Current slugclock.Instant
 }
 
 // DefaultWait is the longest wait of one watch call.
@@ -139,20 +157,33 @@
 // watchOnce makes one call. at is an instant at which the answer was the present
 // state for certain.
 func (s *Store) watchOnce(ctx context.Context, x *watch) (objects []Object, at slugclock.Instant, err error) {
+	n, err := s.news(ctx, x)
+	if err != nil {
+		return nil, n.Current, err
+	}
+	if n.Revision < x.after {
+		return nil, n.Current, errors.Wrapf(ErrStale, "revision %d after %d", n.Revision, x.after)
+	}
 	f := decode
 	if x.Foreign {
 		f = decodeForeign
 	}
-	at = slugclock.Now()
-	if !x.synced {
-		l, err := s.list(ctx, x.Prefix)
-		if err != nil {
-			return nil, at, err
-		}
-		x.synced, x.after = true, l.Revision
-		objects, err = s.decodeAll(l.Values, f)
-		return x.relisted(l.Values, objects), at, err
+	objects, err = s.decodeAll(n.Values, f)
+	x.after = n.Revision
+	if n.Whole {
+		x.synced = true
+		objects = x.relisted(n.Values, objects)
+	} else {
+		x.told(objects)
+	}
+	if x.Told != nil {
+		x.Told(n)
 	}
+	return objects, n.Current, err
+}
+
+// news asks the store, or the source that stands in for it.
+func (s *Store) news(ctx context.Context, x *watch) (News, error) {
 	wait := DefaultWait
 	if x.Wait != nil {
 		wait = x.Wait()
@@ -161,36 +192,42 @@
 		// A store that answers again is asked for what is new at once.
 		wait = 0
 	}
-	l, err := s.waitForChange(ctx, x, wait)
-	if err != nil {
-		return nil, at, err
+	var source *Source
+	if x.From != nil && (x.synced || x.failures > 0) {
+		// The first reading is the store's own, which is the newest.
+		source = x.From(x.failures)
 	}
-	if len(l.Values) == 0 && slugclock.Since(at) >= wait {
-		// The store looked again at the end of the wait.
-		at = at.Add(wait)
+	switch {
+	case source != nil && x.synced:
+		return source.Follow(ctx, x.Prefix, x.after, wait)
+	case source != nil:
+		return source.Follow(ctx, x.Prefix, 0, wait)
+	case x.synced:
+		return s.changes(ctx, x, wait)
 	}
-	objects, err = s.decodeAll(l.Values, f)
-	x.told(objects)
-	return objects, at, err
+	n := News{Whole: true, Current: slugclock.Now()}
+	var err error
+	n.Listing, err = s.list(ctx, x.Prefix)
+	return n, err
 }
 
-func (s *Store) waitForChange(ctx context.Context, x *watch, wait time.Duration) (Listing, error) {
+// changes waits for what is new in the store.
+func (s *Store) changes(ctx context.Context, x *watch, wait time.Duration) (News, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+watchSlack)
 	defer cancel()
+	n := News{Current: slugclock.Now()}
 	s.count("watch")
-	l, err := s.cfg.Backend.Watch(ctx, x.Prefix, x.after, wait)
+	var err error
+	n.Listing, err = s.cfg.Backend.Watch(ctx, x.Prefix, x.after, wait)
 	if errors.Is(err, ErrHistory) {
 		x.synced = false
 	}
-	if err != nil {
-		return l, err
-	}
-	if l.Revision < x.after {
-		return l, errors.Wrapf(ErrStale, "revision %d", l.Revision)
+	s.answered(err)
+	if err == nil && len(n.Values) == 0 && slugclock.Since(n.Current) >= wait {
+		// The store looked again at the end of the wait.
+		n.Current = n.Current.Add(wait)
 	}
-	s.answered()
-	x.after = l.Revision
-	return l, nil
+	return n, err
 }
 
 // relisted returns the objects of a full list and the removal of those that it no
--- a/internal/daemon/slughost/host.go
+++ b/internal/daemon/slughost/host.go
@@ -89,6 +89,7 @@
 	link        slugpeer.Carrier
 	member      *slugmember.Member
 	table       *slugpeer.Table
+	shared      *sharedWatch
 	follower    *slugnewest.Follower
 	registry    *slugregistry.Registry
 	sender      *slugsend.Sender
@@ -221,8 +222,9 @@
 func (h *Host) followEndpoints(ctx context.Context, g *errgroup.Group) error {
 	g.Go(func() error {
 		return h.store.For("endpoints").Watch(ctx, slugstore.Watcher{
-			Prefix: h.adapter.EntryPrefix, Foreign: true, Wait: func() time.Duration { return entriesWait }, Gather: h.gather,
+			Prefix: h.adapter.EntryPrefix, Foreign: true, Wait: func() time.Duration { return entriesWait }, Gather: gather,
 			Changed: h.registry.Take, Lost: h.registry.Lost,
+			Told: h.shared.Told(h.adapter.EntryPrefix), From: h.shared.From(entriesWait),
 		})
 	})
 	g.Go(func() error {
@@ -238,21 +240,11 @@
 // connection that went silent hides that an endpoint leaves.
 const entriesWait = 1500 * time.Millisecond
 
-const (
-	// leastGather is the pause after a change in the store. It delays word of an
-	// endpoint that leaves, which may still receive work for much longer.
-	leastGather = 150 * time.Millisecond
-	// gatherPerHost is the pause for each host, where that is more: all hosts ask again
-	// after each change, and each call counts.
-	gatherPerHost = 15 * time.Millisecond
-	// mostGather keeps the pause within what leaving endpoints allow.
-	mostGather = time.Second
-)
+// gatherTime is the pause after a change in the store. It delays word of an endpoint
+// that leaves, which may still receive work for much longer.
+const gatherTime = 150 * time.Millisecond
 
-// gather returns the pause after a change in the store.
-func (h *Host) gather() time.Duration {
-	return min(max(leastGather, time.Duration(len(h.member.Records()))*gatherPerHost), mostGather)
-}
+func gather() time.Duration { return gatherTime }
 
 // endpointsChanged puts changed endpoints into use.
 func (h *Host) endpointsChanged(services []slugname.Service) {
--- a/internal/daemon/slughost/join.go
+++ b/internal/daemon/slughost/join.go
@@ -36,12 +36,17 @@
 		return err
 	}
 	h.link = link
-	h.member = slugmember.New(slugmember.Config{Self: h.record(), Store: h.store.For("members"), Changed: h.membersChanged, Gather: h.gather})
+	h.shared = newSharedWatch(h)
+	h.member = slugmember.New(slugmember.Config{
+		Self: h.record(), Store: h.store.For("members"), Changed: h.membersChanged, Gather: gather, Wait: membersWait,
+		Told: h.shared.Told(slugmember.Prefix), From: h.shared.From(membersWait),
+	})
 	link.SetLookup(h.member.ByCertificate)
 	h.follower = slugnewest.New(slugnewest.Config{
 		Name: h.adapter.ConfigName, Store: h.store.For("config"), Decode: h.adapter.DecodeConfig,
 		FromPeer: func(ctx context.Context, r revision) ([]byte, error) { return h.table.FetchBundle(ctx, r) },
-		InForce:  h.configChanged, Log: h.log,
+		InForce:  h.configChanged, Log: h.log, Wait: h.configWait(),
+		Told: h.shared.Told(h.adapter.ConfigName), From: h.shared.From(h.configWait()),
 	})
 	h.registry = slugregistry.New(slugregistry.Config{Decode: h.adapter.DecodeEntry, Changed: h.endpointsChanged, OthersHear: h.othersHear, Log: h.log})
 	h.clock = slugtruetime.New()
@@ -49,6 +54,7 @@
 		Clock: h.clock.Count, HeardClock: h.clock.Heard,
 		Self: h.member.Self(), Call: link.Call, Peers: h.member.Records, Word: h.follower.Word,
 		Heard: h.heard, HeardWord: h.follower.Heard, Bundle: h.follower.Raw, Fanout: exchangeFanout, Every: h.exchangeInterval,
+		Follow: h.shared.Serve,
 	})
 	return nil
 }
@@ -119,6 +125,7 @@
 	})
 	g.Go(func() error {
 		<-ctx.Done()
+		h.shared.Close()
 		h.storeClient.CloseIdleConnections()
 		return h.link.Close()
 	})
@@ -148,10 +155,10 @@
 		}
 	}
 	suspicions, windows, work := h.suspects.Suspicions(time.Now()), h.tally.Windows(), h.workForPeers()
-	planned, draining := h.planned.All(time.Now()), h.leavingEndpoints()
+	planned, draining, storeLost := h.planned.All(time.Now()), h.leavingEndpoints(), h.store.Failing(storeLostFor)
 	h.table.Update(func(r *slugpeer.Row) {
 		r.Loads, r.Suspicions, r.Started, r.Work = loads, suspicions, windows, work
-		r.Planned, r.Draining = planned, draining
+		r.Planned, r.Draining, r.StoreLost = planned, draining, storeLost
 	})
 	h.takeLoads()
 	h.endpointsChanged(h.registry.Services())
--- /dev/null
+++ b/internal/daemon/slughost/share.go
@@ -0,0 +1,155 @@
+package slughost
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugclock"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugstore"
+	"github.com/sassafraslug/sassafraslug/internal/membership/slugmember"
+	"github.com/sassafraslug/sassafraslug/internal/membership/slugmirror"
+	"github.com/sassafraslug/sassafraslug/internal/membership/slugnewest"
+	"github.com/sassafraslug/sassafraslug/internal/membership/slugpeer"
+	"github.com/sassafraslug/sassafraslug/internal/membership/slugwatcher"
+)
+
+const (
+	// membersWait is how long one watch of the processes' records waits. They change
+	// only as processes come and go, which peers notice sooner by themselves.
+	membersWait = 5 * time.Second
+	// peerWait is how long a peer holds a call that follows its knowledge. It is part
+	// of how old word of the configuration gets.
+	peerWait = 800 * time.Millisecond
+	// peerSlack is how much longer than its wait such a call may take. A watcher that
+	// went silent is left after both.
+	peerSlack = 200 * time.Millisecond
+	// ageSlack is how much older than one watch a watcher's knowledge may be before the
+	// process asks elsewhere.
+	ageSlack = 1200 * time.Millisecond
+	// storeLostFor is how long after a failed call a process does not watch for others.
+	storeLostFor = 5 * time.Second
+	// configWaitPart is the part of the time in which a withdrawn key must stop working
+	// that one watch of the configuration may wait.
+	configWaitPart = 0.3
+)
+
+// configWait returns how long one watch of the configuration waits.
+func (h *Host) configWait() time.Duration {
+	return min(slugnewest.DefaultWait, time.Duration(configWaitPart*float64(h.settings.Revoke)))
+}
+
+// sharedWatch lets few processes watch the store: the others follow them.
+type sharedWatch struct {
+	host    *Host
+	mirrors map[string]*slugmirror.Mirror
+}
+
+func newSharedWatch(h *Host) *sharedWatch {
+	w := &sharedWatch{host: h, mirrors: map[string]*slugmirror.Mirror{}}
+	for _, prefix := range []string{slugmember.Prefix, h.adapter.ConfigName, h.adapter.EntryPrefix} {
+		w.mirrors[prefix] = slugmirror.New()
+	}
+	return w
+}
+
+// Close ends the calls of peers that wait.
+func (w *sharedWatch) Close() {
+	for _, m := range w.mirrors {
+		m.Close()
+	}
+}
+
+// Told returns what takes the answers to this process's watch of a prefix.
+func (w *sharedWatch) Told(prefix string) func(slugstore.News) { return w.mirrors[prefix].Take }
+
+// Serve answers a peer that follows this process.
+func (w *sharedWatch) Serve(f slugpeer.Follow) *slugpeer.News {
+	m := w.mirrors[f.Prefix]
+	if m == nil {
+		return &slugpeer.News{}
+	}
+	asked := slugclock.Now()
+	n := m.Follow(f.After, min(time.Duration(f.WaitMs)*time.Millisecond, peerWait))
+	return &slugpeer.News{
+		Revision: n.Revision, Whole: n.Whole, Values: n.Values,
+		HeldMs: uint32(slugclock.Since(asked).Milliseconds()), AgeMs: ageMs(n.Current),
+	}
+}
+
+// ageMs returns the time since an instant, rounded up.
+func ageMs(at slugclock.Instant) uint32 {
+	const most = time.Hour
+	return uint32((min(slugclock.Since(at), most) + time.Millisecond - 1) / time.Millisecond)
+}
+
+// From returns what chooses the source of a watch whose calls to the store wait for a
+// time: the store for a process that watches, else a process that does. After failures
+// the others come in turn, and the store itself.
+func (w *sharedWatch) From(wait time.Duration) func(failures int) *slugstore.Source {
+	return func(failures int) *slugstore.Source {
+		watchers := w.watchers()
+		turn := failures % (len(watchers) + 1)
+		if turn == len(watchers) {
+			return nil
+		}
+		return w.source(watchers[turn], wait+ageSlack)
+	}
+}
+
+// watchers returns the processes to ask, in order. There are none when this process is
+// one of its data centre's, or when it knows of no others yet.
+func (w *sharedWatch) watchers() []slugmember.Record {
+	self := w.host.member.Self()
+	var candidates []slugwatcher.Candidate
+	for _, s := range w.host.table.Statuses() {
+		r, known := w.host.member.Record(s.Process)
+		if known && s.Alive && !s.Leaving {
+			candidates = append(candidates, slugwatcher.Candidate{Process: s.Process, DataCentre: r.DataCentre, Failing: s.StoreLost})
+		}
+	}
+	var out []slugmember.Record
+	for _, p := range slugwatcher.Choose(self.DataCentre, candidates) {
+		if p == self.Process {
+			return nil
+		}
+		if r, known := w.host.member.Record(p); known {
+			out = append(out, r)
+		}
+	}
+	return out
+}
+
+// errBehind says that a process knows nothing, or nothing new enough.
+var errBehind = errors.New("peer has not heard from the store lately")
+
+// source returns a process as a source, as long as its knowledge is younger than a
+// limit.
+func (w *sharedWatch) source(to slugmember.Record, limit time.Duration) *slugstore.Source {
+	return &slugstore.Source{Follow: func(ctx context.Context, prefix string, after slugstore.Version, wait time.Duration) (slugstore.News, error) {
+		wait = min(wait, peerWait)
+		ctx, cancel := context.WithTimeout(ctx, wait+peerSlack)
+		defer cancel()
+		asked := slugclock.Now()
+		answer, err := w.host.link.Call(ctx, to, slugpeer.Message{
+			Protocol: slugpeer.Protocol, Follow: &slugpeer.Follow{Prefix: prefix, After: after, WaitMs: uint32(wait.Milliseconds())},
+		})
+		if err != nil {
+			return slugstore.News{}, errors.Mark(err, slugstore.ErrUnavailable)
+		}
+		n := answer.News
+		if n == nil || n.Revision == 0 {
+			return slugstore.News{}, errors.Wrapf(errBehind, "process %s", to.Process)
+		}
+		// The peer answered no earlier than this.
+		answered := asked.Add(time.Duration(n.HeldMs) * time.Millisecond)
+		age := time.Duration(n.AgeMs) * time.Millisecond
+		if age > limit && len(n.Values) == 0 {
+			return slugstore.News{}, errors.Wrapf(errBehind, "process %s, age %s", to.Process, age)
+		}
+		return slugstore.News{
+			Listing: slugstore.Listing{Values: n.Values, Revision: n.Revision}, Whole: n.Whole, Current: answered.Add(-age),
+		}, nil
+	}}
+}
+
--- a/internal/membership/slugmember/record.go
+++ b/internal/membership/slugmember/record.go
@@ -76,6 +76,11 @@
 	Changed func()
 	// Gather returns the pause after each change; nil means none.
 	Gather func() time.Duration
+	// Wait is how long one watch waits; 0 means the store client's default.
+	Wait time.Duration
+	// Told and From let processes share their watches; both may be nil.
+	Told func(slugstore.News)
+	From func(failures int) *slugstore.Source
 }
 
 // Member is a process's view of the others.
@@ -129,7 +134,11 @@
 
 // Run follows the records of all processes until ctx ends.
 func (m *Member) Run(ctx context.Context) error {
-	return m.cfg.Store.Watch(ctx, slugstore.Watcher{Prefix: Prefix, Changed: m.changed, Gather: m.cfg.Gather})
+	w := slugstore.Watcher{Prefix: Prefix, Changed: m.changed, Gather: m.cfg.Gather, Told: m.cfg.Told, From: m.cfg.From}
+	if m.cfg.Wait > 0 {
+		w.Wait = func() time.Duration { return m.cfg.Wait }
+	}
+	return m.cfg.Store.Watch(ctx, w)
 }
 
 func (m *Member) changed(objects []slugstore.Object) {
--- a/internal/membership/slugnewest/follower.go
+++ b/internal/membership/slugnewest/follower.go
@@ -37,13 +37,20 @@
 	FromPeer func(context.Context, slugconfig.Revision) ([]byte, error)
 	// InForce is called after each change; it may be nil.
 	InForce func(*slugrouting.Table)
-	Log     *slugevent.Log
+	// Wait is how long one watch of the store waits. Word of the configuration must be
+	// much younger than the time in which a withdrawn key stops working. 0 means
+	// DefaultWait.
+	Wait time.Duration
+	// Told and From let processes share their watches; both may be nil.
+	Told func(slugstore.News)
+	From func(failures int) *slugstore.Source
+	Log  *slugevent.Log
 }
 
 const (
-	// watchWait is how long one watch call waits: word of the configuration must be
-	// much younger than the time in which a withdrawn key stops working.
-	watchWait = 1500 * time.Millisecond
+	// DefaultWait is how long one watch of the store waits. It bounds how long a
+	// connection that went silent hides a change.
+	DefaultWait = 1500 * time.Millisecond
 	// fetchTimeout bounds the fetch of a version from a peer.
 	fetchTimeout = time.Second
 )
@@ -71,6 +78,9 @@
 	if cfg.InForce == nil {
 		cfg.InForce = func(*slugrouting.Table) {}
 	}
+	if cfg.Wait == 0 {
+		cfg.Wait = DefaultWait
+	}
 	return &Follower{cfg: cfg, poke: make(chan struct{}, 1)}
 }
 
@@ -130,7 +140,8 @@
 		f.takeFromPeers(ctx)
 	}()
 	err := f.cfg.Store.Watch(ctx, slugstore.Watcher{
-		Prefix: f.cfg.Name, Foreign: true, Wait: func() time.Duration { return watchWait },
+		Prefix: f.cfg.Name, Foreign: true, Wait: func() time.Duration { return f.cfg.Wait },
+		Told: f.cfg.Told, From: f.cfg.From,
 		Current: func(at slugclock.Instant) { f.at = at },
 		Changed: f.changed,
 		Lost:    func(err error) { f.store(false, err) },
--- a/internal/membership/slugpeer/row.go
+++ b/internal/membership/slugpeer/row.go
@@ -129,6 +129,32 @@
 	Bundle []byte `cbor:"5,keyasint,omitempty"`
 	// ClockNs is the sender's count of the time of day in nanoseconds since 1970.
 	ClockNs int64 `cbor:"7,keyasint,omitempty"`
+	// Follow asks for what is new of objects in the store.
+	Follow *Follow `cbor:"8,keyasint,omitempty"`
+	// News answers Follow.
+	News *News `cbor:"9,keyasint,omitempty"`
+}
+
+// Follow asks for what changed of the objects under a prefix after a version.
+type Follow struct {
+	_      struct{} `cbor:",toarray"`
+	Prefix string
+	After  slugstore.Version
+	// WaitMs is how long the answer may wait for a change.
+	WaitMs uint32
+}
+
+// News is what a process knows of objects in the store.
+type News struct {
+	_ struct{} `cbor:",toarray"`
+	// Revision is the version to go on from, 0 if the process knows nothing.
+	Revision slugstore.Version
+	// Whole tells that the values are all objects, and not changes only.
+	Whole  bool
+	Values []slugstore.Value
+	// HeldMs is how long the answer waited, and AgeMs how old the process's knowledge
+	// was after that.
+	HeldMs, AgeMs uint32
 }
 
 // Carrier carries messages between processes.
--- a/internal/membership/slugpeer/table.go
+++ b/internal/membership/slugpeer/table.go
@@ -36,6 +36,8 @@
 	HeardClock func(slugname.Process, time.Time, slugclock.Instant)
 	// Bundle encodes the configuration in force for a peer; it may be nil.
 	Bundle func() []byte
+	// Follow answers a peer that follows objects in the store; it may be nil.
+	Follow func(Follow) *News
 	// Fanout is the number of peers called a round.
 	Fanout int
 	// Every returns the time between rounds; nil means Round.
@@ -253,6 +255,10 @@
 // Serve answers a message of a process.
 func (t *Table) Serve(_ slugname.Process, m Message) Message {
 	answer := Message{Protocol: Protocol}
+	if m.Follow != nil && t.cfg.Follow != nil {
+		answer.News = t.cfg.Follow(*m.Follow)
+		return answer
+	}
 	if t.cfg.Clock != nil {
 		answer.ClockNs = t.cfg.Clock().UnixNano()
 	}
--- /dev/null
+++ b/internal/membership/slugwatcher/choice.go
@@ -0,0 +1,60 @@
+// Package slugwatcher chooses which processes watch the platform's store on behalf of
+// the others. Calls to the store then grow with the data centres, not with the hosts.
+//
+// The load that it answers: a change of an object that hundreds of processes follow,
+// each of which would end its watch and begin another.
+//
+// # Usage
+//
+//	watchers := slugwatcher.Choose(self, candidates)
+package slugwatcher
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/sassafraslug/sassafraslug/internal/base/slugname"
+	"github.com/sassafraslug/sassafraslug/internal/membership/slugmember"
+)
+
+// subject is what the ranks of watchers are drawn for.
+const subject = "watch"
+
+// perWatcher is the number of processes of a data centre for which one more of them
+// watches: each costs its watcher some messages a second.
+const perWatcher = 32
+
+// Candidate is a live process.
+type Candidate struct {
+	Process    slugname.Process
+	DataCentre slugname.DataCentre
+	// Failing tells that the store does not answer the process.
+	Failing bool
+}
+
+// Choose returns the processes that watch, the order in which one of a data centre asks
+// them: those of its own data centre first. Processes that the store does not answer
+// are chosen only when it answers none.
+func Choose(dc slugname.DataCentre, all []Candidate) []slugname.Process {
+	usable := slices.DeleteFunc(slices.Clone(all), func(c Candidate) bool { return c.Failing })
+	if len(usable) == 0 {
+		usable = all
+	}
+	byPlace := map[slugname.DataCentre][]slugname.Process{}
+	for _, c := range usable {
+		byPlace[c.DataCentre] = append(byPlace[c.DataCentre], c.Process)
+	}
+	out := closest(byPlace[dc])
+	delete(byPlace, dc)
+	var others []slugname.Process
+	for _, list := range byPlace {
+		others = append(others, closest(list)...)
+	}
+	slices.SortFunc(others, cmp.Compare[slugname.Process])
+	return append(out, others...)
+}
+
+// closest returns the watchers of one data centre.
+func closest(list []slugname.Process) []slugname.Process {
+	return slugmember.Closest(subject, list, (len(list)+perWatcher-1)/perWatcher)
+}
