--- a/internal/membership/slugpeer/table.go
+++ b/internal/membership/slugpeer/table.go
@@ -59,6 +59,9 @@
 	forgetAfter = time.Minute
 	// defaultFanout is the number of peers called a round.
 	defaultFanout = 2
+	// silentEvery is the time between calls to processes that are silent: each costs a
+	// handshake, and most of them are gone.
+	silentEvery = time.Second
 	// pushFanout is the number of peers told of an urgent change at once.
 	pushFanout = 32
 )
@@ -81,6 +84,8 @@
 
 	mu   sync.Mutex
 	rows map[slugmember.ID]*held
+	// silentTried is when a silent process was last called.
+	silentTried time.Time
 }
 
 // New returns a Table with this process's row.
@@ -190,7 +195,7 @@
 	alive, silent := t.split()
 	rand.Shuffle(len(alive), func(i, j int) { alive[i], alive[j] = alive[j], alive[i] })
 	chosen := alive[:min(fanout, len(alive))]
-	if len(silent) > 0 {
+	if len(silent) > 0 && t.silentDue(len(alive)) {
 		chosen = append(chosen, silent[rand.IntN(len(silent))])
 	}
 	g, ctx := errgroup.WithContext(ctx)
@@ -203,6 +208,19 @@
 	_ = g.Wait()
 }
 
+// silentDue reports whether a silent process is to be called now: in each round as long
+// as nobody else is known, else at times.
+func (t *Table) silentDue(alive int) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := time.Now()
+	if alive > 0 && now.Sub(t.silentTried) < silentEvery {
+		return false
+	}
+	t.silentTried = now
+	return true
+}
+
 // split returns the other processes by whether they are alive.
 func (t *Table) split() (alive, silent []slugmember.Record) {
 	now := time.Now()
--- /dev/null
+++ b/internal/membership/slugpeer/table_test.go
@@ -0,0 +1,46 @@
+package slugpeer
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugclock"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugname"
+	"github.com/sassafraslug/sassafraslug/internal/membership/slugmember"
+	"gotest.tools/v3/assert"
+)
+
+// TestSilentPeersAreCalledAtTimes plays many hosts that were replaced, whose records
+// remain for a while: each call to one costs a handshake.
+func TestSilentPeersAreCalledAtTimes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		records := []slugmember.Record{{Process: "self"}, {Process: "live"}, {Process: "gone-1"}, {Process: "gone-2"}}
+		calls := map[slugname.Process]int{}
+		live := New(Config{Self: records[1], Word: slugclock.Now, Peers: func() []slugmember.Record { return nil }})
+		table := New(Config{
+			Self: records[0], Word: slugclock.Now, Peers: func() []slugmember.Record { return records },
+			Every: func() time.Duration { return 100 * time.Millisecond },
+			Call: func(_ context.Context, to slugmember.Record, m Message) (Message, error) {
+				calls[to.Process]++
+				if to.Process == "live" {
+					live.beat()
+					return live.Serve("self", m), nil
+				}
+				return Message{}, errors.New("silent")
+			},
+		})
+		for range 200 {
+			table.beat()
+			table.round(t.Context(), 3)
+			time.Sleep(100 * time.Millisecond)
+		}
+		// 20 s of rounds: the live peer in each, a silent one once a second, and in the
+		// first rounds, in which nobody is known to live, in each.
+		assert.Assert(t, calls["live"] >= 190, "%v", calls)
+		assert.Assert(t, calls["gone-1"]+calls["gone-2"] <= 30, "%v", calls)
+		assert.Assert(t, calls["gone-1"] > 0 && calls["gone-2"] > 0, "%v", calls)
+	})
+}
