--- a/internal/base/slugevent/event.go
+++ b/internal/base/slugevent/event.go
@@ -48,6 +48,7 @@
 	PeerSilent
 	ConfigurationStale
 	ConfigurationFresh
+	WatcherLeft
 )
 
 // Events of duties, 300 to 399.
@@ -119,6 +120,7 @@
 	EndpointUnreadable:      {logrus.WarnLevel, "entry of an endpoint cannot be read", "look for who wrote the entry named in the error; the endpoint is not used"},
 	PeerSilent:              {logrus.WarnLevel, "peer is silent", "look at the host of the peer"},
 	ConfigurationStale:      {logrus.WarnLevel, "configuration may be out of date, requests with keys are refused", "look at the way to the platform's store and to the peers"},
+	WatcherLeft:             {logrus.InfoLevel, "watch goes on elsewhere", "look at the process named in the fields if it goes on"},
 	ConfigurationFresh:      {logrus.InfoLevel, "configuration is known to be the newest again", "none"},
 	DutyTaken:               {logrus.InfoLevel, "duty taken", "none"},
 	DutyLost:                {logrus.WarnLevel, "duty lost", "none, unless it goes on: look at pauses of this host"},
--- a/internal/base/slugstore/store.go
+++ b/internal/base/slugstore/store.go
@@ -64,6 +64,8 @@
 	ErrUnknown = errors.New("outcome of the write is unknown")
 	// ErrStale says that a read was older than an earlier one.
 	ErrStale = errors.New("read is older than an earlier one")
+	// ErrSource says that a source other than the store gave no usable answer.
+	ErrSource = errors.New("source does not tell what the store holds")
 	// ErrHistory says that the store no longer has the changes since a version.
 	ErrHistory = errors.New("changes since the version are gone")
 )
--- a/internal/connection/sluglink/link.go
+++ b/internal/connection/sluglink/link.go
@@ -41,6 +41,9 @@
 	maxMessageBytes = 64 << 20
 	// idleTimeout ends connections that are not used.
 	idleTimeout = 15 * time.Second
+	// dropAfter is how long a peer may leave calls on a connection unanswered. One call
+	// that takes too long on a small host must not cost a handshake, and end the others.
+	dropAfter = 2 * time.Second
 	// streamTimeout bounds the service of one message.
 	streamTimeout = 5 * time.Second
 	// maxStreams bounds the messages in service on one connection.
@@ -67,13 +70,35 @@
 	bytes       atomic.Uint64
 
 	mu          sync.Mutex
-	connections map[slugname.Process]*quic.Conn
+	connections map[slugname.Process]*connection
+}
+
+// connection is a connection to a peer.
+type connection struct {
+	*quic.Conn
+	mu sync.Mutex
+	// answered is when the peer last answered a call, or when the connection was made.
+	answered time.Time
+}
+
+// heard notes an answer.
+func (c *connection) heard() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.answered = time.Now()
+}
+
+// silentFor returns the time since the last answer.
+func (c *connection) silentFor() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return time.Since(c.answered)
 }
 
 // New listens on the address with a fresh certificate. The lookup may be set
 // later by SetLookup, before Serve and Call.
 func New(cfg Config) (*Link, error) {
-	l := &Link{cfg: cfg, connections: map[slugname.Process]*quic.Conn{}}
+	l := &Link{cfg: cfg, connections: map[slugname.Process]*connection{}}
 	if err := l.makeCertificate(); err != nil {
 		return nil, slugfault.Wrap(err, "make certificate", cfg.Address)
 	}
@@ -234,13 +259,16 @@
 		return slugpeer.Message{}, slugfault.Wrap(err, "connect to peer", to.PeerAddress)
 	}
 	answer, err := l.call(ctx, c, m)
-	if err != nil {
+	switch {
+	case err == nil:
+		c.heard()
+	case c.Context().Err() != nil || c.silentFor() > dropAfter:
 		l.drop(to.Process, c)
 	}
 	return answer, slugfault.Wrap(err, "call peer", to.PeerAddress)
 }
 
-func (l *Link) call(ctx context.Context, c *quic.Conn, m slugpeer.Message) (slugpeer.Message, error) {
+func (l *Link) call(ctx context.Context, c *connection, m slugpeer.Message) (slugpeer.Message, error) {
 	s, err := c.OpenStreamSync(ctx)
 	if err != nil {
 		return slugpeer.Message{}, err
@@ -257,7 +285,7 @@
 	return l.read(s)
 }
 
-func (l *Link) connection(ctx context.Context, to slugmember.Record) (*quic.Conn, error) {
+func (l *Link) connection(ctx context.Context, to slugmember.Record) (*connection, error) {
 	l.mu.Lock()
 	c := l.connections[to.Process]
 	l.mu.Unlock()
@@ -268,17 +296,18 @@
 	if err != nil {
 		return nil, err
 	}
-	c, err = l.transport.Dial(ctx, address, l.tls(to.CertificateHash), quicConfig())
+	dialled, err := l.transport.Dial(ctx, address, l.tls(to.CertificateHash), quicConfig())
 	if err != nil {
 		return nil, err
 	}
+	c = &connection{Conn: dialled, answered: time.Now()}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.connections[to.Process] = c
 	return c, nil
 }
 
-func (l *Link) drop(p slugname.Process, c *quic.Conn) {
+func (l *Link) drop(p slugname.Process, c *connection) {
 	l.mu.Lock()
 	if l.connections[p] == c {
 		delete(l.connections, p)
--- a/internal/daemon/slughost/share.go
+++ b/internal/daemon/slughost/share.go
@@ -6,6 +6,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugclock"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugevent"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugstore"
 	"github.com/sassafraslug/sassafraslug/internal/membership/slugmember"
 	"github.com/sassafraslug/sassafraslug/internal/membership/slugmirror"
@@ -20,10 +21,10 @@
 	membersWait = 5 * time.Second
 	// peerWait is how long a peer holds a call that follows its knowledge. It is part
 	// of how old word of the configuration gets.
-	peerWait = 800 * time.Millisecond
-	// peerSlack is how much longer than its wait such a call may take. A watcher that
-	// went silent is left after both.
-	peerSlack = 200 * time.Millisecond
+	peerWait = 500 * time.Millisecond
+	// peerSlack is how much longer than its wait such a call may take, a handshake with
+	// a small host included. A watcher that went silent is left after both.
+	peerSlack = 600 * time.Millisecond
 	// ageSlack is how much older than one watch a watcher's knowledge may be before the
 	// process asks elsewhere.
 	ageSlack = 1200 * time.Millisecond
@@ -120,36 +121,41 @@
 	return out
 }
 
-// errBehind says that a process knows nothing, or nothing new enough.
-var errBehind = errors.New("peer has not heard from the store lately")
-
 // source returns a process as a source, as long as its knowledge is younger than a
 // limit.
 func (w *sharedWatch) source(to slugmember.Record, limit time.Duration) *slugstore.Source {
 	return &slugstore.Source{Follow: func(ctx context.Context, prefix string, after slugstore.Version, wait time.Duration) (slugstore.News, error) {
-		wait = min(wait, peerWait)
-		ctx, cancel := context.WithTimeout(ctx, wait+peerSlack)
-		defer cancel()
-		asked := slugclock.Now()
-		answer, err := w.host.link.Call(ctx, to, slugpeer.Message{
-			Protocol: slugpeer.Protocol, Follow: &slugpeer.Follow{Prefix: prefix, After: after, WaitMs: uint32(wait.Milliseconds())},
-		})
+		n, err := w.ask(ctx, to, slugpeer.Follow{Prefix: prefix, After: after}, min(wait, peerWait), limit)
 		if err != nil {
-			return slugstore.News{}, errors.Mark(err, slugstore.ErrUnavailable)
-		}
-		n := answer.News
-		if n == nil || n.Revision == 0 {
-			return slugstore.News{}, errors.Wrapf(errBehind, "process %s", to.Process)
+			w.host.log.Error(slugevent.WatcherLeft, err, slugevent.Fields{"prefix": prefix, "process": to.Process, "after": after})
+			return n, errors.Mark(err, slugstore.ErrSource)
 		}
-		// The peer answered no earlier than this.
-		answered := asked.Add(time.Duration(n.HeldMs) * time.Millisecond)
-		age := time.Duration(n.AgeMs) * time.Millisecond
-		if age > limit && len(n.Values) == 0 {
-			return slugstore.News{}, errors.Wrapf(errBehind, "process %s, age %s", to.Process, age)
-		}
-		return slugstore.News{
-			Listing: slugstore.Listing{Values: n.Values, Revision: n.Revision}, Whole: n.Whole, Current: answered.Add(-age),
-		}, nil
+		return n, nil
 	}}
 }
 
+// ask asks a process what is new, and takes the answer if its knowledge is younger than
+// a limit or it tells something new.
+func (w *sharedWatch) ask(ctx context.Context, to slugmember.Record, f slugpeer.Follow, wait, limit time.Duration) (slugstore.News, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+peerSlack)
+	defer cancel()
+	f.WaitMs = uint32(wait.Milliseconds())
+	asked := slugclock.Now()
+	answer, err := w.host.link.Call(ctx, to, slugpeer.Message{Protocol: slugpeer.Protocol, Follow: &f})
+	if err != nil {
+		return slugstore.News{}, err
+	}
+	n := answer.News
+	if n == nil || n.Revision == 0 {
+		return slugstore.News{}, errors.New("peer knows nothing yet")
+	}
+	// The peer answered no earlier than this.
+	answered := asked.Add(time.Duration(n.HeldMs) * time.Millisecond)
+	age := time.Duration(n.AgeMs) * time.Millisecond
+	if age > limit && len(n.Values) == 0 {
+		return slugstore.News{}, errors.Newf("peer has not heard from the store for %s", age)
+	}
+	return slugstore.News{
+		Listing: slugstore.Listing{Values: n.Values, Revision: n.Revision}, Whole: n.Whole, Current: answered.Add(-age),
+	}, nil
+}
--- a/internal/membership/slugnewest/follower.go
+++ b/internal/membership/slugnewest/follower.go
@@ -18,6 +18,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugclock"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugevent"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugstore"
@@ -144,12 +145,20 @@
 		Told: f.cfg.Told, From: f.cfg.From,
 		Current: func(at slugclock.Instant) { f.at = at },
 		Changed: f.changed,
-		Lost:    func(err error) { f.store(false, err) },
+		Lost:    f.lost,
 	})
 	<-done
 	return err
 }
 
+// lost notes a watch that failed. A peer that does not answer says nothing of the
+// store.
+func (f *Follower) lost(err error) {
+	if !errors.Is(err, slugstore.ErrSource) {
+		f.store(false, err)
+	}
+}
+
 // store notes whether the store answers.
 func (f *Follower) store(answers bool, err error) {
 	f.mu.Lock()
