Send usage figures to those who report them, not to all; follow endpoints closer

Cause: every process told all others of its accounting windows in each round, which is most of what passes between 66 hosts.

--- a/internal/base/slugstore/watch.go
+++ b/internal/base/slugstore/watch.go
@@ -118,6 +118,22 @@
 	known map[string]bool
 	// failures is the number of failed tries in a row.
 	failures int
+	// current is the instant of the last answer.
+	current slugclock.Instant
+}
+
+// leastWait is how long a call waits at least.
+const leastWait = 200 * time.Millisecond
+
+// wait returns how long the next call may wait, so that the answer to it comes that long
+// after the instant of the last one. An answer that tells a change says only that
+// nothing else had changed when it was asked for.
+func (x *watch) wait() time.Duration {
+	wait := DefaultWait
+	if x.Wait != nil {
+		wait = x.Wait()
+	}
+	return min(wait, max(wait-slugclock.Since(x.current), leastWait))
 }
 
 // Watch follows the objects under a prefix until ctx ends. When the store has
@@ -169,7 +185,7 @@
 		f = decodeForeign
 	}
 	objects, err = s.decodeAll(n.Values, f)
-	x.after = n.Revision
+	x.after, x.current = n.Revision, n.Current
 	if n.Whole {
 		x.synced = true
 		objects = x.relisted(n.Values, objects)
@@ -184,10 +200,7 @@
 
 // news asks the store, or the source that stands in for it.
 func (s *Store) news(ctx context.Context, x *watch) (News, error) {
-	wait := DefaultWait
-	if x.Wait != nil {
-		wait = x.Wait()
-	}
+	wait := x.wait()
 	if x.failures > 0 {
 		// A store that answers again is asked for what is new at once.
 		wait = 0
--- a/internal/daemon/slughost/duties.go
+++ b/internal/daemon/slughost/duties.go
@@ -34,24 +34,18 @@
 		Rank: h.rank, Eligible: h.ready, Log: h.log,
 	})
 	g.Go(func() error { return lease.Run(ctx, h.work) })
-	h.duties = lease
 	return nil
 }
 
 // rank returns this process's place among those that may hold the duties.
 func (h *Host) rank() int {
-	self := h.member.Self().Process
-	alive := []slugname.Process{}
-	for _, s := range h.table.Statuses() {
-		if _, known := h.member.Record(s.Process); known && s.Alive && !s.Leaving {
-			alive = append(alive, s.Process)
-		}
-	}
-	return slugmember.Rank(string(duty), self, alive)
+	return slugmember.Rank(string(duty), h.member.Self().Process, h.candidates())
 }
 
 // work does all duties while the right lasts.
 func (h *Host) work(ctx context.Context, right *sluglease.Right) error {
+	h.table.Update(func(r *slugpeer.Row) { r.Holds = true })
+	defer h.table.Update(func(r *slugpeer.Row) { r.Holds = false })
 	g, ctx := errgroup.WithContext(ctx)
 	g.Go(func() error { return h.capacityDuty().Run(ctx, right) })
 	g.Go(func() error { return h.usageDuty().Run(ctx, right) })
@@ -75,7 +69,7 @@
 func (h *Host) usageDuty() *slugusageduty.Duty {
 	return slugusageduty.New(slugusageduty.Config{
 		Host: h.settings.Host, Store: h.store.For("usage"), Window: h.settings.UsageWindow, Late: h.settings.UsageLate,
-		Now: h.clock.Now, Counts: h.windowCounts, Commands: h.adapter.Commands, Address: hostPort(h.settings.DutiesAddress),
+		Now: h.clock.Now, Counts: h.collection.Windows, Commands: h.adapter.Commands, Address: hostPort(h.settings.DutiesAddress),
 		Do: h.commandsUnder, Log: h.log,
 	})
 }
@@ -93,16 +87,6 @@
 	return d
 }
 
-// windowCounts returns what all processes told of the accounting windows, those that
-// have ended meanwhile included.
-func (h *Host) windowCounts() []slugpeer.WindowCount {
-	var out []slugpeer.WindowCount
-	for _, s := range h.table.Statuses() {
-		out = append(out, s.Started...)
-	}
-	return out
-}
-
 // tidy removes the records of processes that are gone: those that no peer has word of,
 // and those of hosts that have a newer process.
 func (h *Host) tidy(ctx context.Context) error {
--- a/internal/daemon/slughost/host.go
+++ b/internal/daemon/slughost/host.go
@@ -16,7 +16,7 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/sassafraslug/sassafraslug/internal/authority/sluglease"
+	"github.com/sassafraslug/sassafraslug/internal/authority/slugcollection"
 	"github.com/sassafraslug/sassafraslug/internal/authority/slugtally"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugbackoff"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugclock"
@@ -97,7 +97,7 @@
 	dispatcher  *slugdispatch.Dispatcher
 	clock       *slugtruetime.Clock
 	tally       *slugtally.Tally
-	duties      *sluglease.Lease
+	collection  *slugcollection.Collection
 	planned     *slugroles.Roles
 
 	requests, lookups, readiness, metricsServer *slugserve.Server
@@ -125,7 +125,7 @@
 func New(s *slugsettings.Settings, n *slugnetwork.Network, a Adapter, log *slugevent.Log) *Host {
 	return &Host{
 		settings: s, network: n, adapter: a, log: log, metrics: new(expvar.Map).Init(), counters: slugcounters.New(), planned: slugroles.New(),
-		seen:    map[slugname.Endpoint]seen{},
+		collection: slugcollection.New(), seen: map[slugname.Endpoint]seen{},
 		placers: map[slugname.Service]*slugplacement.Placer{}, budgets: map[slugname.Service]*slugbudget.Budget{},
 	}
 }
@@ -146,6 +146,7 @@
 		{Name: "follow the caches of engines", Run: h.followCaches},
 		{Name: "exchange with peers", Run: h.exchange},
 		{Name: "serve callers", Run: h.serve},
+		{Name: "tell of usage", Run: h.tellUsage},
 		{Name: "take part in the duties", Run: h.holdDuties},
 		{Name: "leave when told", Run: func(_ context.Context, g *errgroup.Group) error {
 			g.Go(func() error { return h.leaveAfter(ctx, work) })
@@ -238,7 +239,7 @@
 
 // entriesWait is how long one watch of the endpoints waits. It bounds how long a
 // connection that went silent hides that an endpoint leaves.
-const entriesWait = 1500 * time.Millisecond
+const entriesWait = time.Second
 
 // gatherTime is the pause after a change in the store. It delays word of an endpoint
 // that leaves, which may still receive work for much longer.
--- a/internal/daemon/slughost/join.go
+++ b/internal/daemon/slughost/join.go
@@ -54,7 +54,7 @@
 		Clock: h.clock.Count, HeardClock: h.clock.Heard,
 		Self: h.member.Self(), Call: link.Call, Peers: h.member.Records, Word: h.follower.Word,
 		Heard: h.heard, HeardWord: h.follower.Heard, Bundle: h.follower.Raw, Fanout: exchangeFanout, Every: h.exchangeInterval,
-		Follow: h.shared.Serve,
+		Follow: h.shared.Serve, HeardUsage: h.collection.Heard,
 	})
 	return nil
 }
@@ -154,10 +154,10 @@
 			loads[name] = encodeLoad(l)
 		}
 	}
-	suspicions, windows, work := h.suspects.Suspicions(time.Now()), h.tally.Windows(), h.workForPeers()
+	suspicions, work := h.suspects.Suspicions(time.Now()), h.workForPeers()
 	planned, draining, storeLost := h.planned.All(time.Now()), h.leavingEndpoints(), h.store.Failing(storeLostFor)
 	h.table.Update(func(r *slugpeer.Row) {
-		r.Loads, r.Suspicions, r.Started, r.Work = loads, suspicions, windows, work
+		r.Loads, r.Suspicions, r.Work = loads, suspicions, work
 		r.Planned, r.Draining, r.StoreLost = planned, draining, storeLost
 	})
 	h.takeLoads()
--- a/internal/daemon/slughost/serve.go
+++ b/internal/daemon/slughost/serve.go
@@ -132,6 +132,7 @@
 	finishCtx, cancel := context.WithDeadline(ctx, begun.Add(h.settings.Grace-finishMargin))
 	defer cancel()
 	err := h.requests.Finish(finishCtx)
+	h.sendUsage(ctx)
 	h.withdraw(ctx)
 	h.log.Emit(slugevent.ShutdownDone, slugevent.Fields{"requests": h.dispatcher.Running()})
 	h.stop()
--- a/internal/daemon/slughost/share.go
+++ b/internal/daemon/slughost/share.go
@@ -27,7 +27,7 @@
 	peerSlack = 600 * time.Millisecond
 	// ageSlack is how much older than one watch a watcher's knowledge may be before the
 	// process asks elsewhere.
-	ageSlack = 1200 * time.Millisecond
+	ageSlack = 600 * time.Millisecond
 	// storeLostFor is how long after a failed call a process does not watch for others.
 	storeLostFor = 5 * time.Second
 	// configWaitPart is the part of the time in which a withdrawn key must stop working
--- a/internal/membership/slugmirror/mirror_test.go
+++ b/internal/membership/slugmirror/mirror_test.go
@@ -69,7 +69,7 @@
 }
 
 func TestCloseEndsWaitingCalls(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	synctest.Test(t, func(_ *testing.T) {
 		m := New()
 		m.Take(news(1, true))
 		done := make(chan struct{})
--- a/internal/membership/slugpeer/row.go
+++ b/internal/membership/slugpeer/row.go
@@ -53,8 +53,8 @@
 	Released uint32 `cbor:"13,keyasint,omitempty"`
 	// Loads is the process's own work at endpoints.
 	Loads map[slugname.Endpoint]Load `cbor:"14,keyasint,omitempty"`
-	// Started are the requests that began to run, by accounting window.
-	Started []WindowCount `cbor:"15,keyasint,omitempty"`
+	// Holds tells that the process holds the duties of the system.
+	Holds bool `cbor:"15,keyasint,omitempty"`
 	// Work is what callers asked of each service.
 	Work map[slugname.Service]Work `cbor:"16,keyasint,omitempty"`
 	// Draining are endpoints that the process knows to leave.
@@ -133,6 +133,8 @@
 	Follow *Follow `cbor:"8,keyasint,omitempty"`
 	// News answers Follow.
 	News *News `cbor:"9,keyasint,omitempty"`
+	// Usage are the sender's requests that began to run, by accounting window.
+	Usage []WindowCount `cbor:"10,keyasint,omitempty"`
 }
 
 // Follow asks for what changed of the objects under a prefix after a version.
--- a/internal/membership/slugpeer/table.go
+++ b/internal/membership/slugpeer/table.go
@@ -38,6 +38,8 @@
 	Bundle func() []byte
 	// Follow answers a peer that follows objects in the store; it may be nil.
 	Follow func(Follow) *News
+	// HeardUsage takes a peer's figures of accounting windows; it may be nil.
+	HeardUsage func(slugname.Process, []WindowCount)
 	// Fanout is the number of peers called a round.
 	Fanout int
 	// Every returns the time between rounds; nil means Round.
@@ -271,12 +273,16 @@
 }
 
 // Serve answers a message of a process.
-func (t *Table) Serve(_ slugname.Process, m Message) Message {
+func (t *Table) Serve(from slugname.Process, m Message) Message {
 	answer := Message{Protocol: Protocol}
 	if m.Follow != nil && t.cfg.Follow != nil {
 		answer.News = t.cfg.Follow(*m.Follow)
 		return answer
 	}
+	if m.Usage != nil && t.cfg.HeardUsage != nil {
+		t.cfg.HeardUsage(from, m.Usage)
+		return answer
+	}
 	if t.cfg.Clock != nil {
 		answer.ClockNs = t.cfg.Clock().UnixNano()
 	}
--- a/internal/membership/slugwatcher/choice.go
+++ b/internal/membership/slugwatcher/choice.go
@@ -20,9 +20,14 @@
 // subject is what the ranks of watchers are drawn for.
 const subject = "watch"
 
-// perWatcher is the number of processes of a data centre for which one more of them
-// watches: each costs its watcher some messages a second.
-const perWatcher = 32
+const (
+	// perWatcher is the number of processes of a data centre for which one more of them
+	// watches: each costs its watcher some messages a second.
+	perWatcher = 32
+	// leastWatchers is the number of watchers at least, so that the others hear of a
+	// change while one is cut off and has not noticed.
+	leastWatchers = 2
+)
 
 // Candidate is a live process.
 type Candidate struct {
@@ -44,17 +49,18 @@
 	for _, c := range usable {
 		byPlace[c.DataCentre] = append(byPlace[c.DataCentre], c.Process)
 	}
-	out := closest(byPlace[dc])
+	least := (leastWatchers + len(byPlace) - 1) / max(1, len(byPlace))
+	out := closest(byPlace[dc], least)
 	delete(byPlace, dc)
 	var others []slugname.Process
 	for _, list := range byPlace {
-		others = append(others, closest(list)...)
+		others = append(others, closest(list, least)...)
 	}
 	slices.SortFunc(others, cmp.Compare[slugname.Process])
 	return append(out, others...)
 }
 
-// closest returns the watchers of one data centre.
-func closest(list []slugname.Process) []slugname.Process {
-	return slugmember.Closest(subject, list, (len(list)+perWatcher-1)/perWatcher)
+// closest returns the watchers of one data centre, a number of them at least.
+func closest(list []slugname.Process, least int) []slugname.Process {
+	return slugmember.Closest(subject, list, max(least, (len(list)+perWatcher-1)/perWatcher))
 }
--- a/internal/membership/slugwatcher/choice_test.go
+++ b/internal/membership/slugwatcher/choice_test.go
@@ -35,6 +35,7 @@
 	}{
 		{"nobody", nil, "", 0},
 		{"one of each data centre, the own first", candidates(3, "a", "b", "c"), "b", 3},
+		{"two of a single one", candidates(3, "b"), "b", 2},
 		{"more where there are more hosts", candidates(40, "a", "b"), "b", 4},
 		{"others' when the store answers nobody near", failingIn("b", candidates(3, "a", "b", "c")), "a", 2},
 		{"as always when the store answers nobody", failingIn("", candidates(3, "a", "b", "c")), "b", 3},
