Keep engines that serve when more are refused; wait for entries after an outage

Connections to the store and to engines' news are dialled within 2 s: a whole-host test failed once as a dial into a cut network never ended.

--- a/internal/authority/slugcapacityduty/duty.go
+++ b/internal/authority/slugcapacityduty/duty.go
@@ -38,6 +38,8 @@
 	reviewEvery = 400 * time.Millisecond
 	// callTimeout bounds one order. It must fit into the rest of a right.
 	callTimeout = 800 * time.Millisecond
+	// leavingTime is how long regular engines that were given up may take to leave.
+	leavingTime = 12 * time.Second
 	// comingSlack is how much longer than planned new engines may take.
 	comingSlack = 3 * time.Second
 	// roleRetry is the time between tries to change an engine's role.
@@ -86,6 +88,26 @@
 	// Regular and Cheap are the ordered numbers, -1 before the first order.
 	Regular int `json:"regular"`
 	Cheap   int `json:"cheap"`
+	// RegularOpen and CheapOpen tell that the last order had no answer.
+	RegularOpen bool `json:"regularOpen,omitempty"`
+	CheapOpen   bool `json:"cheapOpen,omitempty"`
+}
+
+// set notes an order.
+func (s *standing) set(cheap bool, count int, open bool) {
+	if cheap {
+		s.Cheap, s.CheapOpen = count, open
+	} else {
+		s.Regular, s.RegularOpen = count, open
+	}
+}
+
+// count returns what was ordered of a kind.
+func (s *standing) count(cheap bool) int {
+	if cheap {
+		return s.Cheap
+	}
+	return s.Regular
 }
 
 // record is the content of the plan object.
@@ -101,8 +123,10 @@
 	record *slugrecord.Record[record]
 	// dry is when a place was last refused reclaimable engines.
 	dry map[place]time.Time
-	// cheapAt is when reclaimable engines were last ordered for a place.
-	cheapAt map[place]time.Time
+	// cheapAt and regularAt are when engines were last ordered for a place.
+	cheapAt, regularAt map[place]time.Time
+	// began is when this process took the duty.
+	began time.Time
 	// roleAt is when an engine was last told its role.
 	roleAt map[slugname.Endpoint]time.Time
 	// wanted is the role that an engine was told to take.
@@ -114,7 +138,8 @@
 
 // Run plans and orders until the right ends.
 func (d *Duty) Run(ctx context.Context, right *sluglease.Right) error {
-	d.dry, d.cheapAt = map[place]time.Time{}, map[place]time.Time{}
+	d.dry, d.cheapAt, d.regularAt = map[place]time.Time{}, map[place]time.Time{}, map[place]time.Time{}
+	d.began = time.Now()
 	d.roleAt, d.wanted = map[slugname.Endpoint]time.Time{}, map[slugname.Endpoint]slugplan.Role{}
 	var err error
 	if d.record, err = slugrecord.Load[record](ctx, d.cfg.Store, Name); err != nil {
@@ -137,7 +162,8 @@
 
 func (d *Duty) review(ctx context.Context, right *sluglease.Right) error {
 	t := d.cfg.Table()
-	if t == nil || !d.cfg.Registry.Synced() {
+	if t == nil || !d.cfg.Registry.Settled() {
+		// Engines whose entries lapsed with the store would count as lost.
 		return nil
 	}
 	for _, s := range t.Services {
@@ -185,7 +211,7 @@
 	for _, dc := range dataCentres(s, engines) {
 		p := place{s.Name, dc}
 		st := d.standingOf(p, engines)
-		y := slugcapacity.DataCentre{Name: dc, Initial: st.Initial, OrderedRegular: st.Regular, OrderedCheap: st.Cheap, Dry: d.dry[p]}
+		y := slugcapacity.DataCentre{Name: dc, Initial: st.Initial, OrderedRegular: st.Regular, OrderedCheap: st.Cheap, Dry: d.dry[p], OpenRegular: st.RegularOpen, OpenCheap: st.CheapOpen}
 		for _, e := range engines {
 			switch {
 			case e.DataCentre != dc || e.Leaving:
@@ -196,6 +222,7 @@
 			}
 		}
 		y.Missing = y.Cheap < st.Cheap && now.Sub(d.cheapAt[p]) > s.Scaling.Boot+comingSlack
+		y.Extra = st.Regular >= 0 && y.Regular > st.Regular && now.Sub(later(d.began, d.regularAt[p])) > leavingTime
 		x.DataCentres = append(x.DataCentres, y)
 	}
 	return x
@@ -233,24 +260,16 @@
 // order writes one order down and sends it.
 func (d *Duty) order(ctx context.Context, right *sluglease.Right, s *slugrouting.Service, o slugcapacity.Order, state slugcapacity.Service) error {
 	p := place{s.Name, o.DataCentre}
-	next := record{Places: slices.Clone(d.record.Value.Places)}
-	for i := range next.Places {
-		if next.Places[i].place != p {
-			continue
-		}
-		if o.Cheap {
-			next.Places[i].Cheap = o.Count
-		} else {
-			next.Places[i].Regular = o.Count
-		}
-	}
-	if err := d.write(ctx, next, right.Fence); err != nil {
+	before, err := d.note(ctx, right, p, o, false)
+	if err != nil {
 		return err
 	}
 	if o.Cheap {
 		d.cheapAt[p] = time.Now()
+	} else {
+		d.regularAt[p] = time.Now()
 	}
-	err := right.Do(ctx, callTimeout, func(ctx context.Context) error {
+	err = right.Do(ctx, callTimeout, func(ctx context.Context) error {
 		e := slugcommand.EndpointOrder{Service: s.Name, DataCentre: o.DataCentre, Count: o.Count, Cheap: o.Cheap}
 		return d.cfg.Commands.OrderEndpoints(ctx, d.cfg.Do(right), d.cfg.Address, e, slugcommand.Holder{Host: d.cfg.Host, Fence: right.Fence})
 	})
@@ -260,23 +279,35 @@
 		return nil
 	}
 	d.cfg.Log.Error(slugevent.OrderFailed, err, f)
-	if errors.Is(err, slugcommand.ErrNone) {
-		d.dry[p] = time.Now()
+	if !errors.Is(err, slugcommand.ErrNone) {
+		_, err = d.note(ctx, right, p, o, true)
+		return err
 	}
-	return d.unsettled(ctx, right, p, o)
+	// The order was refused, so what was ordered before still stands.
+	d.dry[p] = time.Now()
+	o.Count = before
+	_, err = d.note(ctx, right, p, o, false)
+	return err
 }
 
-// unsettled writes down that an order may not stand, so that it is made again.
-func (d *Duty) unsettled(ctx context.Context, right *sluglease.Right, p place, o slugcapacity.Order) error {
+// note writes an order down, and whether it is open, and returns the number that was
+// ordered before.
+func (d *Duty) note(ctx context.Context, right *sluglease.Right, p place, o slugcapacity.Order, open bool) (before int, err error) {
 	next := record{Places: slices.Clone(d.record.Value.Places)}
 	for i := range next.Places {
-		if next.Places[i].place == p && o.Cheap {
-			next.Places[i].Cheap = -1
-		} else if next.Places[i].place == p {
-			next.Places[i].Regular = -1
+		if next.Places[i].place == p {
+			before = next.Places[i].count(o.Cheap)
+			next.Places[i].set(o.Cheap, o.Count, open)
 		}
 	}
-	return d.write(ctx, next, right.Fence)
+	return before, d.write(ctx, next, right.Fence)
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
 }
 
 // orderRoles tells engines the roles that the plan gives them.
--- a/internal/daemon/slughost/caches.go
+++ b/internal/daemon/slughost/caches.go
@@ -22,7 +22,7 @@
 // followCaches follows what engines tell of the prompt parts that they keep, as long as
 // all hosts together stay within the number of readers that an engine allows.
 func (h *Host) followCaches(ctx context.Context, g *errgroup.Group) error {
-	client := &http.Client{Transport: &http.Transport{DialContext: h.network.Dial, MaxIdleConnsPerHost: eventConnections}}
+	client := &http.Client{Transport: &http.Transport{DialContext: h.network.DialWithin(dialTimeout), MaxIdleConnsPerHost: eventConnections}}
 	feed := slugcachefeed.New(slugcachefeed.Config{
 		Read: func(ctx context.Context, address string, since int64, wait time.Duration) (slugcachefeed.Page, error) {
 			return h.adapter.CacheEvents(ctx, client.Do, address, since, wait)
--- a/internal/daemon/slughost/host.go
+++ b/internal/daemon/slughost/host.go
@@ -69,6 +69,9 @@
 	publishRetry = 200 * time.Millisecond
 	// closeTimeout bounds the last writes of a leaving process.
 	closeTimeout = time.Second
+	// dialTimeout bounds the making of a connection to the store or to an engine that
+	// tells of its cache: more than a lost packet costs.
+	dialTimeout = 2 * time.Second
 	// storeConnections bounds the idle connections to the store.
 	storeConnections = 8
 	// reserve is the part of the budget for sending again that is never used.
--- a/internal/daemon/slughost/join.go
+++ b/internal/daemon/slughost/join.go
@@ -73,7 +73,7 @@
 func (h *Host) newStore() {
 	counts := new(expvar.Map).Init()
 	h.metrics.Set("storeCalls", counts)
-	h.storeClient = &http.Client{Transport: &http.Transport{DialContext: h.network.Dial, MaxIdleConnsPerHost: storeConnections}}
+	h.storeClient = &http.Client{Transport: &http.Transport{DialContext: h.network.DialWithin(dialTimeout), MaxIdleConnsPerHost: storeConnections}}
 	address := hostPort(h.settings.PlatformAddress)
 	h.store = slugstore.New(slugstore.Config{BaseURL: address, Backend: h.adapter.Store(address, h.storeClient.Do), Counts: counts})
 }
--- a/internal/daemon/slugnetwork/network.go
+++ b/internal/daemon/slugnetwork/network.go
@@ -48,3 +48,13 @@
 		},
 	}
 }
+
+// DialWithin returns Dial with a limit of its own. An HTTP client goes on dialling when
+// the request that began it has ended.
+func (n *Network) DialWithin(limit time.Duration) func(ctx context.Context, network, address string) (net.Conn, error) {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		ctx, cancel := context.WithTimeout(ctx, limit)
+		defer cancel()
+		return n.Dial(ctx, network, address)
+	}
+}
--- a/internal/decision/slugcapacity/capacity.go
+++ b/internal/decision/slugcapacity/capacity.go
@@ -61,8 +61,12 @@
 	Regular, Cheap int
 	// Missing tells that cheap engines which were ordered should have come by now.
 	Missing bool
+	// Extra tells that regular engines which were given up should have left by now.
+	Extra bool
 	// Ordered numbers, -1 when nothing was ordered yet.
 	OrderedRegular, OrderedCheap int
+	// OpenRegular and OpenCheap tell that nobody knows whether the order was taken.
+	OpenRegular, OpenCheap bool
 	// Dry is when reclaimable engines were last refused.
 	Dry time.Time
 }
@@ -112,22 +116,14 @@
 func Orders(s Service, now time.Time) []Order {
 	var add, drop []Order
 	for _, d := range s.DataCentres {
-		wanted := s.wanted(d)
-		regular := s.regular()
-		// Both kinds together are bounded, so that cheap engines may have to wait for
-		// regular ones to go.
-		cheap := min(wanted-regular, s.Max-max(d.Regular, d.OrderedRegular))
-		if d.OrderedCheap < 0 {
-			cheap = min(cheap, int(float64(s.Max)*firstPart))
+		regular, cheap, reason := s.regular(), s.cheap(d), "planned capacity"
+		dry := !s.HasCheap || !d.Dry.IsZero() && now.Sub(d.Dry) < dryFor
+		if dry {
+			// Regular engines take the place of reclaimable ones that are missing.
+			regular = max(regular, min(s.wanted(d)-d.Cheap, max(d.Initial, d.Regular)))
+			cheap, reason = d.Cheap, "no reclaimable engines to be had"
 		}
-		reason := "planned capacity"
-		if !s.HasCheap || !d.Dry.IsZero() && now.Sub(d.Dry) < dryFor {
-			regular, cheap = max(regular, min(wanted, max(d.Initial, d.Regular))), d.Cheap
-			reason = "no reclaimable engines to be had"
-		}
-		// Engines that are on their way are awaited before more are ordered.
-		coming := cheap > d.OrderedCheap && d.Cheap < d.OrderedCheap && !d.Missing
-		if s.HasCheap && reason == "planned capacity" && (cheap != d.OrderedCheap || d.Missing) && !coming {
+		if !dry && d.wantsCheap(cheap) {
 			add = append(add, Order{d.Name, cheap, true, reason})
 		}
 		have := d.Regular
@@ -137,15 +133,41 @@
 		switch {
 		case d.OrderedRegular < 0 && have == 0:
 			// Engines that the service began with may still have to register.
-		case regular > have:
+		case regular > have, d.OpenRegular && regular >= have:
 			add = append(add, Order{d.Name, regular, false, reason})
-		case regular < have && d.Cheap > 0 && d.Cheap >= min(cheap, d.Initial)-1:
+		case (regular < have || d.Extra) && d.Cheap > 0 && d.Cheap >= min(cheap, d.Initial)-1:
 			drop = append(drop, Order{d.Name, regular, false, "reclaimable engines serve"})
 		}
 	}
 	return append(add, drop...)
 }
 
+// cheap returns the number of reclaimable engines that a data centre is to have now.
+// Both kinds together are bounded, so that they may have to wait for regular ones to
+// go, but those that serve or are on their way are not given up for that.
+func (s Service) cheap(d DataCentre) int {
+	most := s.wanted(d) - s.regular()
+	n := min(most, s.Max-max(d.Regular, d.OrderedRegular))
+	if d.OrderedCheap < 0 {
+		n = min(n, int(float64(s.Max)*firstPart))
+	}
+	n = max(n, min(d.Cheap, most))
+	if d.OrderedCheap >= 0 && !d.Missing {
+		n = max(n, min(d.OrderedCheap, most))
+	}
+	return n
+}
+
+// wantsCheap reports whether reclaimable engines are to be ordered. Those that are on
+// their way are awaited before more are ordered.
+func (d DataCentre) wantsCheap(n int) bool {
+	if d.Missing || d.OpenCheap {
+		return true
+	}
+	coming := n > d.OrderedCheap && d.Cheap < d.OrderedCheap
+	return n != d.OrderedCheap && !coming
+}
+
 // Engine is one engine that serves.
 type Engine struct {
 	Name       slugname.Endpoint
--- a/internal/decision/slugcapacity/capacity_test.go
+++ b/internal/decision/slugcapacity/capacity_test.go
@@ -43,18 +43,35 @@
 	leaving.OrderedCheap, leaving.OrderedRegular = 6, 1
 	dry := place("a", 1, 0)
 	dry.OrderedRegular, dry.OrderedCheap, dry.Dry = 1, 8, now.Add(-time.Second)
+	// The trouble of a day on which the store was away while engines were reclaimed: a
+	// successor saw few of them and was refused more.
+	seen := place("a", 6, 8)
+	seen.OrderedRegular, seen.OrderedCheap = 6, 12
+	refused := place("a", 0, 8)
+	refused.OrderedRegular, refused.OrderedCheap, refused.Dry = 0, 12, now.Add(-time.Second)
+	again := seen
+	again.Missing = true
+	open := place("a", 0, 12)
+	open.OrderedRegular, open.OrderedCheap, open.OpenCheap = 0, 12, true
+	stayed := place("a", 6, 11)
+	stayed.OrderedRegular, stayed.OrderedCheap, stayed.Extra = 1, 11, true
 	for name, c := range map[string]struct {
 		s    Service
 		want string
 	}{
-		"before traffic, cheap engines come first":                 {service(place("a", 6, 0)), "a 6 cheap; "},
-		"regular ones go once cheap ones serve":                    {service(ordered), "a 1 regular; "},
-		"the rest comes once there is room for it":                 {service(leaving), "a 11 cheap; "},
-		"engines that did not come are ordered again, all of them": {service(missing), "a 11 cheap; "},
-		"before any engine has registered":                         {service(place("a", 0, 0)), "a 6 cheap; "},
-		"nothing is ordered twice":                                 {service(settled), ""},
-		"reclaimed and none to be had: regular ones take over":     {service(dry), "a 6 regular; "},
-		"without cheap engines nothing is given up":                {Service{Min: 1, Max: 12, DataCentres: []DataCentre{place("a", 6, 0)}}, ""},
+		"engines that serve are not given up for room":               {service(seen, place("b", 0, 0)), "b 6 cheap; a 0 regular; "},
+		"those that are missing are ordered as far as there is room": {service(again, place("b", 0, 0)), "a 8 cheap; b 6 cheap; a 0 regular; "},
+		"regular ones fill only what is missing":                     {service(refused, place("b", 0, 0)), "a 4 regular; b 6 cheap; "},
+		"an order without an answer is made again as it was":         {service(open, place("b", 0, 0)), "a 12 cheap; b 6 cheap; "},
+		"regular ones that did not leave are given up once more":     {service(stayed), "a 1 regular; "},
+		"before traffic, cheap engines come first":                   {service(place("a", 6, 0)), "a 6 cheap; "},
+		"regular ones go once cheap ones serve":                      {service(ordered), "a 1 regular; "},
+		"the rest comes once there is room for it":                   {service(leaving), "a 11 cheap; "},
+		"engines that did not come are ordered again, all of them":   {service(missing), "a 11 cheap; "},
+		"before any engine has registered":                           {service(place("a", 0, 0)), "a 6 cheap; "},
+		"nothing is ordered twice":                                   {service(settled), ""},
+		"reclaimed and none to be had: regular ones take over":       {service(dry), "a 6 regular; "},
+		"without cheap engines nothing is given up":                  {Service{Min: 1, Max: 12, DataCentres: []DataCentre{place("a", 6, 0)}}, ""},
 	} {
 		assert.Equal(t, describe(Orders(c.s, now)), c.want, name)
 	}
--- a/internal/fleet/slugregistry/registry.go
+++ b/internal/fleet/slugregistry/registry.go
@@ -128,6 +128,17 @@
 	return r.synced
 }
 
+// Settled reports whether the entries show which endpoints there are: the store has been
+// read, and it was not away until a moment ago.
+func (r *Registry) Settled() bool {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	now := time.Now()
+	away := r.failing && now.Sub(r.lost) < outageMemory
+	back := r.returned.Sub(r.lost) < outageMemory && now.Sub(r.returned) < absenceGrace
+	return r.synced && !away && !back
+}
+
 // Lost notes that the store did not answer.
 func (r *Registry) Lost(error) {
 	others := r.cfg.OthersHear()
