Announce prompts to the process that answers for their engine

Each host knows its own work and word of the others' that is older than the work; hosts that know nothing of an engine all took the first of the list; urgent prompts were believed to pass others, while engines process what they admitted in order; copies were asked of homes that kept nothing yet. Change: one process an engine, by rendezvous hashing, is told of each prompt before it is sent, keeps its backlog and its cache, and answers wait, work and cached tokens; the host asks up to three engines and takes the best; ties are broken at random; waits count all work; only what is known to be kept is copied. With more hosts than an engine takes readers, its news is read by the process that answers. A call that times out no longer ends its connection (silence counts from the first unanswered call).

--- a/internal/connection/sluglink/link.go
+++ b/internal/connection/sluglink/link.go
@@ -77,22 +77,27 @@
 type connection struct {
 	*quic.Conn
 	mu sync.Mutex
-	// answered is when the peer last answered a call, or when the connection was made.
-	answered time.Time
+	// silentSince is when the first of the calls began that failed since the last
+	// answer, zero when none did.
+	silentSince time.Time
 }
 
 // heard notes an answer.
 func (c *connection) heard() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.answered = time.Now()
+	c.silentSince = time.Time{}
 }
 
-// silentFor returns the time since the last answer.
-func (c *connection) silentFor() time.Duration {
+// failed notes that a call which began at a time has failed, and returns how long the
+// peer has been silent.
+func (c *connection) failed(began time.Time) time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return time.Since(c.answered)
+	if c.silentSince.IsZero() {
+		c.silentSince = began
+	}
+	return time.Since(c.silentSince)
 }
 
 // New listens on the address with a fresh certificate. The lookup may be set
@@ -258,11 +263,12 @@
 	if err != nil {
 		return slugpeer.Message{}, slugfault.Wrap(err, "connect to peer", to.PeerAddress)
 	}
+	began := time.Now()
 	answer, err := l.call(ctx, c, m)
 	switch {
 	case err == nil:
 		c.heard()
-	case c.Context().Err() != nil || c.silentFor() > dropAfter:
+	case c.Context().Err() != nil || c.failed(began) > dropAfter:
 		l.drop(to.Process, c)
 	}
 	return answer, slugfault.Wrap(err, "call peer", to.PeerAddress)
@@ -300,7 +306,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c = &connection{Conn: dialled, answered: time.Now()}
+	c = &connection{Conn: dialled}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.connections[to.Process] = c
--- a/internal/daemon/slughost/caches.go
+++ b/internal/daemon/slughost/caches.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/sassafraslug/sassafraslug/internal/base/slugbackoff"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugname"
 	"github.com/sassafraslug/sassafraslug/internal/decision/slugplacement"
 	"github.com/sassafraslug/sassafraslug/internal/decision/slugplan"
 	"github.com/sassafraslug/sassafraslug/internal/fleet/slugcachefeed"
@@ -19,8 +20,9 @@
 	eventConnections = 1
 )
 
-// followCaches follows what engines tell of the prompt parts that they keep, as long as
-// all hosts together stay within the number of readers that an engine allows.
+// followCaches follows what engines tell of the prompt parts that they keep: of all of
+// them as long as all hosts together stay within the number of readers that an engine
+// allows, else of those that this process answers for.
 func (h *Host) followCaches(ctx context.Context, g *errgroup.Group) error {
 	client := &http.Client{Transport: &http.Transport{DialContext: h.network.DialWithin(dialTimeout), MaxIdleConnsPerHost: eventConnections}}
 	feed := slugcachefeed.New(slugcachefeed.Config{
@@ -40,8 +42,7 @@
 	return nil
 }
 
-// enginesToRead returns the engines that process prompts, of the services that allow
-// enough readers.
+// enginesToRead returns the engines that process prompts whose news this process reads.
 func (h *Host) enginesToRead() []slugcachefeed.Engine {
 	t := h.follower.Table()
 	if t == nil {
@@ -50,11 +51,12 @@
 	hosts := h.hosts()
 	var out []slugcachefeed.Engine
 	for _, s := range t.Services {
-		if s.Engine == nil || s.Engine.MostEventReaders < hosts {
+		if s.Engine == nil || s.Engine.MostEventReaders == 0 {
 			continue
 		}
+		all := s.Engine.MostEventReaders >= hosts
 		for _, e := range h.usable(s.Name, time.Now()) {
-			if e.Role == slugplan.RolePrefill {
+			if e.Role == slugplan.RolePrefill && (all || h.owns(e.Name)) {
 				out = append(out, slugcachefeed.Engine{Name: e.Name, Address: e.Address, Service: s.Name})
 			}
 		}
@@ -62,6 +64,12 @@
 	return out
 }
 
+// owns reports whether this process answers for an endpoint.
+func (h *Host) owns(e slugname.Endpoint) bool {
+	r, known := h.owner(e)
+	return known && r.Process == h.member.Self().Process
+}
+
 func (h *Host) cacheTold(e slugcachefeed.Engine, p slugcachefeed.Page, fresh bool) {
 	parts := make([]slugplacement.Part, len(p.Changes))
 	for i, c := range p.Changes {
--- a/internal/daemon/slughost/host.go
+++ b/internal/daemon/slughost/host.go
@@ -171,7 +171,7 @@
 	h.dispatcher = slugdispatch.New(slugdispatch.Config{
 		Table: h.follower.Table, Fresh: h.fresh,
 		Age:    func() time.Duration { return slugclock.Since(h.follower.Word()) },
-		Placer: h.placer, Budget: h.budget, Suspects: h.suspects, Codec: h.adapter.Codec, Open: h.sender.Open,
+		Placer: h.placer, Budget: h.budget, Suspects: h.suspects, Codec: h.adapter.Codec, Open: h.sender.Open, Announce: h.announce, TakeBack: h.takeBack,
 		Started: h.tally.Count, Ended: h.counters.Ended, Log: h.log,
 	})
 	return nil
--- a/internal/daemon/slughost/join.go
+++ b/internal/daemon/slughost/join.go
@@ -54,7 +54,7 @@
 		Clock: h.clock.Count, HeardClock: h.clock.Heard,
 		Self: h.member.Self(), Call: link.Call, Peers: h.member.Records, Word: h.follower.Word,
 		Heard: h.heard, HeardWord: h.follower.Heard, Bundle: h.follower.Raw, Fanout: exchangeFanout, Every: h.exchangeInterval,
-		Follow: h.shared.Serve, HeardUsage: h.collection.Heard,
+		Follow: h.shared.Serve, HeardUsage: h.collection.Heard, Reserve: h.peerAnnounces,
 	})
 	return nil
 }
@@ -229,19 +229,13 @@
 }
 
 func encodeLoad(l slugplacement.Load) slugpeer.Load {
-	x := slugpeer.Load{Streams: uint32(max(0, l.Streams)), CacheTokens: uint32(max(0, l.CacheTokens))}
-	for _, d := range l.Prefill {
-		x.PrefillMs = append(x.PrefillMs, uint32(max(0, d.Milliseconds())))
+	return slugpeer.Load{
+		PrefillMs: uint32(max(0, l.Prefill.Milliseconds())), Streams: uint32(max(0, l.Streams)), CacheTokens: uint32(max(0, l.CacheTokens)),
 	}
-	return x
 }
 
 func addLoad(sum slugplacement.Load, l slugpeer.Load) slugplacement.Load {
-	for i, ms := range l.PrefillMs {
-		if i < len(sum.Prefill) {
-			sum.Prefill[i] += time.Duration(ms) * time.Millisecond
-		}
-	}
+	sum.Prefill += time.Duration(l.PrefillMs) * time.Millisecond
 	sum.Streams += int(l.Streams)
 	sum.CacheTokens += int(l.CacheTokens)
 	return sum
--- a/internal/decision/slugplacement/cache.go
+++ b/internal/decision/slugplacement/cache.go
@@ -11,7 +11,7 @@
 	tokens   int
 	order    *list.List
 	parts    map[PartID]*list.Element
-	// told tells that the endpoint tells what it keeps.
+	// told tells that the endpoint tells what it keeps, or a process that knows.
 	told bool
 }
 
@@ -36,6 +36,18 @@
 	}
 }
 
+// know notes how many tokens of the leading parts are kept for certain.
+func (c *cache) know(parts []Part, cached int) {
+	tokens := 0
+	for _, p := range parts {
+		if tokens += p.Tokens; tokens <= cached {
+			c.keep(p)
+		} else {
+			c.drop(p.ID)
+		}
+	}
+}
+
 // drop notes that a part is not kept.
 func (c *cache) drop(id PartID) {
 	e := c.parts[id]
--- a/internal/decision/slugplacement/placer.go
+++ b/internal/decision/slugplacement/placer.go
@@ -29,12 +29,10 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugname"
+	"github.com/sassafraslug/sassafraslug/internal/decision/slugbacklog"
 	"github.com/sassafraslug/sassafraslug/internal/decision/slugplan"
 )
 
-// Priorities is the number of urgencies that are told apart.
-const Priorities = 4
-
 // Endpoint is one endpoint that may be chosen.
 type Endpoint struct {
 	Name        slugname.Endpoint
@@ -49,8 +47,9 @@
 
 // Load is work at an endpoint.
 type Load struct {
-	// Prefill is the time that waiting and running prompts need, by urgency.
-	Prefill [Priorities]time.Duration
+	// Prefill is the time that waiting and running prompts need. Engines process them in
+	// the order in which they came: urgency decides only who is admitted first.
+	Prefill time.Duration
 	// Streams is the number of requests that run or wait.
 	Streams int
 	// CacheTokens is the memory that they need.
@@ -120,6 +119,9 @@
 	failures   float64
 	failuresAt time.Time
 	avoidUntil time.Time
+	// idleAt is when all work that any process announced will be done, as the process
+	// that answers for the endpoint told at toldAt.
+	idleAt, toldAt time.Time
 	// doneAt is when a prompt was last processed there.
 	doneAt time.Time
 }
@@ -132,6 +134,9 @@
 	state  map[slugname.Endpoint]*state
 	list   []*state
 	demand demand
+	// backlog is what all processes announced for the endpoints that this one answers
+	// for.
+	backlog *slugbacklog.Backlog
 }
 
 // New returns a Placer without endpoints.
@@ -142,7 +147,7 @@
 	if cfg.Random == nil {
 		cfg.Random = rand.Float64
 	}
-	return &Placer{cfg: cfg, state: map[slugname.Endpoint]*state{}}
+	return &Placer{cfg: cfg, state: map[slugname.Endpoint]*state{}, backlog: slugbacklog.New()}
 }
 
 // SetEndpoints replaces the endpoints that take new work. What is known of those that
@@ -231,6 +236,9 @@
 	Predicted time.Duration
 	// Cached is the number of prompt tokens believed to be kept there.
 	Cached int
+	// Told tells that the prediction comes from the process that answers for the
+	// endpoint, and not from this one's own view.
+	Told bool
 	// FetchFrom is the address of an endpoint from which it may copy more of the
 	// prompt's KV cache, empty when there is none.
 	FetchFrom string
@@ -293,14 +301,21 @@
 func (p *Placer) Prefill(j Job, exclude []slugname.Endpoint, now time.Time) (*Choice, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	return p.take(p.bestPrefill(j, exclude, now), slugplan.RolePrefill, now)
+}
+
+// bestPrefill returns the best endpoint for a prompt, nil when there is none; p.mu is
+// held.
+func (p *Placer) bestPrefill(j Job, exclude []slugname.Endpoint, now time.Time) *Choice {
 	var best *Choice
 	usable := p.usable(slugplan.RolePrefill, exclude, now)
 	home := p.home(j.subject(), slugplan.RolePrefill)
-	kept := p.kept(j, usable, home)
+	kept := p.kept(j, usable)
 	source := mostKept(usable, kept)
 	median := p.median(slugplan.RolePrefill, now)
 	for i, s := range usable {
-		c := p.prefillAt(s, j, kept[i], median, now)
+		c := p.prefillAt(s, j, hoped(s, home, j, kept[i]), median, now)
+		c.predict += time.Duration(p.cfg.Random() * float64(prefillSpread))
 		if s == home {
 			c.predict -= homeBonus
 		}
@@ -311,7 +326,15 @@
 			best = c
 		}
 	}
-	return p.take(best, slugplan.RolePrefill, now)
+	return best
+}
+
+// Job returns the prompt, and how many of its tokens the endpoint is to copy.
+func (c *Choice) Job() (j Job, copied int) {
+	if c.FetchFrom == "" {
+		return c.job, 0
+	}
+	return c.job, c.Cached
 }
 
 // Decode chooses the endpoint that makes the answer from the KV cache at near: one
@@ -410,7 +433,7 @@
 // note adds or takes away the work of a choice.
 func (s *state) note(c *Choice, sign int) {
 	if c.stage == slugplan.RolePrefill {
-		s.own.Prefill[class(c.job.Priority)] += time.Duration(sign) * c.work
+		s.own.Prefill += time.Duration(sign) * c.work
 		return
 	}
 	s.own.Streams += sign
--- a/internal/decision/slugplacement/predict.go
+++ b/internal/decision/slugplacement/predict.go
@@ -44,20 +44,26 @@
 	return best
 }
 
-// kept returns the number of a prompt's tokens that each endpoint is believed to keep;
-// p.mu is held.
-func (p *Placer) kept(j Job, list []*state, home *state) []int {
+// kept returns the number of a prompt's tokens that each endpoint keeps as far as this
+// process knows; p.mu is held.
+func (p *Placer) kept(j Job, list []*state) []int {
 	out := make([]int, len(list))
 	for i, s := range list {
-		out[i] = s.cache.cached(j.Parts)
-		if !s.cache.told && s == home {
-			out[i] = max(out[i], j.shared())
-		}
-		out[i] = min(out[i], j.Tokens)
+		out[i] = min(s.cache.cached(j.Parts), j.Tokens)
 	}
 	return out
 }
 
+// hoped returns the number of tokens that an endpoint is hoped to keep: the home of a
+// shared part, since other processes bring it there as well. That is no ground for
+// copying from it, which would end in processing all of the prompt.
+func hoped(s, home *state, j Job, kept int) int {
+	if s != home || s.cache.told {
+		return kept
+	}
+	return min(max(kept, j.shared()), j.Tokens)
+}
+
 // keeper is an endpoint that keeps the beginning of a prompt.
 type keeper struct {
 	*state
@@ -75,6 +81,11 @@
 	return best
 }
 
+// prefillSpread is the greatest random time that is added to what is expected of an
+// engine for prompts. Engines of which a host knows nothing look alike to all hosts:
+// without it all would take the first of them.
+const prefillSpread = 4 * time.Millisecond
+
 // homeBonus is the time by which the home of a shared part is preferred, so that all
 // hosts bring it to one endpoint as long as nobody keeps it.
 const homeBonus = 15 * time.Millisecond
@@ -98,7 +109,7 @@
 		return nil
 	}
 	c := p.prefillAt(s, j, k.tokens, median, now)
-	copying := fetchTime + time.Duration(k.tokens)*fetchPerToken
+	copying := copyTime(k.tokens)
 	if k.DataCentre != s.DataCentre {
 		copying += time.Duration(k.tokens) * fetchPerToken
 	}
@@ -109,24 +120,24 @@
 	return c
 }
 
+// copyTime returns the time of copying tokens within a data centre.
+func copyTime(tokens int) time.Duration {
+	return fetchTime + time.Duration(tokens)*fetchPerToken
+}
+
 // prefillAt predicts a prompt's time at an endpoint; p.mu is held.
 func (p *Placer) prefillAt(s *state, j Job, cached int, median float64, now time.Time) *Choice {
 	slow := s.relative(median, now)
 	nominal := p.cfg.Cost.Prefill(j.Tokens, cached)
 	work := time.Duration(float64(nominal) * slow)
-	wait := time.Duration(float64(s.waiting(j.Priority)) * slow)
+	wait := time.Duration(float64(s.own.Prefill+s.others.Prefill) * slow)
+	if now.Sub(s.toldAt) < toldMemory {
+		wait = max(s.idleAt.Sub(now), time.Duration(float64(s.own.Prefill)*slow))
+	}
 	predict := wait + work + s.penalty(now)
 	return &Choice{Endpoint: s.Endpoint, Predicted: wait + work, Cached: cached, p: p, s: s, job: j, work: work, nominal: nominal, wait: wait, predict: predict}
 }
 
-// waiting returns the work that goes before a prompt of an urgency.
-func (s *state) waiting(priority int) time.Duration {
-	var sum time.Duration
-	for i := range class(priority) + 1 {
-		sum += s.own.Prefill[i] + s.others.Prefill[i]
-	}
-	return sum
-}
-
-// class returns the urgency class of a priority.
-func class(priority int) int { return min(max(priority, 0), Priorities-1) }
+// toldMemory is how long word of the work at an endpoint is better than what the
+// processes tell each other.
+const toldMemory = 500 * time.Millisecond
--- a/internal/membership/slugpeer/row.go
+++ b/internal/membership/slugpeer/row.go
@@ -66,8 +66,8 @@
 // Load is a process's own work at one endpoint.
 type Load struct {
 	_ struct{} `cbor:",toarray"`
-	// PrefillMs is the time that waiting and running prompts need, by urgency.
-	PrefillMs []uint32
+	// PrefillMs is the time that waiting and running prompts need.
+	PrefillMs uint32
 	// Streams are requests that run or wait.
 	Streams uint32
 	// CacheTokens are the tokens of KV cache that they need.
@@ -135,6 +135,39 @@
 	News *News `cbor:"9,keyasint,omitempty"`
 	// Usage are the sender's requests that began to run, by accounting window.
 	Usage []WindowCount `cbor:"10,keyasint,omitempty"`
+	// Reserve announces work for an endpoint, and Reserved answers it.
+	Reserve  *Reserve  `cbor:"11,keyasint,omitempty"`
+	Reserved *Reserved `cbor:"12,keyasint,omitempty"`
+}
+
+// Reserve announces a prompt for an endpoint.
+type Reserve struct {
+	_        struct{} `cbor:",toarray"`
+	Service  slugname.Service
+	Endpoint slugname.Endpoint
+	// Parts are the prompt's parts in order.
+	Parts []PromptPart
+	// Copied is the number of its tokens whose KV cache the endpoint will copy.
+	Copied uint32
+	// Undo takes an earlier announcement back, with what was answered to it.
+	Undo *Reserved
+}
+
+// PromptPart is one part of a prompt.
+type PromptPart struct {
+	_      struct{} `cbor:",toarray"`
+	ID     string
+	Tokens uint32
+}
+
+// Reserved tells what an announced prompt will find at its endpoint.
+type Reserved struct {
+	_ struct{} `cbor:",toarray"`
+	// WaitUs is how long it will wait and WorkUs how long it will then need, in
+	// microseconds.
+	WaitUs, WorkUs int64
+	// Cached is the number of its tokens that the endpoint keeps.
+	Cached uint32
 }
 
 // Follow asks for what changed of the objects under a prefix after a version.
--- a/internal/request/slugdispatch/dispatcher.go
+++ b/internal/request/slugdispatch/dispatcher.go
@@ -69,6 +69,11 @@
 	Suspects *slugsuspect.Tracker
 	// Codec translates for endpoints.
 	Codec Codec
+	// Announce announces a prompt to the process that answers for its endpoint, and
+	// returns what it will find there; false means that nobody knows. TakeBack undoes
+	// that. Both may be nil.
+	Announce func(context.Context, slugname.Service, *slugplacement.Choice) (slugplacement.Announced, bool)
+	TakeBack func(slugname.Service, *slugplacement.Choice, slugplacement.Announced)
 	// Open sends a request.
 	Open func(context.Context, slugsend.Request) (*slugsend.Exchange, error)
 	// Started is called when a request began to run.
--- a/internal/request/slugdispatch/stream.go
+++ b/internal/request/slugdispatch/stream.go
@@ -10,6 +10,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugevent"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugname"
 	"github.com/sassafraslug/sassafraslug/internal/connection/slugsend"
 	"github.com/sassafraslug/sassafraslug/internal/decision/slugplacement"
 	"github.com/sassafraslug/sassafraslug/internal/decision/slugplan"
@@ -90,6 +91,7 @@
 			c.End(slugplacement.Abandoned, time.Now())
 			return nil, stop(errors.CombineErrors(last, errBudget))
 		}
+		c = x.announce(ctx, c, exclude)
 		if wait, hopeless := x.hopeless(c); hopeless {
 			c.End(slugplacement.Abandoned, time.Now())
 			return nil, stop(slugrefusal.NotRun(slugrefusal.CodeOverloaded, "prompts wait for %s", wait.Round(time.Millisecond)).After(x.retryAfter()))
@@ -111,6 +113,61 @@
 	return nil, stop(last)
 }
 
+// maxAnnouncements bounds the endpoints for which a prompt is announced.
+const maxAnnouncements = 3
+
+// announce announces a prompt for its endpoint, and for others as long as the ones asked
+// turn out to be busier, or to keep less of the prompt, than another is believed to. It
+// returns the best of them.
+func (x *run) announce(ctx context.Context, c *slugplacement.Choice, exclude []slugname.Endpoint) *slugplacement.Choice {
+	if x.cfg.Announce == nil {
+		return c
+	}
+	var asked []announcement
+	exclude = slices.Clone(exclude)
+	for range maxAnnouncements {
+		a, ok := x.cfg.Announce(ctx, x.service.Name, c)
+		if !ok {
+			break
+		}
+		asked = append(asked, announcement{c, a})
+		exclude = append(exclude, c.Name)
+		next, better := c.Learn(a, exclude, time.Now())
+		if !better {
+			return x.settle(asked, c)
+		}
+		c = next
+	}
+	if len(asked) == 0 {
+		return c
+	}
+	c.End(slugplacement.Abandoned, time.Now())
+	best := asked[0].choice
+	for _, a := range asked {
+		if a.choice.Before(best) {
+			best = a.choice
+		}
+	}
+	return x.settle(asked, best)
+}
+
+// announcement is a choice with what was answered to its announcement.
+type announcement struct {
+	choice *slugplacement.Choice
+	answer slugplacement.Announced
+}
+
+// settle takes all announcements back but that of one choice, which it returns.
+func (x *run) settle(asked []announcement, c *slugplacement.Choice) *slugplacement.Choice {
+	for _, a := range asked {
+		if a.choice != c {
+			a.choice.End(slugplacement.Abandoned, time.Now())
+			x.cfg.TakeBack(x.service.Name, a.choice, a.answer)
+		}
+	}
+	return c
+}
+
 // job returns the request's work.
 func (x *run) job() slugplacement.Job {
 	j := x.call.Prompt
@@ -141,7 +198,7 @@
 		return nil, e.Sent, err
 	}
 	x.cfg.Log.Emit(slugevent.EndpointChosen, slugevent.Fields{
-		"request": x.call.ID, "endpoint": c.Name, "stage": "prefill", "tokens": x.call.Prompt.Tokens, "cached": c.Cached, "fetchFrom": c.FetchFrom,
+		"request": x.call.ID, "endpoint": c.Name, "stage": "prefill", "tokens": x.call.Prompt.Tokens, "cached": c.Cached, "fetchFrom": c.FetchFrom, "told": c.Told,
 		"predictedMs": c.Predicted.Milliseconds(), "tookMs": time.Since(c.Began()).Milliseconds(), "processed": h.Tokens,
 	})
 	return &stage{c, h}, true, nil
