Count runs whose answer was lost in usage

Change: an attempt that its endpoint breaks off counts; one that was given up while the endpoint was silent does not.

--- a/internal/request/slugdispatch/plain.go
+++ b/internal/request/slugdispatch/plain.go
@@ -76,11 +76,20 @@
 		if arrived && !errors.Is(err, errNotRun) {
 			x.ran++
 		}
+		x.lost(ctx, arrived, err)
 		x.failedAt(c, "run", err)
 	}
 	return arrived, err
 }
 
+// lost counts a request whose endpoint broke off: most of these began to run. One that
+// was given up while the endpoint was silent may still have waited there.
+func (x *run) lost(ctx context.Context, sent bool, err error) {
+	if sent && ctx.Err() == nil && !errors.Is(err, errNotRun) {
+		x.count()
+	}
+}
+
 // judge returns what an error says of the endpoint.
 func (x *run) judge(ctx context.Context, err error) slugplacement.Outcome {
 	switch {
--- a/internal/request/slugdispatch/stream.go
+++ b/internal/request/slugdispatch/stream.go
@@ -306,6 +306,7 @@
 		return nil
 	}
 	e.Drop()
+	x.lost(ctx, e.Sent, err)
 	x.failedAt(c, "decode", err)
 	return x.decodeFailed(ctx, c, s, e.Sent, err)
 }
