Quarantine requests that crash endpoints, on evidence that these started again

An attempt that an endpoint broke off is remembered; when its entry shows a new start without a leave, what it broke off is suspect, and three crashes end a request at all hosts.

--- a/internal/daemon/slughost/host.go
+++ b/internal/daemon/slughost/host.go
@@ -74,6 +74,9 @@
 	dialTimeout = 2 * time.Second
 	// storeConnections bounds the idle connections to the store.
 	storeConnections = 8
+	// quarantineCrashes is the number of endpoints that a request may crash. More of them
+	// would be lost to callers who repeat it.
+	quarantineCrashes = 3
 	// reserve is the part of the budget for sending again that is never used.
 	reserve = 0.15
 )
@@ -167,7 +170,7 @@
 func (h *Host) build(_ context.Context, _ *errgroup.Group) error {
 	h.tally = slugtally.New(slugtally.Config{Window: h.settings.UsageWindow, Now: h.clock.Now})
 	h.sender = slugsend.New(slugsend.Config{Dial: h.network.Dial})
-	h.suspects = slugsuspect.New(slugsuspect.Config{}, func(slugsuspect.Suspicion) { go h.tellSuspicions() })
+	h.suspects = slugsuspect.New(slugsuspect.Config{Crashes: quarantineCrashes}, h.suspected)
 	h.dispatcher = slugdispatch.New(slugdispatch.Config{
 		Table: h.follower.Table, Fresh: h.fresh,
 		Age:    func() time.Duration { return slugclock.Since(h.follower.Word()) },
--- a/internal/daemon/slughost/join.go
+++ b/internal/daemon/slughost/join.go
@@ -16,6 +16,7 @@
 	"github.com/sassafraslug/sassafraslug/internal/base/slugstore"
 	"github.com/sassafraslug/sassafraslug/internal/decision/slugplacement"
 	"github.com/sassafraslug/sassafraslug/internal/decision/slugplan"
+	"github.com/sassafraslug/sassafraslug/internal/decision/slugsuspect"
 	"github.com/sassafraslug/sassafraslug/internal/fleet/slugregistry"
 	"github.com/sassafraslug/sassafraslug/internal/membership/slugmember"
 	"github.com/sassafraslug/sassafraslug/internal/membership/slugnewest"
@@ -48,7 +49,7 @@
 		InForce:  h.configChanged, Log: h.log, Wait: h.configWait(),
 		Told: h.shared.Told(h.adapter.ConfigName), From: h.shared.From(h.configWait()),
 	})
-	h.registry = slugregistry.New(slugregistry.Config{Decode: h.adapter.DecodeEntry, Changed: h.endpointsChanged, OthersHear: h.othersHear, Log: h.log})
+	h.registry = slugregistry.New(slugregistry.Config{Decode: h.adapter.DecodeEntry, Changed: h.endpointsChanged, OthersHear: h.othersHear, Restarted: h.endpointRestarted, Log: h.log})
 	h.clock = slugtruetime.New()
 	h.table = slugpeer.New(slugpeer.Config{
 		Clock: h.clock.Count, HeardClock: h.clock.Heard,
@@ -241,6 +242,14 @@
 	return sum
 }
 
+// endpointRestarted notes the crash of an endpoint.
+func (h *Host) endpointRestarted(e slugname.Endpoint) {
+	if h.suspects == nil {
+		return
+	}
+	h.suspects.Restarted(e, time.Now())
+}
+
 // heard takes a peer's row.
 func (h *Host) heard(r slugpeer.Row) {
 	if h.suspects == nil {
@@ -252,6 +261,16 @@
 	}
 }
 
+// suspected logs a request that was broken off by crashes, and tells peers of it.
+func (h *Host) suspected(s slugsuspect.Suspicion) {
+	event := slugevent.RequestSuspected
+	if h.suspects.State(s.Fingerprint, time.Now()) == slugsuspect.Quarantined {
+		event = slugevent.RequestQuarantined
+	}
+	h.log.Emit(event, slugevent.Fields{"workspace": s.Fingerprint.Workspace, "fingerprint": s.Fingerprint.Hash, "crashes": len(s.Crashes), "forMs": s.For.Milliseconds()})
+	go h.tellSuspicions()
+}
+
 // tellSuspicions tells peers at once.
 func (h *Host) tellSuspicions() {
 	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
--- a/internal/decision/slugsuspect/tracker.go
+++ b/internal/decision/slugsuspect/tracker.go
@@ -76,14 +76,20 @@
 	Quarantine time.Duration
 	// Memory is how long a single crash is remembered.
 	Memory time.Duration
+	// Crashes is the number of crashes that quarantine a request though it was never
+	// the only suspect; 0 means a default.
+	Crashes int
 }
 
 const (
 	defaultQuarantine = 10 * time.Minute
 	defaultMemory     = 5 * time.Minute
-	// quarantineCrashes is the number of crashes that quarantine a request though
-	// it was never the only suspect.
-	quarantineCrashes = 5
+	// defaultCrashes is the number of crashes that quarantine a request though it was
+	// never the only suspect.
+	defaultCrashes = 5
+	// brokenMemory is how long an attempt that an endpoint broke off is remembered: an
+	// endpoint that crashed is back, and says so, after some seconds.
+	brokenMemory = 20 * time.Second
 	// sameCrash is the time within which crashes of an endpoint count as one.
 	sameCrash = 2
 	// maxSuspicions bounds the memory of the tracker.
@@ -93,11 +99,13 @@
 type entry struct {
 	crashes []Crash
 	until   time.Time
+	// most is the number of crashes that quarantine.
+	most int
 }
 
 // quarantined reports whether the crashes are the request's own doing.
 func (e *entry) quarantined() bool {
-	return len(e.crashes) >= quarantineCrashes || slices.ContainsFunc(e.crashes, func(c Crash) bool { return c.Alone })
+	return len(e.crashes) >= e.most || slices.ContainsFunc(e.crashes, func(c Crash) bool { return c.Alone })
 }
 
 // run is an equal request at an endpoint.
@@ -117,6 +125,8 @@
 	mu       sync.Mutex
 	inFlight map[slugname.Endpoint]map[Fingerprint]run
 	suspects map[Fingerprint]*entry
+	// broken holds when an endpoint last broke off an attempt of a request.
+	broken map[slugname.Endpoint]map[Fingerprint]time.Time
 	// alone holds the suspects that run now; the channel is closed at their end.
 	alone map[Fingerprint]chan struct{}
 	// changed is called after a new crash with the lock released; it may be nil.
@@ -132,7 +142,13 @@
 	if cfg.Memory == 0 {
 		cfg.Memory = defaultMemory
 	}
-	return &Tracker{cfg: cfg, inFlight: map[slugname.Endpoint]map[Fingerprint]run{}, suspects: map[Fingerprint]*entry{}, alone: map[Fingerprint]chan struct{}{}, changed: changed}
+	if cfg.Crashes == 0 {
+		cfg.Crashes = defaultCrashes
+	}
+	return &Tracker{
+		cfg: cfg, inFlight: map[slugname.Endpoint]map[Fingerprint]run{}, suspects: map[Fingerprint]*entry{},
+		broken: map[slugname.Endpoint]map[Fingerprint]time.Time{}, alone: map[Fingerprint]chan struct{}{}, changed: changed,
+	}
 }
 
 // State returns how a request may run now.
@@ -258,12 +274,48 @@
 	}
 }
 
+// Broke notes that an endpoint broke off an attempt of a request. That alone is no ground
+// for suspicion: a connection may fail, and an endpoint may be at fault.
+func (t *Tracker) Broke(e slugname.Endpoint, f Fingerprint, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.broken[e] == nil {
+		t.broken[e] = map[Fingerprint]time.Time{}
+	}
+	t.broken[e][f] = now
+	for old, at := range t.broken[e] {
+		if now.Sub(at) > brokenMemory {
+			delete(t.broken[e], old)
+		}
+	}
+}
+
+// Restarted notes that an endpoint started again without having left. The requests whose
+// attempts it broke off lately are suspects.
+func (t *Tracker) Restarted(e slugname.Endpoint, now time.Time) {
+	t.mu.Lock()
+	var told []Suspicion
+	for f, at := range t.broken[e] {
+		if now.Sub(at) <= brokenMemory && t.suspect(f, Crash{Endpoint: e, Second: at.Unix()}, now) {
+			told = append(told, t.suspicion(f, now))
+		}
+	}
+	delete(t.broken, e)
+	t.mu.Unlock()
+	if t.changed == nil {
+		return
+	}
+	for _, s := range told {
+		t.changed(s)
+	}
+}
+
 // suspect adds a crash to a request and reports whether it was new.
 func (t *Tracker) suspect(f Fingerprint, c Crash, now time.Time) bool {
 	s := t.suspects[f]
 	if s == nil || !now.Before(s.until) {
 		t.makeRoom(now)
-		s = &entry{}
+		s = &entry{most: t.cfg.Crashes}
 		t.suspects[f] = s
 	}
 	if !s.add(c) {
--- a/internal/fleet/slugregistry/registry.go
+++ b/internal/fleet/slugregistry/registry.go
@@ -51,6 +51,9 @@
 	// Changed is called after endpoints came, went or changed, with the services
 	// concerned; it may be nil.
 	Changed func([]slugname.Service)
+	// Restarted is called with endpoints that started again without having left; it may
+	// be nil.
+	Restarted func(slugname.Endpoint)
 	// OthersHear reports whether the store answers other processes. Entries do not
 	// lapse when only this one is cut off.
 	OthersHear func() bool
@@ -92,6 +95,9 @@
 	if cfg.Changed == nil {
 		cfg.Changed = func([]slugname.Service) {}
 	}
+	if cfg.Restarted == nil {
+		cfg.Restarted = func(slugname.Endpoint) {}
+	}
 	if cfg.OthersHear == nil {
 		cfg.OthersHear = func() bool { return false }
 	}
@@ -159,13 +165,19 @@
 	if r.failing {
 		r.failing, r.returned = false, now
 	}
+	var restarted []slugname.Endpoint
 	for _, o := range objects {
-		r.take(o, now, changed)
+		if r.take(o, now, changed) {
+			restarted = append(restarted, nameOf(o))
+		}
 	}
 	r.sweep(now, changed)
 	r.index(changed)
 	r.mu.Unlock()
 	r.tell(changed)
+	for _, e := range restarted {
+		r.cfg.Restarted(e)
+	}
 }
 
 // Sweep ends the endpoints whose grace is over.
@@ -200,15 +212,16 @@
 	return slugname.Endpoint(o.Name)
 }
 
-// take takes one entry; r.mu is held.
-func (r *Registry) take(o slugstore.Object, now time.Time, changed map[slugname.Service]bool) {
+// take takes one entry and reports whether its endpoint started again without having
+// left; r.mu is held.
+func (r *Registry) take(o slugstore.Object, now time.Time, changed map[slugname.Service]bool) (restarted bool) {
 	name := nameOf(o)
 	old, known := r.endpoints[name]
 	if o.Body == nil {
 		if known {
 			r.absence(name, old, now, changed)
 		}
-		return
+		return false
 	}
 	e, err := r.cfg.Decode(o)
 	if err != nil {
@@ -216,11 +229,11 @@
 		if known {
 			r.remove(name, old, "its entry cannot be read", changed)
 		}
-		return
+		return false
 	}
 	delete(r.absent, name)
 	if known && old == e {
-		return
+		return false
 	}
 	r.endpoints[name] = e
 	changed[e.Service] = true
@@ -231,6 +244,7 @@
 		"endpoint": name, "service": e.Service, "dataCentre": e.DataCentre, "address": e.Address, "role": e.Role,
 		"leaving": e.Leaving, "cheap": e.Cheap, "incarnation": e.Incarnation, "version": o.Version,
 	})
+	return known && !old.Leaving && old.Incarnation != e.Incarnation
 }
 
 // absence ends an endpoint, at once or after its grace; r.mu is held.
--- a/internal/request/slugdispatch/plain.go
+++ b/internal/request/slugdispatch/plain.go
@@ -76,18 +76,22 @@
 		if arrived && !errors.Is(err, errNotRun) {
 			x.ran++
 		}
-		x.lost(ctx, arrived, err)
+		if x.broken(ctx, c, arrived, err) {
+			x.count() // Most of these began to run.
+		}
 		x.failedAt(c, "run", err)
 	}
 	return arrived, err
 }
 
-// lost counts a request whose endpoint broke off: most of these began to run. One that
-// was given up while the endpoint was silent may still have waited there.
-func (x *run) lost(ctx context.Context, sent bool, err error) {
-	if sent && ctx.Err() == nil && !errors.Is(err, errNotRun) {
-		x.count()
+// broken notes an attempt that its endpoint broke off, and reports whether it did. One
+// that was given up while the endpoint was silent may still have waited there.
+func (x *run) broken(ctx context.Context, c *slugplacement.Choice, sent bool, err error) bool {
+	if !sent || ctx.Err() != nil || errors.Is(err, errNotRun) {
+		return false
 	}
+	x.cfg.Suspects.Broke(c.Name, x.print, time.Now())
+	return true
 }
 
 // judge returns what an error says of the endpoint.
--- a/internal/request/slugdispatch/stream.go
+++ b/internal/request/slugdispatch/stream.go
@@ -194,6 +194,7 @@
 	c.End(x.judge(ctx, err), time.Now())
 	if err != nil {
 		e.Drop()
+		x.broken(ctx, c, e.Sent, err)
 		x.failedAt(c, "prefill", err)
 		return nil, e.Sent, err
 	}
@@ -306,7 +307,9 @@
 		return nil
 	}
 	e.Drop()
-	x.lost(ctx, e.Sent, err)
+	if x.broken(ctx, c, e.Sent, err) {
+		x.count() // Most of these began to run.
+	}
 	x.failedAt(c, "decode", err)
 	return x.decodeFailed(ctx, c, s, e.Sent, err)
 }
