--- /dev/null
+++ b/cmd/sassafraslug/explain.go
@@ -0,0 +1,69 @@
+package main
+
+import (
+	"context"
+	"io"
+	"os"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sassafraslug/sassafraslug/internal/operate/slugexplain"
+)
+
+func addExplain(t *tool) {
+	c := t.app.Command("explain", "Tell from the logs of all processes what happened to a request, or what failed how often.")
+	summary := c.Flag("summary", "Count refusals and failures by cause and minute; all arguments are logs.").Bool()
+	svg := c.Flag("svg", "File for a plot of the summary.").PlaceHolder("FILE").String()
+	args := c.Arg("request and logs", "Id of the request, then log files; - is standard input.").Required().Strings()
+	t.command(c, func(context.Context) error {
+		if *summary {
+			return t.summarize(*args, *svg)
+		}
+		return t.explain((*args)[0], (*args)[1:])
+	})
+}
+
+// explain prints the story of a request.
+func (t *tool) explain(request string, logs []string) error {
+	if len(logs) == 0 {
+		return &status{exitUsage, errors.New("explain: no logs are given")}
+	}
+	l, err := readLogs(logs)
+	if err != nil {
+		return err
+	}
+	s := l.Story(request)
+	return t.show(s, s.Write)
+}
+
+// summarize prints what failed how often.
+func (t *tool) summarize(logs []string, svg string) error {
+	l, err := readLogs(logs)
+	if err != nil {
+		return err
+	}
+	s := l.Summary()
+	if svg != "" {
+		if err := os.WriteFile(svg, s.SVG(), 0o644); err != nil {
+			return err
+		}
+	}
+	return t.show(s, s.Write)
+}
+
+// readLogs reads files in full.
+func readLogs(names []string) (*slugexplain.Log, error) {
+	var sources []slugexplain.Source
+	for _, name := range names {
+		var r io.Reader = os.Stdin
+		if name != "-" {
+			f, err := os.Open(name)
+			if err != nil {
+				return nil, &status{exitRefused, err}
+			}
+			defer func() { _ = f.Close() }()
+			r = f
+		}
+		sources = append(sources, slugexplain.Source{Name: name, Reader: r})
+	}
+	return slugexplain.Read(sources...)
+}
--- /dev/null
+++ b/internal/operate/slugexplain/explain_test.go
@@ -0,0 +1,60 @@
+package slugexplain
+
+import (
+	"bytes"
+	"os"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/golden"
+)
+
+func readDay(t *testing.T) *Log {
+	t.Helper()
+	f, err := os.Open("testdata/day.log")
+	assert.NilError(t, err)
+	defer func() { _ = f.Close() }()
+	l, err := Read(Source{"day.log", f})
+	assert.NilError(t, err)
+	return l
+}
+
+func TestStory(t *testing.T) {
+	l := readDay(t)
+	for _, id := range []string{"r-late", "r-cut", "r-refused", "r-unknown"} {
+		var out bytes.Buffer
+		l.Story(id).Write(&out)
+		golden.Assert(t, out.String(), id+".golden")
+	}
+}
+
+func TestSummary(t *testing.T) {
+	s := readDay(t).Summary()
+	var out bytes.Buffer
+	s.Write(&out)
+	golden.Assert(t, out.String(), "summary.golden")
+	golden.Assert(t, string(s.SVG()), "summary.svg.golden")
+}
+
+func TestReadNamesTheLogOfALineThatIsTooLong(t *testing.T) {
+	_, err := Read(Source{"big.log", strings.NewReader(strings.Repeat("x", 2*maxLineBytes))})
+	assert.ErrorContains(t, err, "big.log")
+}
+
+func FuzzRead(f *testing.F) {
+	day, err := os.ReadFile("testdata/day.log")
+	assert.NilError(f, err)
+	f.Add(day)
+	f.Add([]byte(`{"event":1e300,"time":"2026-10-15T20:39:01Z","endpoints":[1,null]}`))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		l, err := Read(Source{"fuzz", bytes.NewReader(b)})
+		if err != nil {
+			return
+		}
+		for _, x := range l.Lines {
+			l.Story(x.Request).Write(&bytes.Buffer{})
+		}
+		l.Summary().SVG()
+	})
+}
