--- a/internal/decision/slugplacement/placer.go
+++ b/internal/decision/slugplacement/placer.go
@@ -309,13 +309,14 @@
 func (p *Placer) bestPrefill(j Job, exclude []slugname.Endpoint, now time.Time) *Choice {
 	var best *Choice
 	usable := p.usable(slugplan.RolePrefill, exclude, now)
-	home := p.home(j.subject(), slugplan.RolePrefill)
+	subject := j.subject()
+	home := p.home(subject, slugplan.RolePrefill)
 	kept := p.kept(j, usable)
 	source := mostKept(usable, kept)
 	median := p.median(slugplan.RolePrefill, now)
 	for i, s := range usable {
 		c := p.prefillAt(s, j, hoped(s, home, j, kept[i]), median, now)
-		c.predict += time.Duration(p.cfg.Random() * float64(prefillSpread))
+		c.predict += p.preference(subject, s)
 		if s == home {
 			c.predict -= homeBonus
 		}
--- a/internal/decision/slugplacement/predict.go
+++ b/internal/decision/slugplacement/predict.go
@@ -1,6 +1,7 @@
 package slugplacement
 
 import (
+	"math"
 	"math/bits"
 	"time"
 
@@ -81,10 +82,21 @@
 	return best
 }
 
-// prefillSpread is the greatest random time that is added to what is expected of an
-// engine for prompts. Engines of which a host knows nothing look alike to all hosts:
-// without it all would take the first of them.
-const prefillSpread = 4 * time.Millisecond
+// preferenceSpread is the greatest time that is added to what is expected of an engine
+// for prompts, to tell engines apart of which a host knows nothing.
+const preferenceSpread = 12 * time.Millisecond
+
+// preference returns the time that is added for an engine. All hosts prefer the engines
+// in the same order for one shared part, so that a part in great demand is kept by a few
+// of them, and in other orders for other parts. Without a shared part it is random:
+// otherwise all hosts would take the first of the list.
+func (p *Placer) preference(subject PartID, s *state) time.Duration {
+	u := p.cfg.Random()
+	if subject != "" {
+		u = 1 - float64(weight(xxhash.Sum64String(string(subject)), s.hash))/math.MaxUint64
+	}
+	return time.Duration(u * float64(preferenceSpread))
+}
 
 // homeBonus is the time by which the home of a shared part is preferred, so that all
 // hosts bring it to one endpoint as long as nobody keeps it.
