--- a/internal/daemon/slughost/announce.go
+++ b/internal/daemon/slughost/announce.go
@@ -14,14 +14,6 @@
 // answer it goes where it would have gone.
 const announceTimeout = 100 * time.Millisecond
 
-// mostAnnouncing is the number of hosts up to which prompts are announced. With more of
-// them each has a small part of the prompts, and the messages cost small hosts more than
-// they gain.
-const mostAnnouncing = 24
-
-// announcing reports whether prompts are announced.
-func (h *Host) announcing() bool { return h.hosts() <= mostAnnouncing }
-
 // owner returns the process that answers for an endpoint: all prompts for it are
 // announced there.
 func (h *Host) owner(e slugname.Endpoint) (slugmember.Record, bool) {
@@ -36,7 +28,7 @@
 // find there.
 func (h *Host) announce(ctx context.Context, s slugname.Service, c *slugplacement.Choice) (slugplacement.Announced, bool) {
 	owner, known := h.owner(c.Name)
-	if !known || !h.announcing() {
+	if !known {
 		return slugplacement.Announced{}, false
 	}
 	job, copied := c.Job()
--- a/internal/daemon/slughost/caches.go
+++ b/internal/daemon/slughost/caches.go
@@ -22,7 +22,7 @@
 
 // followCaches follows what engines tell of the prompt parts that they keep: of all of
 // them as long as all hosts together stay within the number of readers that an engine
-// allows, else of those that this process answers for, if prompts are announced.
+// allows, else of those that this process answers for.
 func (h *Host) followCaches(ctx context.Context, g *errgroup.Group) error {
 	client := &http.Client{Transport: &http.Transport{DialContext: h.network.DialWithin(dialTimeout), MaxIdleConnsPerHost: eventConnections}}
 	feed := slugcachefeed.New(slugcachefeed.Config{
@@ -55,9 +55,6 @@
 			continue
 		}
 		all := s.Engine.MostEventReaders >= hosts
-		if !all && !h.announcing() {
-			continue
-		}
 		for _, e := range h.usable(s.Name, time.Now()) {
 			if e.Role == slugplan.RolePrefill && (all || h.owns(e.Name)) {
 				out = append(out, slugcachefeed.Engine{Name: e.Name, Address: e.Address, Service: s.Name})
