--- a/internal/authority/slugcapacityduty/duty.go
+++ b/internal/authority/slugcapacityduty/duty.go
@@ -222,7 +222,8 @@
 			}
 		}
 		y.Missing = y.Cheap < st.Cheap && now.Sub(d.cheapAt[p]) > s.Scaling.Boot+comingSlack
-		y.Extra = st.Regular >= 0 && y.Regular > st.Regular && now.Sub(later(d.began, d.regularAt[p])) > leavingTime
+		left := min(now.Sub(d.began), now.Sub(d.regularAt[p]))
+		y.Extra = st.Regular >= 0 && y.Regular > st.Regular && left > leavingTime
 		x.DataCentres = append(x.DataCentres, y)
 	}
 	return x
@@ -303,13 +304,6 @@
 	return before, d.write(ctx, next, right.Fence)
 }
 
-func later(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
-
 // orderRoles tells engines the roles that the plan gives them.
 func (d *Duty) orderRoles(ctx context.Context, right *sluglease.Right, s *slugrouting.Service, engines []slugregistry.Endpoint) {
 	list := d.engines(s, engines)
--- a/internal/base/slugevent/event.go
+++ b/internal/base/slugevent/event.go
@@ -90,7 +90,6 @@
 	RequestFailed
 	EndpointChosen
 	AttemptFailed
-	EndpointAvoided
 )
 
 var descriptions = map[Event]Description{
@@ -154,7 +153,6 @@
 	RequestFailed:           {logrus.WarnLevel, "request failed", "look at the lines of the same request"},
 	EndpointChosen:          {logrus.InfoLevel, "endpoint chosen", "none"},
 	AttemptFailed:           {logrus.WarnLevel, "attempt at an endpoint failed", "look at the endpoint if it goes on"},
-	EndpointAvoided:         {logrus.WarnLevel, "endpoint is avoided for a while", "look at the endpoint"},
 	BurnAlert:               {logrus.WarnLevel, "service level is burning", "run sassafraslug burn"},
 }
 
--- a/internal/base/slugevent/event_test.go
+++ b/internal/base/slugevent/event_test.go
@@ -34,7 +34,7 @@
 }
 
 func TestEveryEventIsDescribed(t *testing.T) {
-	for _, r := range [][2]Event{{StepDone, LinesDropped}, {ConfigurationInForce, ConfigurationFresh}, {DutyTaken, CallFailed}, {RequestRefused, EndpointAvoided}} {
+	for _, r := range [][2]Event{{StepDone, LinesDropped}, {ConfigurationInForce, WatcherLeft}, {DutyTaken, CallFailed}, {RequestRefused, AttemptFailed}} {
 		for e := r[0]; e <= r[1]; e++ {
 			_, ok := All()[e]
 			assert.Assert(t, ok, "event %d", e)
--- a/internal/connection/slugsend/sender.go
+++ b/internal/connection/slugsend/sender.go
@@ -104,9 +104,7 @@
 	Answer *http.Response
 	// Sent is false only when no byte of the request was handed to a connection.
 	Sent bool
-	// Reused tells that the connection had carried other requests.
-	Reused bool
-	conn   net.Conn
+	conn net.Conn
 }
 
 // Drop closes the connection, so that nothing that still comes on it is taken for
@@ -129,7 +127,7 @@
 		GotConn: func(i httptrace.GotConnInfo) {
 			mu.Lock()
 			defer mu.Unlock()
-			e.Sent, e.Reused, e.conn = true, i.Reused, i.Conn
+			e.Sent, e.conn = true, i.Conn
 		},
 	})
 	r, err := s.request(ctx, x)
--- a/internal/operate/slugexplain/explain_test.go
+++ b/internal/operate/slugexplain/explain_test.go
@@ -47,7 +47,7 @@
 	assert.NilError(f, err)
 	f.Add(day)
 	f.Add([]byte(`{"event":1e300,"time":"2026-10-15T20:39:01Z","endpoints":[1,null]}`))
-	f.Fuzz(func(t *testing.T, b []byte) {
+	f.Fuzz(func(_ *testing.T, b []byte) {
 		l, err := Read(Source{"fuzz", bytes.NewReader(b)})
 		if err != nil {
 			return
