Spread followers over the watchers of a data centre; ask the store next

Found by reading: all hosts of a large data centre asked its first watcher only. And a follower whose watcher is slow tried those of other data centres before the store. Test: TestWatchersShareTheOthers.

--- a/internal/daemon/slughost/share.go
+++ b/internal/daemon/slughost/share.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugclock"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugevent"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugname"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugstore"
 	"github.com/sassafraslug/sassafraslug/internal/membership/slugmember"
 	"github.com/sassafraslug/sassafraslug/internal/membership/slugmirror"
@@ -86,22 +88,25 @@
 
 // From returns what chooses the source of a watch whose calls to the store wait for a
 // time: the store for a process that watches, else a process that does. After failures
-// the others come in turn, and the store itself.
+// comes the store itself, and then the watchers of other data centres.
 func (w *sharedWatch) From(wait time.Duration) func(failures int) *slugstore.Source {
 	return func(failures int) *slugstore.Source {
-		watchers := w.watchers()
-		turn := failures % (len(watchers) + 1)
-		if turn == len(watchers) {
+		near, far := w.watchers()
+		if slices.Contains(near, w.host.member.Self().Process) {
 			return nil
 		}
-		return w.source(watchers[turn], wait+ageSlack)
+		const store slugname.Process = ""
+		turns := slices.Concat(near, []slugname.Process{store}, far)
+		r, known := w.host.member.Record(turns[failures%len(turns)])
+		if !known {
+			return nil
+		}
+		return w.source(r, wait+ageSlack)
 	}
 }
 
-// watchers returns the processes to ask, in order. There are none when this process is
-// one of its data centre's, or when it knows of no others yet.
-func (w *sharedWatch) watchers() []slugmember.Record {
-	self := w.host.member.Self()
+// watchers returns the processes that watch, near this one and far.
+func (w *sharedWatch) watchers() (near, far []slugname.Process) {
 	var candidates []slugwatcher.Candidate
 	for _, s := range w.host.table.Statuses() {
 		r, known := w.host.member.Record(s.Process)
@@ -109,16 +114,8 @@
 			candidates = append(candidates, slugwatcher.Candidate{Process: s.Process, DataCentre: r.DataCentre, Failing: s.StoreLost})
 		}
 	}
-	var out []slugmember.Record
-	for _, p := range slugwatcher.Choose(self.DataCentre, candidates) {
-		if p == self.Process {
-			return nil
-		}
-		if r, known := w.host.member.Record(p); known {
-			out = append(out, r)
-		}
-	}
-	return out
+	self := w.host.member.Self()
+	return slugwatcher.Choose(self.Process, self.DataCentre, candidates)
 }
 
 // source returns a process as a source, as long as its knowledge is younger than a
--- a/internal/membership/slugwatcher/choice.go
+++ b/internal/membership/slugwatcher/choice.go
@@ -6,7 +6,7 @@
 //
 // # Usage
 //
-//	watchers := slugwatcher.Choose(self, candidates)
+//	near, far := slugwatcher.Choose(self, "dc-a", candidates)
 package slugwatcher
 
 import (
@@ -37,10 +37,11 @@
 	Failing bool
 }
 
-// Choose returns the processes that watch, the order in which one of a data centre asks
-// them: those of its own data centre first. Processes that the store does not answer
-// are chosen only when it answers none.
-func Choose(dc slugname.DataCentre, all []Candidate) []slugname.Process {
+// Choose returns the processes that watch, in the order in which a process asks them:
+// those near it, of its own data centre, and those far from it. The near ones come in
+// another order for each process, so that they share the others among themselves.
+// Processes that the store does not answer are chosen only when it answers none.
+func Choose(self slugname.Process, dc slugname.DataCentre, all []Candidate) (near, far []slugname.Process) {
 	usable := slices.DeleteFunc(slices.Clone(all), func(c Candidate) bool { return c.Failing })
 	if len(usable) == 0 {
 		usable = all
@@ -50,14 +51,16 @@
 		byPlace[c.DataCentre] = append(byPlace[c.DataCentre], c.Process)
 	}
 	least := (leastWatchers + len(byPlace) - 1) / max(1, len(byPlace))
-	out := closest(byPlace[dc], least)
-	delete(byPlace, dc)
-	var others []slugname.Process
-	for _, list := range byPlace {
-		others = append(others, closest(list, least)...)
+	for place, list := range byPlace {
+		watchers := closest(list, least)
+		if place == dc {
+			near = slugmember.Closest(string(self), watchers, len(watchers))
+		} else {
+			far = append(far, watchers...)
+		}
 	}
-	slices.SortFunc(others, cmp.Compare[slugname.Process])
-	return append(out, others...)
+	slices.SortFunc(far, cmp.Compare[slugname.Process])
+	return near, far
 }
 
 // closest returns the watchers of one data centre, a number of them at least.
--- a/internal/membership/slugwatcher/choice_test.go
+++ b/internal/membership/slugwatcher/choice_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 
 	"github.com/sassafraslug/sassafraslug/internal/base/slugname"
@@ -42,7 +43,8 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			got := Choose("b", tt.list)
+			near, far := Choose("b-0", "b", tt.list)
+			got := append(near, far...)
 			assert.Equal(t, len(got), tt.total)
 			if tt.total > 0 {
 				assert.Assert(t, got[0][:1] == slugname.Process(tt.first), "%v", got)
@@ -56,6 +58,23 @@
 func TestWatchersGrowSlowerThanHosts(t *testing.T) {
 	places := []slugname.DataCentre{"a", "b", "c", "d"}
 	for _, tt := range []struct{ hosts, most int }{{8, 4}, {73, 8}, {300, 16}, {660, 32}} {
-		assert.Assert(t, len(Choose("a", candidates(tt.hosts/4, places...))) <= tt.most, "%d hosts", tt.hosts)
+		near, far := Choose("a-0", "a", candidates(tt.hosts/4, places...))
+		assert.Assert(t, len(near)+len(far) <= tt.most, "%d hosts", tt.hosts)
+	}
+}
+
+// TestWatchersShareTheOthers holds each watcher of a large data centre to its part of
+// the hosts that follow.
+func TestWatchersShareTheOthers(t *testing.T) {
+	all := candidates(165, "a")
+	followers := map[slugname.Process]int{}
+	for _, c := range all {
+		near, _ := Choose(c.Process, "a", all)
+		if !slices.Contains(near, c.Process) {
+			followers[near[0]]++
+		}
+	}
+	for w, n := range followers {
+		assert.Assert(t, n <= 2*perWatcher, "%s has %d", w, n)
 	}
 }
