--- /dev/null
+++ b/internal/base/slugstore/watch_test.go
@@ -0,0 +1,47 @@
+package slugstore_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugclock"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugstore"
+	"gotest.tools/v3/assert"
+)
+
+// TestWatchTakesNothingOlder follows a source that falls behind what was told before:
+// its list must not make objects disappear.
+func TestWatchTakesNothingOlder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		value := slugstore.Value{Name: "p/a", Version: 9, Bytes: []byte("1")}
+		store := slugstore.New(slugstore.Config{Backend: &slugstore.Backend{
+			List: func(context.Context, string) (slugstore.Listing, error) {
+				return slugstore.Listing{Values: []slugstore.Value{value}, Revision: 9}, nil
+			},
+		}})
+		old := &slugstore.Source{Follow: func(context.Context, string, slugstore.Version, time.Duration) (slugstore.News, error) {
+			time.Sleep(100 * time.Millisecond)
+			return slugstore.News{Listing: slugstore.Listing{Revision: 7}, Whole: true, Current: slugclock.Now()}, nil
+		}}
+		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+		defer cancel()
+		known, stale := map[string]bool{}, 0
+		_ = store.Watch(ctx, slugstore.Watcher{
+			Prefix: "p/", Foreign: true, From: func(int) *slugstore.Source { return old },
+			Changed: func(objects []slugstore.Object) {
+				for _, o := range objects {
+					known[o.Name] = o.Body != nil
+				}
+			},
+			Lost: func(err error) {
+				assert.Assert(t, errors.Is(err, slugstore.ErrStale), "%v", err)
+				stale++
+			},
+		})
+		assert.Assert(t, known["p/a"], "an older list made the object disappear")
+		assert.Assert(t, stale > 0)
+	})
+}
--- a/internal/fleet/slugregistry/registry_test.go
+++ b/internal/fleet/slugregistry/registry_test.go
@@ -18,6 +18,7 @@
 	var s struct {
 		Service slugname.Service
 		Leaving bool
+		Born    Incarnation
 	}
 	if err := json.Unmarshal(o.Body, &s); err != nil {
 		return e, err
@@ -25,7 +26,7 @@
 	if s.Service == "" {
 		return e, errors.New("no service")
 	}
-	e.Service, e.Leaving = s.Service, s.Leaving
+	e.Service, e.Leaving, e.Incarnation = s.Service, s.Leaving, s.Born
 	return e, nil
 }
 
@@ -116,3 +117,39 @@
 		assert.Equal(t, names(r, "x"), "")
 	})
 }
+
+// TestSettled holds what orders wait for: after an outage entries that lapsed may still
+// come back.
+func TestSettled(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := registry()
+		assert.Assert(t, !r.Settled(), "nothing was read yet")
+		r.Take(nil)
+		assert.Assert(t, r.Settled())
+		r.Lost(nil)
+		assert.Assert(t, !r.Settled(), "the store is away")
+		time.Sleep(time.Second)
+		r.Take(nil)
+		assert.Assert(t, !r.Settled(), "entries may come back")
+		time.Sleep(absenceGrace)
+		assert.Assert(t, r.Settled())
+	})
+}
+
+func TestRestarted(t *testing.T) {
+	for _, c := range []struct {
+		name, before, after string
+		want                int
+	}{
+		{"a new start", `{"service":"x","born":1}`, `{"service":"x","born":2}`, 1},
+		{"a new start after a leave", `{"service":"x","born":1,"leaving":true}`, `{"service":"x","born":2}`, 0},
+		{"a change of the same start", `{"service":"x","born":1}`, `{"service":"y","born":1}`, 0},
+	} {
+		restarted := 0
+		r := New(Config{Decode: decode, Restarted: func(slugname.Endpoint) { restarted++ }, Log: slugevent.Discard()})
+		r.Take([]slugstore.Object{entry("a", c.before)})
+		assert.Equal(t, restarted, 0, c.name)
+		r.Take([]slugstore.Object{entry("a", c.after)})
+		assert.Equal(t, restarted, c.want, c.name)
+	}
+}
