--- a/internal/authority/slugcapacityduty/duty.go
+++ b/internal/authority/slugcapacityduty/duty.go
@@ -284,8 +284,10 @@
 		_, err = d.note(ctx, right, p, o, true)
 		return err
 	}
-	// The order was refused, so what was ordered before still stands.
+	// The order was refused, so what was ordered before still stands, and nothing is on
+	// its way.
 	d.dry[p] = time.Now()
+	delete(d.cheapAt, p)
 	o.Count = before
 	_, err = d.note(ctx, right, p, o, false)
 	return err
