--- a/internal/decision/slugplacement/announce.go
+++ b/internal/decision/slugplacement/announce.go
@@ -64,6 +64,7 @@
 	c.s.idleAt, c.s.toldAt = now.Add(a.Wait+a.Work), now
 	c.s.cache.know(c.job.Parts, a.Cached)
 	c.wait, c.work, c.Predicted, c.Cached, c.Told = a.Wait, a.Work, a.Wait+a.Work, max(a.Cached, c.Cached), true
+	c.Announced = a
 	c.predict = c.Predicted + c.s.penalty(now)
 	c.s.note(c, 1)
 	best := p.bestPrefill(c.job, append(exclude, c.Name), now)
--- a/internal/decision/slugplacement/placer.go
+++ b/internal/decision/slugplacement/placer.go
@@ -239,6 +239,8 @@
 	// Told tells that the prediction comes from the process that answers for the
 	// endpoint, and not from this one's own view.
 	Told bool
+	// Announced is what that process answered.
+	Announced Announced
 	// FetchFrom is the address of an endpoint from which it may copy more of the
 	// prompt's KV cache, empty when there is none.
 	FetchFrom string
--- a/internal/request/slugdispatch/stream.go
+++ b/internal/request/slugdispatch/stream.go
@@ -93,7 +93,7 @@
 		}
 		c = x.announce(ctx, c, exclude)
 		if wait, hopeless := x.hopeless(c); hopeless {
-			c.End(slugplacement.Abandoned, time.Now())
+			x.withdraw(c)
 			return nil, stop(slugrefusal.NotRun(slugrefusal.CodeOverloaded, "prompts wait for %s", wait.Round(time.Millisecond)).After(x.retryAfter()))
 		}
 		s, sent, err := x.prefillAt(ctx, c)
@@ -123,14 +123,14 @@
 	if x.cfg.Announce == nil {
 		return c
 	}
-	var asked []announcement
+	var asked []*slugplacement.Choice
 	exclude = slices.Clone(exclude)
 	for range maxAnnouncements {
 		a, ok := x.cfg.Announce(ctx, x.service.Name, c)
 		if !ok {
 			break
 		}
-		asked = append(asked, announcement{c, a})
+		asked = append(asked, c)
 		exclude = append(exclude, c.Name)
 		next, better := c.Learn(a, exclude, time.Now())
 		if !better {
@@ -142,27 +142,28 @@
 		return c
 	}
 	c.End(slugplacement.Abandoned, time.Now())
-	best := asked[0].choice
+	best := asked[0]
 	for _, a := range asked {
-		if a.choice.Before(best) {
-			best = a.choice
+		if a.Before(best) {
+			best = a
 		}
 	}
 	return x.settle(asked, best)
 }
 
-// announcement is a choice with what was answered to its announcement.
-type announcement struct {
-	choice *slugplacement.Choice
-	answer slugplacement.Announced
+// withdraw ends a choice to which nothing was sent.
+func (x *run) withdraw(c *slugplacement.Choice) {
+	c.End(slugplacement.Abandoned, time.Now())
+	if c.Told {
+		x.cfg.TakeBack(x.service.Name, c, c.Announced)
+	}
 }
 
 // settle takes all announcements back but that of one choice, which it returns.
-func (x *run) settle(asked []announcement, c *slugplacement.Choice) *slugplacement.Choice {
+func (x *run) settle(asked []*slugplacement.Choice, c *slugplacement.Choice) *slugplacement.Choice {
 	for _, a := range asked {
-		if a.choice != c {
-			a.choice.End(slugplacement.Abandoned, time.Now())
-			x.cfg.TakeBack(x.service.Name, a.choice, a.answer)
+		if a != c {
+			x.withdraw(a)
 		}
 	}
 	return c
