Share the log buffer of the rigs, the telling of suspicions and the sum of a window

Read once more: two equal buffers in the two rigs (now standin/slugbuffer), the end of Crashed and Restarted, two sums over workspaces, a loop that was strings.Cut, and a function field of the dispatcher that nobody called. Endpoints that have not changed are no longer indexed anew ten times a second.

--- a/internal/authority/slugcollection/collection.go
+++ b/internal/authority/slugcollection/collection.go
@@ -48,7 +48,7 @@
 		if c.windows[w.Window] == nil {
 			c.windows[w.Window] = map[slugname.Process]slugpeer.WindowCount{}
 		}
-		if total(w) >= total(c.windows[w.Window][p]) {
+		if w.Total() >= c.windows[w.Window][p].Total() {
 			c.windows[w.Window][p] = w
 		}
 	}
@@ -72,10 +72,3 @@
 	slices.SortFunc(out, func(a, b slugpeer.WindowCount) int { return int(a.Window - b.Window) })
 	return out
 }
-
-func total(w slugpeer.WindowCount) (sum uint64) {
-	for _, n := range w.Counts {
-		sum += uint64(n)
-	}
-	return sum
-}
--- a/internal/authority/slugusageduty/duty.go
+++ b/internal/authority/slugusageduty/duty.go
@@ -70,6 +70,9 @@
 	Sent   bool                          `json:"sent"`
 }
 
+// total returns the requests of all workspaces.
+func (r report) total() uint32 { return slugpeer.WindowCount{Counts: r.Counts}.Total() }
+
 // record is the content of the object.
 type record struct {
 	Fence   sluglease.Fence `json:"fence"`
@@ -158,7 +161,7 @@
 	for _, k := range due {
 		r := report{Window: k, Counts: sum(counts, k)}
 		next.Reports = append(next.Reports, r)
-		d.cfg.Log.Emit(slugevent.UsageFrozen, slugevent.Fields{"window": k, "requests": total(r.Counts), "fence": right.Fence})
+		d.cfg.Log.Emit(slugevent.UsageFrozen, slugevent.Fields{"window": k, "requests": r.total(), "fence": right.Fence})
 	}
 	return d.write(ctx, next, right.Fence)
 }
@@ -177,14 +180,6 @@
 	return out
 }
 
-func total(counts map[slugname.Workspace]uint32) uint32 {
-	var n uint32
-	for _, x := range counts {
-		n += x
-	}
-	return n
-}
-
 // send sends a frozen report, and notes that it was taken. A report that the platform
 // refuses for good is not sent again.
 func (d *Duty) send(ctx context.Context, right *sluglease.Right, i int) error {
@@ -192,7 +187,7 @@
 	err := right.Do(ctx, callTimeout, func(ctx context.Context) error {
 		return d.cfg.Commands.ReportUsage(ctx, d.cfg.Do(right), d.cfg.Address, r.Window, r.Counts, slugcommand.Holder{Host: d.cfg.Host, Fence: right.Fence})
 	})
-	f := slugevent.Fields{"window": r.Window, "requests": total(r.Counts), "fence": right.Fence}
+	f := slugevent.Fields{"window": r.Window, "requests": r.total(), "fence": right.Fence}
 	if err != nil && !errors.Is(err, slugcommand.ErrRefused) {
 		d.cfg.Log.Error(slugevent.CallFailed, err, f)
 		return nil
--- a/internal/decision/slugplacement/placer.go
+++ b/internal/decision/slugplacement/placer.go
@@ -155,6 +155,9 @@
 func (p *Placer) SetEndpoints(list []Endpoint) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if slices.EqualFunc(list, p.list, func(e Endpoint, s *state) bool { return e == s.Endpoint }) {
+		return
+	}
 	next := make(map[slugname.Endpoint]*state, len(list))
 	p.list = p.list[:0]
 	for _, e := range list {
--- a/internal/decision/slugsuspect/tracker.go
+++ b/internal/decision/slugsuspect/tracker.go
@@ -266,12 +266,7 @@
 		}
 	}
 	t.mu.Unlock()
-	if t.changed == nil {
-		return
-	}
-	for _, s := range told {
-		t.changed(s)
-	}
+	t.tell(told)
 }
 
 // Broke notes that an endpoint broke off an attempt of a request. That alone is no ground
@@ -302,10 +297,15 @@
 	}
 	delete(t.broken, e)
 	t.mu.Unlock()
+	t.tell(told)
+}
+
+// tell reports new suspicions, with t.mu released.
+func (t *Tracker) tell(list []Suspicion) {
 	if t.changed == nil {
 		return
 	}
-	for _, s := range told {
+	for _, s := range list {
 		t.changed(s)
 	}
 }
--- a/internal/fleet/slugregistry/registry.go
+++ b/internal/fleet/slugregistry/registry.go
@@ -14,6 +14,7 @@
 import (
 	"cmp"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -204,12 +205,11 @@
 
 // nameOf returns the endpoint of an entry.
 func nameOf(o slugstore.Object) slugname.Endpoint {
-	for i := range len(o.Name) {
-		if o.Name[i] == '/' {
-			return slugname.Endpoint(o.Name[i+1:])
-		}
+	_, name, ok := strings.Cut(o.Name, "/")
+	if !ok {
+		name = o.Name
 	}
-	return slugname.Endpoint(o.Name)
+	return slugname.Endpoint(name)
 }
 
 // take takes one entry and reports whether its endpoint started again without having
--- a/internal/membership/slugpeer/row.go
+++ b/internal/membership/slugpeer/row.go
@@ -90,6 +90,14 @@
 	Counts map[slugname.Workspace]uint32
 }
 
+// Total returns the requests of all workspaces.
+func (c WindowCount) Total() (n uint32) {
+	for _, x := range c.Counts {
+		n += x
+	}
+	return n
+}
+
 // Entry is one row's state in a digest.
 type Entry struct {
 	_         struct{} `cbor:",toarray"`
--- a/internal/operate/slugsystem/promise_request_test.go
+++ b/internal/operate/slugsystem/promise_request_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/sassafraslug/sassafraslug/internal/operate/slugcaller"
+	"github.com/sassafraslug/sassafraslug/internal/standin/slugbuffer"
 	"github.com/sassafraslug/sassafraslug/internal/standin/slugengine"
 	"github.com/sassafraslug/sassafraslug/internal/standin/slugplatform"
 	"github.com/sassafraslug/sassafraslug/internal/version/slugmanifest"
@@ -302,7 +303,7 @@
 	} {
 		t.Run(named("%s", tt.name), func(t *testing.T) {
 			inRig(t, options{}, func(t *testing.T, r *rig) {
-				var failures syncBuffer
+				var failures slugbuffer.Buffer
 				stop := r.strictLoad(12, 60, &failures)
 				time.Sleep(3 * time.Second)
 				tt.change(t, r)
@@ -317,7 +318,7 @@
 
 // strictLoad sends requests without repetitions, through look-ups, and writes down
 // every request that was not answered whole.
-func (r *rig) strictLoad(callers, tokens int, failures *syncBuffer) (stop func()) {
+func (r *rig) strictLoad(callers, tokens int, failures *slugbuffer.Buffer) (stop func()) {
 	done := make(chan struct{})
 	var wg sync.WaitGroup
 	for n := range callers {
@@ -349,7 +350,7 @@
 
 func TestPromiseGracefulShutdown(t *testing.T) {
 	inRig(t, options{hosts: 9}, func(t *testing.T, r *rig) {
-		var failures syncBuffer
+		var failures slugbuffer.Buffer
 		stop := r.strictLoad(18, 60, &failures)
 		time.Sleep(3 * time.Second)
 		for _, h := range r.Hosts() {
@@ -392,7 +393,7 @@
 
 func TestPromisePoison(t *testing.T) {
 	inRig(t, options{hosts: 3, engine: slugengine.Config{PoisonMarker: "poison"}}, func(t *testing.T, r *rig) {
-		var failures syncBuffer
+		var failures slugbuffer.Buffer
 		stop := r.strictLoad(12, 60, &failures)
 		time.Sleep(2 * time.Second)
 		bad := prompt(4, "poison")
@@ -454,7 +455,7 @@
 		}
 	}
 	inRig(t, options{manifest: one}, func(t *testing.T, r *rig) {
-		var failures syncBuffer
+		var failures slugbuffer.Buffer
 		stop := r.strictLoad(9, 40, &failures)
 		time.Sleep(3 * time.Second)
 		_, err := r.change(r.Hosts()[0], setVersion("assistant", "v2"))
--- a/internal/operate/slugsystem/rig_test.go
+++ b/internal/operate/slugsystem/rig_test.go
@@ -23,6 +23,7 @@
 	"github.com/sassafraslug/sassafraslug/internal/operate/slugcaller"
 	"github.com/sassafraslug/sassafraslug/internal/operate/slugdemo"
 	"github.com/sassafraslug/sassafraslug/internal/operate/slugsystem"
+	"github.com/sassafraslug/sassafraslug/internal/standin/slugbuffer"
 	"github.com/sassafraslug/sassafraslug/internal/standin/slugengine"
 	"github.com/sassafraslug/sassafraslug/internal/standin/slugknown"
 	"github.com/sassafraslug/sassafraslug/internal/standin/slugmesh"
@@ -38,7 +39,7 @@
 	ctx        context.Context
 	mesh       *slugmesh.Mesh
 	deployment slugdemo.Deployment
-	logs       *syncBuffer
+	logs       *slugbuffer.Buffer
 
 	mu   sync.Mutex
 	step func(h slugname.Host, d sluglease.Duty, step string)
@@ -46,24 +47,6 @@
 	relayed int64
 }
 
-// syncBuffer is a buffer that many goroutines write.
-type syncBuffer struct {
-	mu sync.Mutex
-	b  bytes.Buffer
-}
-
-func (b *syncBuffer) Write(p []byte) (int, error) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.b.Write(p)
-}
-
-func (b *syncBuffer) String() string {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.b.String()
-}
-
 // options change a rig before it starts.
 type options struct {
 	hosts     int
@@ -81,7 +64,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithTimeout(context.Background(), 24*time.Hour)
 		defer cancel()
-		r := &rig{t: t, ctx: ctx, mesh: slugmesh.New(), deployment: slugdemo.NewDeployment(), logs: &syncBuffer{}}
+		r := &rig{t: t, ctx: ctx, mesh: slugmesh.New(), deployment: slugdemo.NewDeployment(), logs: &slugbuffer.Buffer{}}
 		if o.hosts == 0 {
 			o.hosts = 3
 		}
--- a/internal/request/slugdispatch/dispatcher.go
+++ b/internal/request/slugdispatch/dispatcher.go
@@ -80,9 +80,7 @@
 	Started func(slugname.Workspace)
 	// Ended is called at the end of each request that has a route.
 	Ended func(Outcome)
-	// Suspected is called when an endpoint failed while it ran a request.
-	Suspected func(slugname.Endpoint)
-	Log       *slugevent.Log
+	Log   *slugevent.Log
 }
 
 // Dispatcher serves requests.
@@ -97,9 +95,6 @@
 	if cfg.Ended == nil {
 		cfg.Ended = func(Outcome) {}
 	}
-	if cfg.Suspected == nil {
-		cfg.Suspected = func(slugname.Endpoint) {}
-	}
 	return &Dispatcher{cfg: cfg}
 }
 
