Give the duties one channel and one loop, and shared watches one setting

Both duties repeated host, commands, address and guard, and the loop of reviews (slugcommand.Channel, slugrecord.Every). A shared watch was two function fields in three places (slugstore.Sharing); the pause after changes is a constant again, so it is no function any more.

--- a/internal/authority/slugcapacityduty/duty.go
+++ b/internal/authority/slugcapacityduty/duty.go
@@ -23,7 +23,6 @@
 	"github.com/sassafraslug/sassafraslug/internal/authority/slugcommand"
 	"github.com/sassafraslug/sassafraslug/internal/authority/sluglease"
 	"github.com/sassafraslug/sassafraslug/internal/authority/slugrecord"
-	"github.com/sassafraslug/sassafraslug/internal/base/slugbackoff"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugevent"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugname"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugstore"
@@ -59,19 +58,14 @@
 
 // Config makes a Duty.
 type Config struct {
-	Host     slugname.Host
+	slugcommand.Channel
 	Store    *slugstore.Store
 	Table    func() *slugrouting.Table
 	Registry *slugregistry.Registry
 	Demand   func(slugname.Service) Demand
 	// Planned is called before an engine is told to take a role.
-	Planned  func(slugname.Endpoint, slugplan.Role)
-	Commands slugcommand.Commands
-	// Address is that of the interface for ordering endpoints.
-	Address string
-	// Do sends a command as long as the right lasts.
-	Do  func(*sluglease.Right) slugcommand.Do
-	Log *slugevent.Log
+	Planned func(slugname.Endpoint, slugplan.Role)
+	Log     *slugevent.Log
 }
 
 // place is a service in a data centre.
@@ -145,13 +139,7 @@
 	if d.record, err = slugrecord.Load[record](ctx, d.cfg.Store, Name); err != nil {
 		return err
 	}
-	for ctx.Err() == nil {
-		if err := d.review(ctx, right); err != nil {
-			return err
-		}
-		_ = slugbackoff.Sleep(ctx, reviewEvery)
-	}
-	return nil
+	return slugrecord.Every(ctx, reviewEvery, func() error { return d.review(ctx, right) })
 }
 
 // write stores a plan. It fails when another holder has written.
@@ -272,7 +260,7 @@
 	}
 	err = right.Do(ctx, callTimeout, func(ctx context.Context) error {
 		e := slugcommand.EndpointOrder{Service: s.Name, DataCentre: o.DataCentre, Count: o.Count, Cheap: o.Cheap}
-		return d.cfg.Commands.OrderEndpoints(ctx, d.cfg.Do(right), d.cfg.Address, e, slugcommand.Holder{Host: d.cfg.Host, Fence: right.Fence})
+		return d.cfg.Commands.OrderEndpoints(ctx, d.cfg.Do(right), d.cfg.Address, e, d.cfg.By(right))
 	})
 	f := slugevent.Fields{"service": s.Name, "dataCentre": o.DataCentre, "count": o.Count, "cheap": o.Cheap, "reason": o.Reason, "fence": right.Fence, "prefillBusy": fmt.Sprintf("%.2f", state.PrefillBusy), "streams": fmt.Sprintf("%.1f", state.Streams)}
 	if err == nil {
@@ -365,7 +353,7 @@
 		}
 		f["orders"] = report.Orders
 		o := slugcommand.RoleOrder{Endpoint: e.Name, Address: e.Address, Role: r, Expected: report.Orders}
-		return d.cfg.Commands.SetRole(ctx, do, o, slugcommand.Holder{Host: d.cfg.Host, Fence: right.Fence})
+		return d.cfg.Commands.SetRole(ctx, do, o, d.cfg.By(right))
 	})
 	if err != nil {
 		delete(d.wanted, e.Name)
--- a/internal/authority/slugcommand/commands.go
+++ b/internal/authority/slugcommand/commands.go
@@ -35,6 +35,20 @@
 	Fence sluglease.Fence
 }
 
+// Channel is what the holder of a duty sends its commands through.
+type Channel struct {
+	// Host is this process's.
+	Host     slugname.Host
+	Commands Commands
+	// Address is that of the interface for the duty's calls.
+	Address string
+	// Do sends a command as long as the right lasts.
+	Do func(*sluglease.Right) Do
+}
+
+// By returns the holder of a right, as engines and interfaces are told.
+func (c Channel) By(right *sluglease.Right) Holder { return Holder{c.Host, right.Fence} }
+
 // Report is what an engine says of the orders that it has accepted.
 type Report struct {
 	Role slugplan.Role
--- a/internal/authority/slugrecord/record.go
+++ b/internal/authority/slugrecord/record.go
@@ -5,11 +5,14 @@
 //
 //	r, err := slugrecord.Load[plan](ctx, store, "plans/capacity")
 //	err = r.Write(ctx, next)
+//	err = slugrecord.Every(ctx, time.Second, review)
 package slugrecord
 
 import (
 	"context"
+	"time"
 
+	"github.com/sassafraslug/sassafraslug/internal/base/slugbackoff"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugstore"
 )
 
@@ -46,3 +49,15 @@
 	r.version, r.Value = version, next
 	return nil
 }
+
+// Every calls review with pauses until ctx ends or a review fails, as a write does once
+// another holder has written.
+func Every(ctx context.Context, pause time.Duration, review func() error) error {
+	for ctx.Err() == nil {
+		if err := review(); err != nil {
+			return err
+		}
+		_ = slugbackoff.Sleep(ctx, pause)
+	}
+	return nil
+}
--- a/internal/authority/slugusageduty/duty.go
+++ b/internal/authority/slugusageduty/duty.go
@@ -20,7 +20,6 @@
 	"github.com/sassafraslug/sassafraslug/internal/authority/sluglease"
 	"github.com/sassafraslug/sassafraslug/internal/authority/slugrecord"
 	"github.com/sassafraslug/sassafraslug/internal/authority/slugtally"
-	"github.com/sassafraslug/sassafraslug/internal/base/slugbackoff"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugevent"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugname"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugstore"
@@ -46,7 +45,7 @@
 
 // Config makes a Duty.
 type Config struct {
-	Host   slugname.Host
+	slugcommand.Channel
 	Store  *slugstore.Store
 	Window time.Duration
 	// Late is how long after its end a window's report is still wanted.
@@ -54,13 +53,8 @@
 	// Now returns the true time of day.
 	Now func() time.Time
 	// Counts returns what all processes told of the windows.
-	Counts   func() []slugpeer.WindowCount
-	Commands slugcommand.Commands
-	// Address is that of the interface for usage reports.
-	Address string
-	// Do sends a command as long as the right lasts.
-	Do  func(*sluglease.Right) slugcommand.Do
-	Log *slugevent.Log
+	Counts func() []slugpeer.WindowCount
+	Log    *slugevent.Log
 }
 
 // report is the frozen report of a window.
@@ -99,13 +93,7 @@
 		return err
 	}
 	d.from = slugtally.Window(d.cfg.Now(), d.cfg.Window)
-	for ctx.Err() == nil {
-		if err := d.review(ctx, right); err != nil {
-			return err
-		}
-		_ = slugbackoff.Sleep(ctx, reviewEvery)
-	}
-	return nil
+	return slugrecord.Every(ctx, reviewEvery, func() error { return d.review(ctx, right) })
 }
 
 // write stores the reports. It fails when another holder has written.
@@ -185,7 +173,7 @@
 func (d *Duty) send(ctx context.Context, right *sluglease.Right, i int) error {
 	r := d.record.Value.Reports[i]
 	err := right.Do(ctx, callTimeout, func(ctx context.Context) error {
-		return d.cfg.Commands.ReportUsage(ctx, d.cfg.Do(right), d.cfg.Address, r.Window, r.Counts, slugcommand.Holder{Host: d.cfg.Host, Fence: right.Fence})
+		return d.cfg.Commands.ReportUsage(ctx, d.cfg.Do(right), d.cfg.Address, r.Window, r.Counts, d.cfg.By(right))
 	})
 	f := slugevent.Fields{"window": r.Window, "requests": r.total(), "fence": right.Fence}
 	if err != nil && !errors.Is(err, slugcommand.ErrRefused) {
--- a/internal/base/slugstore/watch.go
+++ b/internal/base/slugstore/watch.go
@@ -72,9 +72,9 @@
 	// Wait returns how long the next call may wait for a change; nil means
 	// DefaultWait. A shorter wait tells sooner that the store still answers.
 	Wait func() time.Duration
-	// Gather returns a pause after each change, in which further changes come together
-	// into the next answer: each call counts. nil means none.
-	Gather func() time.Duration
+	// Gather is a pause after each change, in which further changes come together into
+	// the next answer: each call counts.
+	Gather time.Duration
 	// Changed is called with the objects that are new or changed, at first with
 	// all of them. A removed object has a nil Body. It is called without objects
 	// when the store answered that nothing changed.
@@ -84,6 +84,11 @@
 	Current func(slugclock.Instant)
 	// Lost is called with each failed try; it may be nil.
 	Lost func(error)
+	Sharing
+}
+
+// Sharing lets few processes watch the store for all. The zero Sharing shares nothing.
+type Sharing struct {
 	// From returns the source to ask next, given the number of failed tries in a row;
 	// nil, or a nil function, means the store itself.
 	From func(failures int) *Source
@@ -149,8 +154,8 @@
 				w.Current(at)
 			}
 			w.Changed(objects)
-			if len(objects) > 0 && w.Gather != nil {
-				_ = slugbackoff.Sleep(ctx, w.Gather())
+			if len(objects) > 0 && w.Gather > 0 {
+				_ = slugbackoff.Sleep(ctx, w.Gather)
 			}
 			continue
 		}
--- a/internal/base/slugstore/watch_test.go
+++ b/internal/base/slugstore/watch_test.go
@@ -30,7 +30,7 @@
 		defer cancel()
 		known, stale := map[string]bool{}, 0
 		_ = store.Watch(ctx, slugstore.Watcher{
-			Prefix: "p/", Foreign: true, From: func(int) *slugstore.Source { return old },
+			Prefix: "p/", Foreign: true, Sharing: slugstore.Sharing{From: func(int) *slugstore.Source { return old }},
 			Changed: func(objects []slugstore.Object) {
 				for _, o := range objects {
 					known[o.Name] = o.Body != nil
--- a/internal/daemon/slughost/duties.go
+++ b/internal/daemon/slughost/duties.go
@@ -53,24 +53,27 @@
 	return g.Wait()
 }
 
-// commandsUnder sends commands as long as a right lasts.
-func (h *Host) commandsUnder(right *sluglease.Right) slugcommand.Do {
-	return slugcommand.Guarded(h.network.DialReset, right.Check)
+// channel is what the duties send their commands through.
+func (h *Host) channel() slugcommand.Channel {
+	return slugcommand.Channel{
+		Host: h.settings.Host, Commands: h.adapter.Commands, Address: hostPort(h.settings.DutiesAddress),
+		Do: func(right *sluglease.Right) slugcommand.Do {
+			return slugcommand.Guarded(h.network.DialReset, right.Check)
+		},
+	}
 }
 
 func (h *Host) capacityDuty() *slugcapacityduty.Duty {
 	return slugcapacityduty.New(slugcapacityduty.Config{
-		Host: h.settings.Host, Store: h.store.For("capacity"), Table: h.follower.Table, Registry: h.registry,
-		Demand: h.demand, Planned: h.planned.Set, Commands: h.adapter.Commands, Address: hostPort(h.settings.DutiesAddress),
-		Do: h.commandsUnder, Log: h.log,
+		Channel: h.channel(), Store: h.store.For("capacity"), Table: h.follower.Table, Registry: h.registry,
+		Demand: h.demand, Planned: h.planned.Set, Log: h.log,
 	})
 }
 
 func (h *Host) usageDuty() *slugusageduty.Duty {
 	return slugusageduty.New(slugusageduty.Config{
-		Host: h.settings.Host, Store: h.store.For("usage"), Window: h.settings.UsageWindow, Late: h.settings.UsageLate,
-		Now: h.clock.Now, Counts: h.collection.Windows, Commands: h.adapter.Commands, Address: hostPort(h.settings.DutiesAddress),
-		Do: h.commandsUnder, Log: h.log,
+		Channel: h.channel(), Store: h.store.For("usage"), Window: h.settings.UsageWindow, Late: h.settings.UsageLate,
+		Now: h.clock.Now, Counts: h.collection.Windows, Log: h.log,
 	})
 }
 
--- a/internal/daemon/slughost/host.go
+++ b/internal/daemon/slughost/host.go
@@ -229,9 +229,8 @@
 func (h *Host) followEndpoints(ctx context.Context, g *errgroup.Group) error {
 	g.Go(func() error {
 		return h.store.For("endpoints").Watch(ctx, slugstore.Watcher{
-			Prefix: h.adapter.EntryPrefix, Foreign: true, Wait: func() time.Duration { return entriesWait }, Gather: gather,
-			Changed: h.registry.Take, Lost: h.registry.Lost,
-			Told: h.shared.Told(h.adapter.EntryPrefix), From: h.shared.From(entriesWait),
+			Prefix: h.adapter.EntryPrefix, Foreign: true, Wait: func() time.Duration { return entriesWait }, Gather: gatherTime,
+			Changed: h.registry.Take, Lost: h.registry.Lost, Sharing: h.shared.Sharing(h.adapter.EntryPrefix, entriesWait),
 		})
 	})
 	g.Go(func() error {
@@ -251,8 +250,6 @@
 // that leaves, which may still receive work for much longer.
 const gatherTime = 150 * time.Millisecond
 
-func gather() time.Duration { return gatherTime }
-
 // endpointsChanged puts changed endpoints into use.
 func (h *Host) endpointsChanged(services []slugname.Service) {
 	t := h.follower.Table()
--- a/internal/daemon/slughost/join.go
+++ b/internal/daemon/slughost/join.go
@@ -39,15 +39,15 @@
 	h.link = link
 	h.shared = newSharedWatch(h)
 	h.member = slugmember.New(slugmember.Config{
-		Self: h.record(), Store: h.store.For("members"), Changed: h.membersChanged, Gather: gather, Wait: membersWait,
-		Told: h.shared.Told(slugmember.Prefix), From: h.shared.From(membersWait),
+		Self: h.record(), Store: h.store.For("members"), Changed: h.membersChanged, Gather: gatherTime, Wait: membersWait,
+		Sharing: h.shared.Sharing(slugmember.Prefix, membersWait),
 	})
 	link.SetLookup(h.member.ByCertificate)
 	h.follower = slugnewest.New(slugnewest.Config{
 		Name: h.adapter.ConfigName, Store: h.store.For("config"), Decode: h.adapter.DecodeConfig,
 		FromPeer: func(ctx context.Context, r revision) ([]byte, error) { return h.table.FetchBundle(ctx, r) },
 		InForce:  h.configChanged, Log: h.log, Wait: h.configWait(),
-		Told: h.shared.Told(h.adapter.ConfigName), From: h.shared.From(h.configWait()),
+		Sharing: h.shared.Sharing(h.adapter.ConfigName, h.configWait()),
 	})
 	h.registry = slugregistry.New(slugregistry.Config{Decode: h.adapter.DecodeEntry, Changed: h.endpointsChanged, OthersHear: h.othersHear, Restarted: h.endpointRestarted, Log: h.log})
 	h.clock = slugtruetime.New()
--- a/internal/daemon/slughost/share.go
+++ b/internal/daemon/slughost/share.go
@@ -63,8 +63,11 @@
 	}
 }
 
-// Told returns what takes the answers to this process's watch of a prefix.
-func (w *sharedWatch) Told(prefix string) func(slugstore.News) { return w.mirrors[prefix].Take }
+// Sharing returns how a watch of a prefix is shared whose calls to the store wait for a
+// time.
+func (w *sharedWatch) Sharing(prefix string, wait time.Duration) slugstore.Sharing {
+	return slugstore.Sharing{From: w.from(wait), Told: w.mirrors[prefix].Take}
+}
 
 // Serve answers a peer that follows this process.
 func (w *sharedWatch) Serve(f slugpeer.Follow) *slugpeer.News {
@@ -86,10 +89,10 @@
 	return uint32((min(slugclock.Since(at), most) + time.Millisecond - 1) / time.Millisecond)
 }
 
-// From returns what chooses the source of a watch whose calls to the store wait for a
+// from returns what chooses the source of a watch whose calls to the store wait for a
 // time: the store for a process that watches, else a process that does. After failures
 // comes the store itself, and then the watchers of other data centres.
-func (w *sharedWatch) From(wait time.Duration) func(failures int) *slugstore.Source {
+func (w *sharedWatch) from(wait time.Duration) func(failures int) *slugstore.Source {
 	return func(failures int) *slugstore.Source {
 		near, far := w.watchers()
 		if slices.Contains(near, w.host.member.Self().Process) {
--- a/internal/membership/slugmember/record.go
+++ b/internal/membership/slugmember/record.go
@@ -74,13 +74,12 @@
 	Store *slugstore.Store
 	// Changed is called when a process came or went; it may be nil.
 	Changed func()
-	// Gather returns the pause after each change; nil means none.
-	Gather func() time.Duration
+	// Gather is the pause after each change.
+	Gather time.Duration
 	// Wait is how long one watch waits; 0 means the store client's default.
 	Wait time.Duration
-	// Told and From let processes share their watches; both may be nil.
-	Told func(slugstore.News)
-	From func(failures int) *slugstore.Source
+	// Sharing lets processes share their watches.
+	Sharing slugstore.Sharing
 }
 
 // Member is a process's view of the others.
@@ -134,7 +133,7 @@
 
 // Run follows the records of all processes until ctx ends.
 func (m *Member) Run(ctx context.Context) error {
-	w := slugstore.Watcher{Prefix: Prefix, Changed: m.changed, Gather: m.cfg.Gather, Told: m.cfg.Told, From: m.cfg.From}
+	w := slugstore.Watcher{Prefix: Prefix, Changed: m.changed, Gather: m.cfg.Gather, Sharing: m.cfg.Sharing}
 	if m.cfg.Wait > 0 {
 		w.Wait = func() time.Duration { return m.cfg.Wait }
 	}
--- a/internal/membership/slugmirror/mirror.go
+++ b/internal/membership/slugmirror/mirror.go
@@ -7,7 +7,7 @@
 // # Usage
 //
 //	m := slugmirror.New()
-//	go store.Watch(ctx, slugstore.Watcher{Prefix: "servers/", Told: m.Take, Changed: changed})
+//	go store.Watch(ctx, slugstore.Watcher{Prefix: "servers/", Sharing: slugstore.Sharing{Told: m.Take}, Changed: changed})
 //	news := m.Follow(after, time.Second)
 package slugmirror
 
--- a/internal/membership/slugnewest/follower.go
+++ b/internal/membership/slugnewest/follower.go
@@ -42,10 +42,9 @@
 	// much younger than the time in which a withdrawn key stops working. 0 means
 	// DefaultWait.
 	Wait time.Duration
-	// Told and From let processes share their watches; both may be nil.
-	Told func(slugstore.News)
-	From func(failures int) *slugstore.Source
-	Log  *slugevent.Log
+	// Sharing lets processes share their watches.
+	Sharing slugstore.Sharing
+	Log     *slugevent.Log
 }
 
 const (
@@ -142,7 +141,7 @@
 	}()
 	err := f.cfg.Store.Watch(ctx, slugstore.Watcher{
 		Prefix: f.cfg.Name, Foreign: true, Wait: func() time.Duration { return f.cfg.Wait },
-		Told: f.cfg.Told, From: f.cfg.From,
+		Sharing: f.cfg.Sharing,
 		Current: func(at slugclock.Instant) { f.at = at },
 		Changed: f.changed,
 		Lost:    f.lost,
