--- a/internal/membership/slugfollow/follower.go
+++ b/internal/membership/slugfollow/follower.go
@@ -20,6 +20,7 @@
 	"github.com/sassafraslug/sassafraslug/internal/base/slugclock"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugevent"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugstore"
+	"github.com/sassafraslug/sassafraslug/internal/membership/slugword"
 	"github.com/sassafraslug/sassafraslug/internal/version/slugconfig"
 	"github.com/sassafraslug/sassafraslug/internal/version/slughead"
 )
@@ -52,16 +53,11 @@
 	loader   *slughead.Loader
 	snapshot atomic.Pointer[slugconfig.Snapshot]
 	pending  chan slughead.Head
-	wanted   atomic.Uint64
-	poke     chan struct{}
+	word     *slugword.Tracker
 
 	mu sync.Mutex
 	// head is the head of the snapshot in force.
 	head slughead.Head
-	// word is when the store was last known to have no newer revision.
-	word slugclock.Instant
-	// storeOK tells whether the last call to the store succeeded.
-	storeOK bool
 }
 
 // retryDelay is the time between tries to load a head.
@@ -69,7 +65,7 @@
 
 // New returns a Follower with nothing in force.
 func New(cfg Config) *Follower {
-	return &Follower{cfg: cfg, loader: slughead.NewLoader(cfg.Store), pending: make(chan slughead.Head, 16), poke: make(chan struct{}, 1)}
+	return &Follower{cfg: cfg, loader: slughead.NewLoader(cfg.Store), pending: make(chan slughead.Head, 16), word: slugword.New()}
 }
 
 // Snapshot returns what is in force, nil before the first configuration.
@@ -86,9 +82,7 @@
 // Word returns the last time at which the revision in force was known to be the
 // newest, directly or through a peer, and whether the store answers.
 func (f *Follower) Word() (slugclock.Instant, bool) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.word, f.storeOK
+	return f.word.Last(), f.word.StoreAnswers()
 }
 
 // Bundle returns what is in force for a peer.
@@ -107,36 +101,11 @@
 
 // Heard takes a peer's word that r was the newest revision at a time.
 func (f *Follower) Heard(r slugconfig.Revision, at slugclock.Instant) {
-	if f.Revision() >= r {
-		f.fresh(at)
-		return
-	}
-	for {
-		old := f.wanted.Load()
-		if old >= uint64(r) || f.wanted.CompareAndSwap(old, uint64(r)) {
-			break
-		}
-	}
-	select {
-	case f.poke <- struct{}{}:
-	default:
-	}
-}
-
-func (f *Follower) fresh(at slugclock.Instant) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if at.After(f.word) {
-		f.word = at
-	}
+	f.word.Heard(f.Revision(), r, at)
 }
 
 func (f *Follower) store(ok bool) {
-	f.mu.Lock()
-	changed := f.storeOK != ok
-	f.storeOK = ok
-	f.mu.Unlock()
-	if !changed {
+	if !f.word.Store(ok) {
 		return
 	}
 	if f.cfg.StoreAnswers != nil {
@@ -179,8 +148,8 @@
 		case <-ctx.Done():
 		}
 	}
-	if len(objects) == 0 && f.Revision() >= slugconfig.Revision(f.wanted.Load()) {
-		f.fresh(slugclock.Now())
+	if len(objects) == 0 && f.Revision() >= f.word.Wanted() {
+		f.word.Fresh(slugclock.Now())
 	}
 }
 
@@ -192,7 +161,7 @@
 			return
 		case h := <-f.pending:
 			f.loadHead(ctx, h)
-		case <-f.poke:
+		case <-f.word.Poked():
 			f.loadFromPeer(ctx)
 		}
 	}
@@ -214,7 +183,7 @@
 		_ = slugbackoff.Sleep(ctx, retryDelay)
 	}
 	if h.Revision == f.Revision() {
-		f.fresh(slugclock.Now())
+		f.word.Fresh(slugclock.Now())
 	}
 }
 
@@ -223,7 +192,7 @@
 // loadFromPeer takes a revision that a peer told of from that peer. Its chunks
 // are checked by the hashes in the head.
 func (f *Follower) loadFromPeer(ctx context.Context) {
-	want := slugconfig.Revision(f.wanted.Load())
+	want := f.word.Wanted()
 	if f.cfg.FromPeer == nil || want <= f.Revision() {
 		return
 	}
@@ -258,7 +227,7 @@
 	f.head = h
 	f.snapshot.Store(s)
 	f.mu.Unlock()
-	f.fresh(at)
+	f.word.Fresh(at)
 	f.cfg.Log.Emit(slugevent.ConfigurationInForce, slugevent.Fields{"revision": s.Revision})
 	if f.cfg.InForce != nil {
 		f.cfg.InForce(s)
--- a/internal/membership/slugnewest/follower.go
+++ b/internal/membership/slugnewest/follower.go
@@ -22,6 +22,7 @@
 	"github.com/sassafraslug/sassafraslug/internal/base/slugclock"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugevent"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugstore"
+	"github.com/sassafraslug/sassafraslug/internal/membership/slugword"
 	"github.com/sassafraslug/sassafraslug/internal/version/slugconfig"
 	"github.com/sassafraslug/sassafraslug/internal/version/slugrouting"
 )
@@ -58,17 +59,11 @@
 // Follower keeps the newest configuration.
 type Follower struct {
 	cfg   Config
+	word  *slugword.Tracker
 	table atomic.Pointer[slugrouting.Table]
-	poke  chan struct{}
 
 	mu  sync.Mutex
 	raw []byte
-	// word is when the version in force was last known to be the newest.
-	word slugclock.Instant
-	// wanted is a version that a peer told of.
-	wanted slugconfig.Revision
-	// answers tells whether the last call to the store succeeded.
-	answers bool
 	// at is the instant of the answer that is being taken.
 	at slugclock.Instant
 }
@@ -81,7 +76,7 @@
 	if cfg.Wait == 0 {
 		cfg.Wait = DefaultWait
 	}
-	return &Follower{cfg: cfg, poke: make(chan struct{}, 1)}
+	return &Follower{cfg: cfg, word: slugword.New()}
 }
 
 // Table returns what is in force, nil before the first configuration.
@@ -96,11 +91,7 @@
 }
 
 // Word returns when the version in force was last known to be the newest.
-func (f *Follower) Word() slugclock.Instant {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.word
-}
+func (f *Follower) Word() slugclock.Instant { return f.word.Last() }
 
 // Raw returns the bytes of the version in force, for peers.
 func (f *Follower) Raw() []byte {
@@ -111,25 +102,7 @@
 
 // Heard takes a peer's word that r was the newest version at an instant.
 func (f *Follower) Heard(r slugconfig.Revision, at slugclock.Instant) {
-	if r <= f.Version() {
-		f.fresh(at)
-		return
-	}
-	f.mu.Lock()
-	f.wanted = max(f.wanted, r)
-	f.mu.Unlock()
-	select {
-	case f.poke <- struct{}{}:
-	default:
-	}
-}
-
-func (f *Follower) fresh(at slugclock.Instant) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if at.After(f.word) {
-		f.word = at
-	}
+	f.word.Heard(f.Version(), r, at)
 }
 
 // Run follows the configuration until ctx ends.
@@ -160,12 +133,8 @@
 
 // store notes whether the store answers.
 func (f *Follower) store(answers bool, err error) {
-	f.mu.Lock()
-	changed := f.answers != answers
-	f.answers = answers
-	f.mu.Unlock()
 	switch {
-	case !changed:
+	case !f.word.Store(answers):
 	case answers:
 		f.cfg.Log.Emit(slugevent.StoreAvailable, nil)
 	default:
@@ -185,11 +154,8 @@
 			return
 		}
 	}
-	f.mu.Lock()
-	behind := f.wanted > f.Version()
-	f.mu.Unlock()
-	if f.Version() > 0 && !behind {
-		f.fresh(f.at)
+	if f.Version() > 0 && f.word.Wanted() <= f.Version() {
+		f.word.Fresh(f.at)
 	}
 }
 
@@ -220,11 +186,9 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-f.poke:
+		case <-f.word.Poked():
 		}
-		f.mu.Lock()
-		wanted := f.wanted
-		f.mu.Unlock()
+		wanted := f.word.Wanted()
 		if f.cfg.FromPeer == nil || wanted <= f.Version() {
 			continue
 		}
