One name for announcements, one list of live peers, owners looked up once a round

The message between hosts was called Reserve, the code's Announce; its answer was put together twice.

--- a/internal/daemon/slughost/announce.go
+++ b/internal/daemon/slughost/announce.go
@@ -17,11 +17,14 @@
 // owner returns the process that answers for an endpoint: all prompts for it are
 // announced there.
 func (h *Host) owner(e slugname.Endpoint) (slugmember.Record, bool) {
-	owners := slugmember.Closest(string(e), h.candidates(), 1)
-	if len(owners) == 0 {
+	h.mu.Lock()
+	owners := h.owners
+	h.mu.Unlock()
+	closest := slugmember.Closest(string(e), owners, 1)
+	if len(closest) == 0 {
 		return slugmember.Record{}, false
 	}
-	return h.member.Record(owners[0])
+	return h.member.Record(closest[0])
 }
 
 // announce announces a prompt for the endpoint that was chosen, and returns what it will
@@ -35,66 +38,76 @@
 	if owner.Process == h.member.Self().Process {
 		return h.placer(s).Announce(c.Name, job, copied, time.Now())
 	}
-	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
-	defer cancel()
-	m := slugpeer.Reserve{Service: s, Endpoint: c.Name, Parts: partsFor(job), Copied: uint32(copied)}
-	answer, err := h.link.Call(ctx, owner, slugpeer.Message{Protocol: slugpeer.Protocol, Reserve: &m})
-	if err != nil || answer.Reserved == nil {
+	m := slugpeer.Announce{Service: s, Endpoint: c.Name, Parts: partsOf(job), Copied: uint32(copied)}
+	a, ok := h.sendAnnouncement(ctx, owner, m)
+	if !ok {
 		return slugplacement.Announced{}, false
 	}
-	return announced(*answer.Reserved), true
+	return decodeAnnounced(a), true
 }
 
 // takeBack undoes an announcement.
 func (h *Host) takeBack(s slugname.Service, c *slugplacement.Choice, a slugplacement.Announced) {
 	owner, known := h.owner(c.Name)
-	job, _ := c.Job()
-	switch {
-	case !known:
+	if !known {
 		return
-	case owner.Process == h.member.Self().Process:
+	}
+	job, _ := c.Job()
+	if owner.Process == h.member.Self().Process {
 		h.placer(s).TakeBack(c.Name, job, a, time.Now())
 		return
 	}
-	undo := slugpeer.Reserved{WaitUs: a.Wait.Microseconds(), WorkUs: a.Work.Microseconds(), Cached: uint32(a.Cached)}
-	m := slugpeer.Reserve{Service: s, Endpoint: c.Name, Parts: partsFor(job), Undo: &undo}
-	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), announceTimeout)
-		defer cancel()
-		// Work that is not taken back counts until it would have been done.
-		_, _ = h.link.Call(ctx, owner, slugpeer.Message{Protocol: slugpeer.Protocol, Reserve: &m})
-	}()
+	m := slugpeer.Announce{Service: s, Endpoint: c.Name, Parts: partsOf(job), Undo: encodeAnnounced(a)}
+	// Work that is not taken back counts until it would have been done.
+	go h.sendAnnouncement(context.Background(), owner, m)
+}
+
+// sendAnnouncement sends an announcement, or takes one back.
+func (h *Host) sendAnnouncement(ctx context.Context, owner slugmember.Record, a slugpeer.Announce) (*slugpeer.Announced, bool) {
+	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
+	defer cancel()
+	answer, err := h.link.Call(ctx, owner, slugpeer.Message{Protocol: slugpeer.Protocol, Announce: &a})
+	return answer.Announced, err == nil && answer.Announced != nil
 }
 
 // peerAnnounces takes an announcement of a peer.
-func (h *Host) peerAnnounces(r slugpeer.Reserve) *slugpeer.Reserved {
-	var job slugplacement.Job
-	for _, p := range r.Parts {
-		job.Parts = append(job.Parts, slugplacement.Part{ID: slugplacement.PartID(p.ID), Tokens: int(p.Tokens)})
-		job.Tokens += int(p.Tokens)
+func (h *Host) peerAnnounces(m slugpeer.Announce) *slugpeer.Announced {
+	job := jobOf(m.Parts)
+	if m.Undo != nil {
+		h.placer(m.Service).TakeBack(m.Endpoint, job, decodeAnnounced(m.Undo), time.Now())
+		return m.Undo
 	}
-	if r.Undo != nil {
-		h.placer(r.Service).TakeBack(r.Endpoint, job, announced(*r.Undo), time.Now())
-		return r.Undo
-	}
-	a, ok := h.placer(r.Service).Announce(r.Endpoint, job, int(r.Copied), time.Now())
+	a, ok := h.placer(m.Service).Announce(m.Endpoint, job, int(m.Copied), time.Now())
 	if !ok {
 		return nil
 	}
-	return &slugpeer.Reserved{WaitUs: a.Wait.Microseconds(), WorkUs: a.Work.Microseconds(), Cached: uint32(a.Cached)}
+	return encodeAnnounced(a)
 }
 
-func announced(r slugpeer.Reserved) slugplacement.Announced {
+func encodeAnnounced(a slugplacement.Announced) *slugpeer.Announced {
+	return &slugpeer.Announced{WaitUs: a.Wait.Microseconds(), WorkUs: a.Work.Microseconds(), Cached: uint32(a.Cached)}
+}
+
+func decodeAnnounced(a *slugpeer.Announced) slugplacement.Announced {
 	return slugplacement.Announced{
-		Wait: time.Duration(r.WaitUs) * time.Microsecond, Work: time.Duration(r.WorkUs) * time.Microsecond, Cached: int(r.Cached),
+		Wait: time.Duration(a.WaitUs) * time.Microsecond, Work: time.Duration(a.WorkUs) * time.Microsecond, Cached: int(a.Cached),
 	}
 }
 
-// partsFor returns the parts of a prompt for a peer.
-func partsFor(j slugplacement.Job) []slugpeer.PromptPart {
+// partsOf returns the parts of a prompt for a peer.
+func partsOf(j slugplacement.Job) []slugpeer.PromptPart {
 	out := make([]slugpeer.PromptPart, len(j.Parts))
 	for i, p := range j.Parts {
 		out[i] = slugpeer.PromptPart{ID: string(p.ID), Tokens: uint32(max(0, p.Tokens))}
 	}
 	return out
 }
+
+// jobOf returns a peer's prompt.
+func jobOf(parts []slugpeer.PromptPart) (j slugplacement.Job) {
+	for _, p := range parts {
+		j.Parts = append(j.Parts, slugplacement.Part{ID: slugplacement.PartID(p.ID), Tokens: int(p.Tokens)})
+		j.Tokens += int(p.Tokens)
+	}
+	return j
+}
--- a/internal/daemon/slughost/duties.go
+++ b/internal/daemon/slughost/duties.go
@@ -39,7 +39,7 @@
 
 // rank returns this process's place among those that may hold the duties.
 func (h *Host) rank() int {
-	return slugmember.Rank(string(duty), h.member.Self().Process, h.candidates())
+	return slugmember.Rank(string(duty), h.member.Self().Process, names(h.live()))
 }
 
 // work does all duties while the right lasts.
--- a/internal/daemon/slughost/host.go
+++ b/internal/daemon/slughost/host.go
@@ -119,6 +119,8 @@
 	// draining and roles are what peers told of endpoints.
 	draining map[slugname.Endpoint]bool
 	roles    map[slugname.Endpoint]slugplan.Role
+	// owners are the processes that answer for endpoints.
+	owners []slugname.Process
 }
 
 // seen is when an incarnation of an endpoint was first seen.
@@ -181,10 +183,10 @@
 }
 
 // fresh reports whether the configuration is young enough for requests with keys.
-func (h *Host) fresh() bool {
-	limit := time.Duration(freshPart * float64(h.settings.Revoke))
-	return slugclock.Since(h.follower.Word()) < limit
-}
+func (h *Host) fresh() bool { return slugclock.Since(h.follower.Word()) < h.freshFor() }
+
+// freshFor returns how long word of the configuration is trusted.
+func (h *Host) freshFor() time.Duration { return time.Duration(freshPart * float64(h.settings.Revoke)) }
 
 // ready reports whether this host takes requests.
 func (h *Host) ready() bool {
--- a/internal/daemon/slughost/join.go
+++ b/internal/daemon/slughost/join.go
@@ -55,7 +55,7 @@
 		Clock: h.clock.Count, HeardClock: h.clock.Heard,
 		Self: h.member.Self(), Call: link.Call, Peers: h.member.Records, Word: h.follower.Word,
 		Heard: h.heard, HeardWord: h.follower.Heard, Bundle: h.follower.Raw, Fanout: exchangeFanout, Every: h.exchangeInterval,
-		Follow: h.shared.Serve, HeardUsage: h.collection.Heard, Reserve: h.peerAnnounces,
+		Follow: h.shared.Serve, HeardUsage: h.collection.Heard, Announce: h.peerAnnounces,
 	})
 	return nil
 }
@@ -211,11 +211,40 @@
 	for _, p := range h.allPlacers() {
 		p.SetOthers(sums)
 	}
+	owners := names(h.live())
 	h.mu.Lock()
-	h.draining, h.roles = draining, roles
+	h.draining, h.roles, h.owners = draining, roles, owners
 	h.mu.Unlock()
 }
 
+// livePeer is a process that is alive and does not leave.
+type livePeer struct {
+	slugpeer.Status
+	Record slugmember.Record
+}
+
+// live returns the processes that are alive and do not leave, in order of name, this one
+// included.
+func (h *Host) live() []livePeer {
+	var out []livePeer
+	for _, s := range h.table.Statuses() {
+		r, known := h.member.Record(s.Process)
+		if known && s.Alive && !s.Leaving {
+			out = append(out, livePeer{s, r})
+		}
+	}
+	return out
+}
+
+// names returns the processes' names.
+func names(list []livePeer) []slugname.Process {
+	out := make([]slugname.Process, len(list))
+	for i, p := range list {
+		out[i] = p.Process
+	}
+	return out
+}
+
 // leavingEndpoints returns the endpoints that this process knows to leave.
 func (h *Host) leavingEndpoints() []slugname.Endpoint {
 	var out []slugname.Endpoint
--- a/internal/daemon/slughost/serve.go
+++ b/internal/daemon/slughost/serve.go
@@ -69,20 +69,15 @@
 // as long as there are others.
 func (h *Host) addresses(slugname.DataCentre) ([]string, time.Duration) {
 	var fresh, other []string
-	limit := time.Duration(freshPart * float64(h.settings.Revoke))
+	limit := h.freshFor()
 	self := h.member.Self().Process
-	for _, s := range h.table.Statuses() {
-		r, ok := h.member.Record(s.Process)
-		if !ok || !s.Alive || s.Leaving {
-			continue
-		}
-		if s.Process == self && !h.ready() {
-			continue
-		}
-		if slugclock.Since(s.Word) < limit {
-			fresh = append(fresh, r.CallersAddress)
-		} else {
-			other = append(other, r.CallersAddress)
+	for _, p := range h.live() {
+		switch {
+		case p.Process == self && !h.ready():
+		case slugclock.Since(p.Word) < limit:
+			fresh = append(fresh, p.Record.CallersAddress)
+		default:
+			other = append(other, p.Record.CallersAddress)
 		}
 	}
 	if len(fresh) == 0 {
--- a/internal/daemon/slughost/share.go
+++ b/internal/daemon/slughost/share.go
@@ -111,11 +111,8 @@
 // watchers returns the processes that watch, near this one and far.
 func (w *sharedWatch) watchers() (near, far []slugname.Process) {
 	var candidates []slugwatcher.Candidate
-	for _, s := range w.host.table.Statuses() {
-		r, known := w.host.member.Record(s.Process)
-		if known && s.Alive && !s.Leaving {
-			candidates = append(candidates, slugwatcher.Candidate{Process: s.Process, DataCentre: r.DataCentre, Failing: s.StoreLost})
-		}
+	for _, p := range w.host.live() {
+		candidates = append(candidates, slugwatcher.Candidate{Process: p.Process, DataCentre: p.Record.DataCentre, Failing: p.StoreLost})
 	}
 	self := w.host.member.Self()
 	return slugwatcher.Choose(self.Process, self.DataCentre, candidates)
--- a/internal/daemon/slughost/usage.go
+++ b/internal/daemon/slughost/usage.go
@@ -63,7 +63,7 @@
 func (h *Host) collectors() []slugmember.Record {
 	self := h.member.Self().Process
 	chosen := map[slugname.Process]bool{}
-	for _, p := range slugmember.Closest(string(duty), h.candidates(), usageRanks) {
+	for _, p := range slugmember.Closest(string(duty), names(h.live()), usageRanks) {
 		chosen[p] = true
 	}
 	for _, s := range h.table.Statuses() {
@@ -80,14 +80,3 @@
 	}
 	return out
 }
-
-// candidates returns the processes that may hold the duties.
-func (h *Host) candidates() []slugname.Process {
-	alive := []slugname.Process{}
-	for _, s := range h.table.Statuses() {
-		if _, known := h.member.Record(s.Process); known && s.Alive && !s.Leaving {
-			alive = append(alive, s.Process)
-		}
-	}
-	return alive
-}
--- a/internal/membership/slugpeer/row.go
+++ b/internal/membership/slugpeer/row.go
@@ -143,13 +143,13 @@
 	News *News `cbor:"9,keyasint,omitempty"`
 	// Usage are the sender's requests that began to run, by accounting window.
 	Usage []WindowCount `cbor:"10,keyasint,omitempty"`
-	// Reserve announces work for an endpoint, and Reserved answers it.
-	Reserve  *Reserve  `cbor:"11,keyasint,omitempty"`
-	Reserved *Reserved `cbor:"12,keyasint,omitempty"`
+	// Announce announces a prompt for an endpoint, and Announced answers it.
+	Announce  *Announce  `cbor:"11,keyasint,omitempty"`
+	Announced *Announced `cbor:"12,keyasint,omitempty"`
 }
 
-// Reserve announces a prompt for an endpoint.
-type Reserve struct {
+// Announce announces a prompt for an endpoint.
+type Announce struct {
 	_        struct{} `cbor:",toarray"`
 	Service  slugname.Service
 	Endpoint slugname.Endpoint
@@ -158,7 +158,7 @@
 	// Copied is the number of its tokens whose KV cache the endpoint will copy.
 	Copied uint32
 	// Undo takes an earlier announcement back, with what was answered to it.
-	Undo *Reserved
+	Undo *Announced
 }
 
 // PromptPart is one part of a prompt.
@@ -168,8 +168,8 @@
 	Tokens uint32
 }
 
-// Reserved tells what an announced prompt will find at its endpoint.
-type Reserved struct {
+// Announced tells what an announced prompt will find at its endpoint.
+type Announced struct {
 	_ struct{} `cbor:",toarray"`
 	// WaitUs is how long it will wait and WorkUs how long it will then need, in
 	// microseconds.
--- a/internal/membership/slugpeer/table.go
+++ b/internal/membership/slugpeer/table.go
@@ -38,8 +38,8 @@
 	Bundle func() []byte
 	// Follow answers a peer that follows objects in the store; it may be nil.
 	Follow func(Follow) *News
-	// Reserve takes work that a peer announces for an endpoint; it may be nil.
-	Reserve func(Reserve) *Reserved
+	// Announce takes a prompt that a peer announces for an endpoint; it may be nil.
+	Announce func(Announce) *Announced
 	// HeardUsage takes a peer's figures of accounting windows; it may be nil.
 	HeardUsage func(slugname.Process, []WindowCount)
 	// Fanout is the number of peers called a round.
@@ -281,8 +281,8 @@
 		answer.News = t.cfg.Follow(*m.Follow)
 		return answer
 	}
-	if m.Reserve != nil && t.cfg.Reserve != nil {
-		answer.Reserved = t.cfg.Reserve(*m.Reserve)
+	if m.Announce != nil && t.cfg.Announce != nil {
+		answer.Announced = t.cfg.Announce(*m.Announce)
 		return answer
 	}
 	if m.Usage != nil && t.cfg.HeardUsage != nil {
