Learn the pace of engines instead of assuming it

Cause: slugplacement.DefaultCost described the engines of the first deployment. On the repair desk the engines are eight times as fast, so predictions were 50 times too long (median 1,634 ms predicted, 31 ms measured) and half of all requests were refused while engines idled.

Change: slugpace fits fixed time, time per token and time per pair of tokens to the prompts of the last seconds, by least absolute errors, and adopts the median fit of the peers while it has few measurements of its own. Without measurements nothing is refused for a prediction. slugmedian does the same for the first event of a response and for plain services; transfers follow from the configured links; preferences are fractions of the mean work of a prompt.

--- a/internal/daemon/slughost/host.go
+++ b/internal/daemon/slughost/host.go
@@ -30,6 +30,7 @@
 	"github.com/sassafraslug/sassafraslug/internal/daemon/slugnetwork"
 	"github.com/sassafraslug/sassafraslug/internal/daemon/slugserve"
 	"github.com/sassafraslug/sassafraslug/internal/decision/slugbudget"
+	"github.com/sassafraslug/sassafraslug/internal/decision/slugpace"
 	"github.com/sassafraslug/sassafraslug/internal/decision/slugplacement"
 	"github.com/sassafraslug/sassafraslug/internal/decision/slugplan"
 	"github.com/sassafraslug/sassafraslug/internal/decision/slugsuspect"
@@ -40,6 +41,7 @@
 	"github.com/sassafraslug/sassafraslug/internal/membership/slugpeer"
 	"github.com/sassafraslug/sassafraslug/internal/membership/slugpeerclock"
 	"github.com/sassafraslug/sassafraslug/internal/request/slugdispatch"
+	"github.com/sassafraslug/sassafraslug/internal/version/slugrouting"
 	"golang.org/x/sync/errgroup"
 )
 
@@ -118,6 +120,7 @@
 
 	mu           sync.Mutex
 	placers      map[slugname.Service]*slugplacement.Placer
+	paces        map[slugname.Service]*slugpace.Model
 	retryBudgets map[slugname.Service]*slugbudget.Budget
 	// firstSeen holds the time at which each endpoint was first seen.
 	firstSeen map[slugname.Endpoint]firstSighting
@@ -141,7 +144,8 @@
 	return &Host{
 		settings: s, network: n, adapter: a, log: log, metrics: new(expvar.Map).Init(), counters: slugcounters.New(), plannedRoles: slugroles.New(),
 		usageAggregate: slugusageaggregate.New(), firstSeen: map[slugname.Endpoint]firstSighting{},
-		placers: map[slugname.Service]*slugplacement.Placer{}, retryBudgets: map[slugname.Service]*slugbudget.Budget{},
+		placers: map[slugname.Service]*slugplacement.Placer{}, paces: map[slugname.Service]*slugpace.Model{},
+		retryBudgets: map[slugname.Service]*slugbudget.Budget{},
 	}
 }
 
@@ -207,11 +211,12 @@
 
 // placer returns the placer of a service and creates it on first use.
 func (h *Host) placer(s slugname.Service) *slugplacement.Placer {
+	pace := h.pace(s)
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	p := h.placers[s]
 	if p == nil {
-		p = slugplacement.New(slugplacement.Config{DataCentre: h.settings.DataCentre})
+		p = slugplacement.New(slugplacement.Config{DataCentre: h.settings.DataCentre, Pace: pace})
 		h.placers[s] = p
 	}
 	return p
@@ -269,15 +274,15 @@
 func (h *Host) updatePlacers(services []slugname.Service) {
 	t := h.follower.Table()
 	for _, s := range services {
-		cacheTokens := 0
+		var engine slugrouting.Engine
 		if t != nil && t.Service(s) != nil && t.Service(s).Engine != nil {
-			cacheTokens = t.Service(s).Engine.CacheTokens
+			engine = *t.Service(s).Engine
 		}
 		var list []slugplacement.Endpoint
 		for _, e := range h.usableEndpoints(s, time.Now()) {
 			list = append(list, slugplacement.Endpoint{
 				Name: e.Name, Incarnation: int64(e.Incarnation), Address: e.Address, DataCentre: e.DataCentre,
-				Role: e.Role, Slots: e.Slots, CacheTokens: cacheTokens,
+				Role: e.Role, Slots: e.Slots, CacheTokens: engine.CacheTokens, TransferPerToken: engine.TransferPerToken(),
 			})
 		}
 		h.placer(s).SetEndpoints(list)
--- a/internal/daemon/slughost/join.go
+++ b/internal/daemon/slughost/join.go
@@ -14,6 +14,7 @@
 	"github.com/sassafraslug/sassafraslug/internal/base/slugevent"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugname"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugstore"
+	"github.com/sassafraslug/sassafraslug/internal/decision/slugpace"
 	"github.com/sassafraslug/sassafraslug/internal/decision/slugplacement"
 	"github.com/sassafraslug/sassafraslug/internal/decision/slugplan"
 	"github.com/sassafraslug/sassafraslug/internal/decision/slugsuspect"
@@ -163,10 +164,11 @@
 		}
 	}
 	suspicions, serviceLoads := h.suspects.Suspicions(time.Now()), h.recentServiceLoads()
+	paces := h.measuredPaces()
 	plannedRoles, draining, storeUnavailable := h.plannedRoles.All(time.Now()), h.leavingEndpoints(), h.store.Failing(storeFailureHold)
 	h.table.Update(func(r *slugpeer.Row) {
 		r.Loads, r.Suspicions, r.ServiceLoads = loads, suspicions, serviceLoads
-		r.PlannedRoles, r.Draining, r.StoreUnavailable = plannedRoles, draining, storeUnavailable
+		r.PlannedRoles, r.Draining, r.StoreUnavailable, r.Paces = plannedRoles, draining, storeUnavailable, paces
 	})
 	h.applyPeerState()
 	h.updatePlacers(h.registry.Services())
@@ -201,6 +203,7 @@
 	sums := map[slugname.Endpoint]slugplacement.Load{}
 	draining, roles := map[slugname.Endpoint]bool{}, map[slugname.Endpoint]slugplan.Role{}
 	self := h.member.Self().Process
+	paces := map[slugname.Service][]slugpace.Fit{}
 	for _, s := range h.table.Statuses() {
 		if !s.Alive {
 			continue
@@ -215,6 +218,12 @@
 		for name, l := range s.Loads {
 			sums[name] = addLoad(sums[name], l)
 		}
+		for name, p := range s.Paces {
+			paces[name] = append(paces[name], decodePace(p))
+		}
+	}
+	for name, fits := range paces {
+		h.pace(name).Adopt(fits, time.Now())
 	}
 	for _, p := range h.allPlacers() {
 		p.SetPeerLoads(sums)
@@ -253,6 +262,36 @@
 	return out
 }
 
+// measuredPaces returns the pace of the engines of each service as measured by this process.
+func (h *Host) measuredPaces() map[slugname.Service]slugpeer.Pace {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	out := map[slugname.Service]slugpeer.Pace{}
+	for name, m := range h.paces {
+		if f, ok := m.Own(time.Now()); ok {
+			out[name] = slugpeer.Pace{FixedUs: uint32(f.Fixed.Microseconds()), PerTokenNs: f.PerToken, PerPairNs: f.PerPair, Samples: uint32(f.Samples)}
+		}
+	}
+	return out
+}
+
+// decodePace converts the pace that a peer reports.
+func decodePace(p slugpeer.Pace) slugpace.Fit {
+	return slugpace.Fit{Fixed: time.Duration(p.FixedUs) * time.Microsecond, PerToken: p.PerTokenNs, PerPair: p.PerPairNs, Samples: int(p.Samples)}
+}
+
+// pace returns the learned pace of the engines of a service and creates it on first use.
+func (h *Host) pace(s slugname.Service) *slugpace.Model {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	m := h.paces[s]
+	if m == nil {
+		m = slugpace.New()
+		h.paces[s] = m
+	}
+	return m
+}
+
 // leavingEndpoints returns the endpoints that are leaving according to this process's
 // registry.
 func (h *Host) leavingEndpoints() []slugname.Endpoint {
--- a/internal/decision/slugplacement/announce.go
+++ b/internal/decision/slugplacement/announce.go
@@ -27,10 +27,10 @@
 		return Forecast{}, false
 	}
 	f := Forecast{Cached: min(s.cache.cached(j.Parts), j.Tokens)}
-	nominal := p.cfg.Cost.Prefill(j.Tokens, max(f.Cached, fetched))
+	nominal := p.cfg.Pace.Work(j.Tokens, max(f.Cached, fetched))
 	f.Work = time.Duration(float64(nominal) * s.relativeSlowness(p.medianSlowness(s.Role, now), now))
 	if fetched > f.Cached {
-		f.Work += fetchTime(fetched)
+		f.Work += p.fetchTime(s, fetched, p.workUnit(j))
 	}
 	f.Wait = p.backlog.Add(e, f.Work, now)
 	s.cache.addAll(j.Parts)
@@ -64,12 +64,16 @@
 	c.state.addWork(c, -1)
 	c.state.idleAt, c.state.forecastAt = now.Add(f.Wait+f.Work), now
 	c.state.cache.correct(c.job.Parts, f.Cached)
-	c.wait, c.work, c.Predicted, c.Cached, c.FromOwner = f.Wait, f.Work, f.Wait+f.Work, max(f.Cached, c.Cached), true
+	if c.FetchFrom == "" {
+		c.Cached = f.Cached
+	}
+	c.wait, c.work, c.Predicted, c.FromOwner = f.Wait, f.Work, f.Wait+f.Work+p.cfg.Pace.Fixed(), true
+	c.nominal = p.cfg.Pace.Work(c.job.Tokens, c.Cached)
 	c.Forecast = f
-	c.score = c.Predicted + c.state.penaltyForFailures(now)
+	c.score = f.Wait + f.Work + c.state.penaltyForFailures(now)
 	c.state.addWork(c, 1)
 	best := p.bestPrefill(c.job, append(exclude, c.Name), now)
-	if best == nil || best.score > c.score-minGain {
+	if best == nil || best.score > c.score-time.Duration(minGain*float64(p.workUnit(c.job))) {
 		return nil, false
 	}
 	best.stage, best.startedAt = slugplan.RolePrefill, now
@@ -81,5 +85,6 @@
 func (c *Choice) Before(other *Choice) bool { return c.score < other.score }
 
 // minGain is how much sooner another endpoint must be expected to finish: asking for
-// its forecast takes time, and the parts of the prompt would be cached twice.
-const minGain = 20 * time.Millisecond
+// its forecast takes time, and the parts of the prompt would be cached twice. It is a
+// fraction of the mean work of a prompt.
+const minGain = 0.1
--- a/internal/decision/slugplacement/announce_test.go
+++ b/internal/decision/slugplacement/announce_test.go
@@ -57,7 +57,7 @@
 		var most time.Duration
 		list := make([]*Placer, hosts)
 		for i := range list {
-			list[i] = New(Config{DataCentre: "a", Random: rand.New(rand.NewPCG(1, uint64(i))).Float64})
+			list[i] = New(Config{DataCentre: "a", Pace: measuredPace(), Random: rand.New(rand.NewPCG(1, uint64(i))).Float64})
 			list[i].SetEndpoints(newEngines(engineCount, 0))
 		}
 		for n := range prompts {
@@ -74,7 +74,7 @@
 		return most
 	}
 	withoutAnnouncements, withAnnouncements := busiest(false), busiest(true)
-	mean := time.Duration(hosts*prompts) * DefaultCost.Prefill(2000, 0) / engineCount
+	mean := time.Duration(hosts*prompts) * measuredFit.Work(2000, 0) / engineCount
 	t.Logf("mean %s, busiest %s with announcements, %s without", mean, withAnnouncements, withoutAnnouncements)
 	assert.Assert(t, withAnnouncements < mean*3/2, "busiest %s, mean %s", withAnnouncements, mean)
 	assert.Assert(t, withAnnouncements < withoutAnnouncements, "%s, without announcements %s", withAnnouncements, withoutAnnouncements)
--- a/internal/decision/slugplacement/job.go
+++ b/internal/decision/slugplacement/job.go
@@ -1,8 +1,6 @@
 package slugplacement
 
 import (
-	"time"
-
 	"github.com/sassafraslug/sassafraslug/internal/base/slugname"
 )
 
@@ -47,27 +45,3 @@
 	}
 	return n
 }
-
-// Cost is a model of the prefill time of an engine.
-type Cost struct {
-	// TokensPerMs is the number of prompt tokens processed per millisecond.
-	TokensPerMs float64
-	// PairsMsPerMillion is the attention time per million pairs of tokens, in
-	// milliseconds.
-	PairsMsPerMillion float64
-	// FirstMs is the fixed time to the first token, in milliseconds. Prefill does not
-	// include it.
-	FirstMs float64
-}
-
-// DefaultCost is used when no Cost is configured. It describes one accelerator with a
-// model of about a hundred billion parameters.
-var DefaultCost = Cost{TokensPerMs: 43, PairsMsPerMillion: 0.25, FirstMs: 14}
-
-// Prefill returns the time to process a prompt of which some tokens are cached.
-func (c Cost) Prefill(tokens, cached int) time.Duration {
-	uncached := float64(max(1, tokens-cached))
-	pairs := uncached * (float64(cached) + uncached/2)
-	ms := uncached/c.TokensPerMs + pairs/1e6*c.PairsMsPerMillion
-	return time.Duration(ms * float64(time.Millisecond))
-}
--- a/internal/decision/slugplacement/learn.go
+++ b/internal/decision/slugplacement/learn.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/sassafraslug/sassafraslug/internal/decision/slugpace"
 	"github.com/sassafraslug/sassafraslug/internal/decision/slugplan"
 )
 
@@ -41,16 +42,45 @@
 // recordServed updates the cache and the slowness of the endpoint. The caller must hold
 // p.mu.
 func (c *Choice) recordServed(now time.Time) {
-	if c.stage != slugplan.RolePrefill {
+	switch c.stage {
+	case "":
+		c.p.plainTimes.Add(now.Sub(c.startedAt), now)
+		return
+	case slugplan.RoleDecode:
 		return
 	}
 	c.state.cache.addAll(c.job.Parts)
 	c.state.lastPrefillAt = now
-	c.state.recordDuration(now.Sub(c.startedAt), c.wait+c.nominal+callOverhead, now)
+	p, took := c.p, now.Sub(c.startedAt)
+	c.state.recordDuration(took, c.wait+c.nominal+p.cfg.Pace.Fixed(), now)
+	if c.FetchFrom == "" {
+		p.cfg.Pace.Observe(slugpace.Sample{Tokens: c.job.Tokens, Cached: c.Cached, Wait: c.wait, Took: took}, now)
+	}
 }
 
-// callOverhead is the expected time of a call in addition to its work.
-const callOverhead = 10 * time.Millisecond
+// measurementMaxAge is how long the measured durations of decode requests and of requests to
+// plain endpoints are used.
+const measurementMaxAge = 10 * time.Second
+
+// Event records an event of the response. The first one is a measurement of the time that
+// an engine takes to start a response.
+func (c *Choice) Event(now time.Time) {
+	c.p.mu.Lock()
+	defer c.p.mu.Unlock()
+	if !c.eventSeen {
+		c.eventSeen = true
+		c.p.firstEvents.Add(now.Sub(c.startedAt), now)
+	}
+}
+
+// FirstEventTime returns the usual time from the start of a decode request to its first
+// event, or 0 if it has not been measured.
+func (p *Placer) FirstEventTime(now time.Time) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	d, _ := p.firstEvents.Median(now)
+	return d
+}
 
 // recordDuration updates the slowness with the measured and the expected duration of a
 // stage. The caller must hold p.mu.
--- a/internal/decision/slugplacement/placer.go
+++ b/internal/decision/slugplacement/placer.go
@@ -32,6 +32,8 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugname"
 	"github.com/sassafraslug/sassafraslug/internal/decision/slugbacklog"
+	"github.com/sassafraslug/sassafraslug/internal/decision/slugmedian"
+	"github.com/sassafraslug/sassafraslug/internal/decision/slugpace"
 	"github.com/sassafraslug/sassafraslug/internal/decision/slugplan"
 )
 
@@ -46,6 +48,9 @@
 	// CacheTokens is the capacity for the tokens of prompts and responses; 0 for plain
 	// services.
 	CacheTokens int
+	// TransferPerToken is the time to transfer the KV cache of one token to another
+	// endpoint in the same data centre.
+	TransferPerToken time.Duration
 }
 
 // Load is the work at an endpoint.
@@ -107,7 +112,8 @@
 // Config configures a Placer.
 type Config struct {
 	DataCentre slugname.DataCentre
-	Cost       Cost
+	// Pace predicts the time of prompts; nil means a model without measurements.
+	Pace *slugpace.Model
 	// Random returns a number in [0, 1) for breaking ties; nil means math/rand/v2.
 	Random func() float64
 }
@@ -143,6 +149,11 @@
 	byName map[slugname.Endpoint]*endpointState
 	list   []*endpointState
 	demand demand
+	// meanWork is the smoothed time of a whole prompt without cache.
+	meanWork time.Duration
+	// firstEvents are the times from the start of decode requests to their first events,
+	// plainTimes the durations of requests to plain endpoints.
+	firstEvents, plainTimes *slugmedian.Window
 	// backlog is the work that all processes announced for the endpoints of which this
 	// process is the owner.
 	backlog *slugbacklog.Backlog
@@ -150,13 +161,16 @@
 
 // New returns a Placer without endpoints.
 func New(cfg Config) *Placer {
-	if cfg.Cost == (Cost{}) {
-		cfg.Cost = DefaultCost
+	if cfg.Pace == nil {
+		cfg.Pace = slugpace.New()
 	}
 	if cfg.Random == nil {
 		cfg.Random = rand.Float64
 	}
-	return &Placer{cfg: cfg, byName: map[slugname.Endpoint]*endpointState{}, backlog: slugbacklog.New()}
+	return &Placer{
+		cfg: cfg, byName: map[slugname.Endpoint]*endpointState{}, backlog: slugbacklog.New(),
+		firstEvents: slugmedian.New(measurementMaxAge), plainTimes: slugmedian.New(measurementMaxAge),
+	}
 }
 
 // SetEndpoints replaces the endpoints that accept new work. The state of endpoints that
@@ -247,6 +261,8 @@
 	Endpoint
 	// Predicted is the predicted time until the stage is done.
 	Predicted time.Duration
+	// Measured is set if the prediction rests on measurements and not on a guess.
+	Measured bool
 	// Cached is the number of prompt tokens assumed to be cached there, including those
 	// that are to be fetched.
 	Cached int
@@ -268,7 +284,9 @@
 	nominal time.Duration
 	stage   slugplan.Role
 	ended   bool
-	wait    time.Duration
+	// eventSeen is set after the first event of a response.
+	eventSeen bool
+	wait      time.Duration
 	// score is Predicted plus penalties and preferences; the lowest score is chosen.
 	score time.Duration
 }
@@ -291,7 +309,16 @@
 	return late && !c.state.lastPrefillAt.After(c.startedAt)
 }
 
-// StartedAt returns when the endpoint was chosen.
+// Sent records that the prompt is being sent now. Announcements may have taken some time
+// since the endpoint was chosen.
+func (c *Choice) Sent(now time.Time) {
+	c.p.mu.Lock()
+	defer c.p.mu.Unlock()
+	c.startedAt = now
+}
+
+// StartedAt returns when the prompt was sent, or when the endpoint was chosen if it has not
+// been sent yet.
 func (c *Choice) StartedAt() time.Time { return c.startedAt }
 
 // candidates returns the endpoints with a role that are not excluded. Endpoints to avoid
@@ -331,13 +358,14 @@
 	cached := p.cachedTokens(j, candidates)
 	source := largestHolder(candidates, cached)
 	median := p.medianSlowness(slugplan.RolePrefill, now)
+	unit := p.workUnit(j)
 	for i, s := range candidates {
 		c := p.predictPrefill(s, j, assumedCached(s, home, j, cached[i]), median, now)
-		c.score += p.preferenceDelay(sharedPart, s)
+		c.score += p.preferenceDelay(sharedPart, s, unit)
 		if s == home {
-			c.score -= homeBonus
+			c.score -= time.Duration(homeBonus * float64(unit))
 		}
-		if f := p.prefillWithFetch(s, j, source, median, now); f != nil && f.score < c.score {
+		if f := p.prefillWithFetch(s, j, source, unit, median, now); f != nil && f.score < c.score {
 			c = f
 		}
 		if best == nil || c.score < best.score {
@@ -419,15 +447,20 @@
 	return p.assign(best, "", now)
 }
 
-// defaultPlainWork is the assumed duration of a request to a plain endpoint.
-const defaultPlainWork = 30 * time.Millisecond
+// guessedPlainWork is the duration of a request to a plain endpoint that is used to compare
+// endpoints before there are measurements.
+const guessedPlainWork = 30 * time.Millisecond
 
 // scorePlain returns the expected duration of a request at a plain endpoint. The caller
 // must hold p.mu.
 func (p *Placer) scorePlain(s *endpointState, median float64, now time.Time) time.Duration {
 	streams := s.own.Streams + s.others.Streams
 	rounds := 1 + float64(streams)/float64(max(1, s.Slots))
-	d := time.Duration(rounds*float64(defaultPlainWork)*s.relativeSlowness(median, now)) + s.penaltyForFailures(now)
+	work, ok := p.plainTimes.Median(now)
+	if !ok {
+		work = guessedPlainWork
+	}
+	d := time.Duration(rounds*float64(work)*s.relativeSlowness(median, now)) + s.penaltyForFailures(now)
 	if s.DataCentre != p.cfg.DataCentre {
 		// Among equal endpoints, those in this data centre are preferred.
 		d += time.Millisecond
@@ -445,6 +478,7 @@
 	c.state.addWork(c, 1)
 	if stage == slugplan.RolePrefill {
 		p.demand.add(c.nominal, now)
+		p.recordMeanWork(c.job)
 		return c, true
 	}
 	n := 0
--- a/internal/decision/slugplacement/placer_test.go
+++ b/internal/decision/slugplacement/placer_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/sassafraslug/sassafraslug/internal/base/slugname"
+	"github.com/sassafraslug/sassafraslug/internal/decision/slugpace"
 	"github.com/sassafraslug/sassafraslug/internal/decision/slugplan"
 	"gotest.tools/v3/assert"
 )
@@ -18,7 +19,7 @@
 	for i := range prefill + decode {
 		e := Endpoint{
 			Name: slugname.Endpoint(fmt.Sprintf("e-%02d", i)), Address: fmt.Sprintf("10.0.0.%d:80", i), DataCentre: "a",
-			Role: slugplan.RolePrefill, Slots: 64, CacheTokens: 400000,
+			Role: slugplan.RolePrefill, Slots: 64, CacheTokens: 400000, TransferPerToken: 200 * time.Nanosecond,
 		}
 		if i >= prefill {
 			e.Role = slugplan.RoleDecode
@@ -31,9 +32,19 @@
 	return out
 }
 
+// measuredFit is the measured pace of the engines in most tests.
+var measuredFit = slugpace.Fit{Fixed: 10 * time.Millisecond, PerToken: 23_256, PerPair: 0.25, Samples: 1000}
+
+// measuredPace returns a model that has adopted measuredFit.
+func measuredPace() *slugpace.Model {
+	m := slugpace.New()
+	m.Adopt([]slugpace.Fit{measuredFit}, start)
+	return m
+}
+
 // newPlacer returns a placer in data centre a that breaks ties in list order.
 func newPlacer(endpoints []Endpoint) *Placer {
-	p := New(Config{DataCentre: "a", Random: func() float64 { return 0 }})
+	p := New(Config{DataCentre: "a", Pace: measuredPace(), Random: func() float64 { return 0 }})
 	p.SetEndpoints(endpoints)
 	return p
 }
--- a/internal/decision/slugplacement/predict.go
+++ b/internal/decision/slugplacement/predict.go
@@ -85,49 +85,75 @@
 	return best
 }
 
-// maxPreferenceDelay is the upper bound of the time that preferenceDelay adds.
-const maxPreferenceDelay = 12 * time.Millisecond
+// maxPreferenceDelay is the upper bound of the time that preferenceDelay adds, as a
+// fraction of the mean work of a prompt.
+const maxPreferenceDelay = 0.06
 
 // preferenceDelay returns a time to add to an endpoint's score, which orders engines
 // that are otherwise equal. All hosts prefer the engines in the same order for one
 // shared part, so that a part in high demand is cached by a few of them, and in
 // different orders for different parts. Without a shared part the time is random;
 // otherwise all hosts would choose the first engine of the list.
-func (p *Placer) preferenceDelay(sharedPart PartID, s *endpointState) time.Duration {
+func (p *Placer) preferenceDelay(sharedPart PartID, s *endpointState, unit time.Duration) time.Duration {
 	fraction := p.cfg.Random()
 	if sharedPart != "" {
 		fraction = 1 - float64(rendezvousWeight(xxhash.Sum64String(string(sharedPart)), s.hash))/math.MaxUint64
 	}
-	return time.Duration(fraction * float64(maxPreferenceDelay))
+	return time.Duration(fraction * maxPreferenceDelay * float64(unit))
 }
 
 // homeBonus is subtracted from the score of a shared part's home, so that all hosts
-// send the part to one endpoint as long as none has it cached.
-const homeBonus = 15 * time.Millisecond
+// send the part to one endpoint as long as none has it cached. It is a fraction of the
+// mean work of a prompt.
+const homeBonus = 0.075
+
+// meanWorkSmoothing is the weight of the latest prompt in the mean work.
+const meanWorkSmoothing = 0.05
+
+// recordMeanWork updates the mean work of a prompt without cache. The caller must hold
+// p.mu.
+func (p *Placer) recordMeanWork(j Job) {
+	work := p.cfg.Pace.Work(j.Tokens, 0)
+	if p.meanWork == 0 {
+		p.meanWork = work
+	}
+	p.meanWork += time.Duration(meanWorkSmoothing * float64(work-p.meanWork))
+}
+
+// workUnit returns the mean work of a prompt, in fractions of which preferences are
+// expressed, so that they have the same effect with engines of any speed. The caller must
+// hold p.mu.
+func (p *Placer) workUnit(j Job) time.Duration {
+	if p.meanWork == 0 {
+		return p.cfg.Pace.Work(j.Tokens, 0)
+	}
+	return p.meanWork
+}
 
 const (
 	// minFetchTokens is the number of tokens below which fetching is not worth a call.
 	minFetchTokens = 512
-	// fetchSetupTime is the fixed time of fetching KV cache from another endpoint. It
-	// exceeds the actual setup time so that an idle endpoint with the cache is
+	// fetchReluctance is added to the time of fetching KV cache from another endpoint, as
+	// a fraction of the mean work of a prompt, so that an idle endpoint with the cache is
 	// preferred: copies on many endpoints would displace the cache of other prompts.
-	fetchSetupTime = 25 * time.Millisecond
-	// fetchPerToken is the time to fetch the KV cache of one token.
-	fetchPerToken = 500 * time.Nanosecond
+	fetchReluctance = 0.12
+	// transferQueueing is the ratio of the time of a transfer to that of its bytes alone,
+	// because an endpoint's transfers run one after another.
+	transferQueueing = 2
 )
 
 // prefillWithFetch predicts the time of a prompt at an endpoint that first fetches the KV
 // cache of the prompt's beginning from source. Moving cached data to idle nodes follows
 // published work. It returns nil if there is nothing worth fetching. The caller must hold
 // p.mu.
-func (p *Placer) prefillWithFetch(s *endpointState, j Job, source cacheHolder, median float64, now time.Time) *Choice {
+func (p *Placer) prefillWithFetch(s *endpointState, j Job, source cacheHolder, unit time.Duration, median float64, now time.Time) *Choice {
 	if source.endpointState == nil || source.endpointState == s || source.tokens < minFetchTokens {
 		return nil
 	}
 	c := p.predictPrefill(s, j, source.tokens, median, now)
-	fetch := fetchTime(source.tokens)
+	fetch := p.fetchTime(s, source.tokens, unit)
 	if source.DataCentre != s.DataCentre {
-		fetch += time.Duration(source.tokens) * fetchPerToken
+		fetch += transferQueueing * time.Duration(source.tokens) * s.TransferPerToken
 	}
 	c.work += fetch
 	c.Predicted += fetch
@@ -137,22 +163,24 @@
 }
 
 // fetchTime returns the time to fetch the KV cache of tokens within a data centre.
-func fetchTime(tokens int) time.Duration {
-	return fetchSetupTime + time.Duration(tokens)*fetchPerToken
+func (p *Placer) fetchTime(s *endpointState, tokens int, unit time.Duration) time.Duration {
+	return time.Duration(fetchReluctance*float64(unit)) + transferQueueing*time.Duration(tokens)*s.TransferPerToken
 }
 
 // predictPrefill predicts the time of a prompt at an endpoint. The caller must hold
 // p.mu.
 func (p *Placer) predictPrefill(s *endpointState, j Job, cached int, median float64, now time.Time) *Choice {
 	slowness := s.relativeSlowness(median, now)
-	nominal := p.cfg.Cost.Prefill(j.Tokens, cached)
+	nominal := p.cfg.Pace.Work(j.Tokens, cached)
 	work := time.Duration(float64(nominal) * slowness)
 	wait := time.Duration(float64(s.own.Prefill+s.others.Prefill) * slowness)
 	if now.Sub(s.forecastAt) < forecastMaxAge {
 		wait = max(s.idleAt.Sub(now), time.Duration(float64(s.own.Prefill)*slowness))
 	}
-	score := wait + work + s.penaltyForFailures(now)
-	return &Choice{Endpoint: s.Endpoint, Predicted: wait + work, Cached: cached, p: p, state: s, job: j, work: work, nominal: nominal, wait: wait, score: score}
+	return &Choice{
+		Endpoint: s.Endpoint, Predicted: wait + work + p.cfg.Pace.Fixed(), Measured: p.cfg.Pace.Measured(now), Cached: cached,
+		p: p, state: s, job: j, work: work, nominal: nominal, wait: wait, score: wait + work + s.penaltyForFailures(now),
+	}
 }
 
 // forecastMaxAge is how long the owner's forecast of the work at an endpoint takes
--- a/internal/membership/slugpeer/row.go
+++ b/internal/membership/slugpeer/row.go
@@ -61,6 +61,20 @@
 	Draining []slugname.Endpoint `cbor:"17,keyasint,omitempty"`
 	// PlannedRoles are the roles that engines were recently ordered to take.
 	PlannedRoles map[slugname.Endpoint]slugplan.Role `cbor:"18,keyasint,omitempty"`
+	// Paces are the paces of the engines of each service as measured by the process.
+	Paces map[slugname.Service]Pace `cbor:"19,keyasint,omitempty"`
+}
+
+// Pace is the measured pace of the engines of a service.
+type Pace struct {
+	_ struct{} `cbor:",toarray"`
+	// FixedUs is the time of a call that does not depend on the prompt, in microseconds.
+	FixedUs uint32
+	// PerTokenNs and PerPairNs are the times of each token to process and of each pair of
+	// tokens, in nanoseconds.
+	PerTokenNs, PerPairNs float64
+	// Samples is the number of prompts measured.
+	Samples uint32
 }
 
 // Load is the load that one process has placed on one endpoint.
--- a/internal/request/slugdispatch/events.go
+++ b/internal/request/slugdispatch/events.go
@@ -10,6 +10,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/sassafraslug/sassafraslug/internal/connection/slugsend"
+	"github.com/sassafraslug/sassafraslug/internal/decision/slugplacement"
 )
 
 // maxEventBytes is the maximum size of one event of a stream.
@@ -59,7 +60,7 @@
 
 // relayStream sends the events of a response to the caller as they arrive, except those
 // that the caller already has.
-func (d *dispatch) relayStream(e *slugsend.Exchange, w *watchdog) error {
+func (d *dispatch) relayStream(e *slugsend.Exchange, c *slugplacement.Choice, w *watchdog) error {
 	if err := d.checkResponse(e); err != nil {
 		return err
 	}
@@ -76,6 +77,7 @@
 			return errors.Wrap(err, "read event")
 		}
 		w.Event()
+		c.Event(time.Now())
 		d.countStart()
 		if err := d.relayEvent(e, ev); err != nil {
 			return err
--- a/internal/request/slugdispatch/stream.go
+++ b/internal/request/slugdispatch/stream.go
@@ -20,9 +20,6 @@
 const (
 	// stallCheckInterval is the time between checks whether an endpoint has stalled.
 	stallCheckInterval = 250 * time.Millisecond
-	// firstEventEstimate is the expected time from the end of the prefill to the first
-	// event.
-	firstEventEstimate = 90 * time.Millisecond
 	// firstEventTimeout bounds the time from the start of a decode request to its first
 	// event. After it, an idempotent request is retried at another endpoint.
 	firstEventTimeout = 900 * time.Millisecond
@@ -98,7 +95,7 @@
 		c = d.announce(ctx, c, exclude)
 		if wait, late := d.missesDeadline(c); late {
 			d.cancelChoice(c)
-			return nil, noRetry(slugrefusal.NotRun(slugrefusal.CodeOverloaded, "processing the prompt is expected to take %s, which exceeds the deadline", wait.Round(time.Millisecond)).WithRetryAfter(d.retryAfter()))
+			return nil, noRetry(slugrefusal.NotRun(slugrefusal.CodeOverloaded, "the first event is expected after %s, which exceeds the deadline", wait.Round(time.Millisecond)).WithRetryAfter(d.retryAfter()))
 		}
 		prefilled, sent, err := d.attemptPrefill(ctx, c)
 		if err == nil {
@@ -189,6 +186,7 @@
 	defer cancel(nil)
 	defer d.watchStall(c, cancel)()
 	done := d.cfg.Suspects.Begin(c.Name, d.fingerprint, false)
+	c.Sent(time.Now())
 	e, err := d.cfg.Open(callCtx, d.cfg.Codec.EncodePrefill(d.call, d.target(c)))
 	if e.Sent {
 		d.sends++
@@ -212,10 +210,11 @@
 	return &prefillResult{c, h}, true, nil
 }
 
-// missesDeadline returns the predicted duration of the prefill, and whether the first
-// event is predicted to come after the deadline.
+// missesDeadline returns the predicted time to the first event, and whether that comes
+// after the deadline. A prediction that does not rest on measurements misses nothing.
 func (d *dispatch) missesDeadline(c *slugplacement.Choice) (time.Duration, bool) {
-	return c.Predicted, c.Predicted+firstEventEstimate > d.remaining()
+	expected := c.Predicted + d.placer.FirstEventTime(time.Now())
+	return expected, c.Measured && expected > d.remaining()
 }
 
 // errStalled is the cancellation cause of an attempt at a stalled endpoint.
@@ -301,6 +300,7 @@
 	defer cancel(nil)
 	watchdog := d.watchEvents(cancel)
 	defer watchdog.Stop()
+	c.Sent(time.Now())
 	done := d.cfg.Suspects.Begin(c.Name, d.fingerprint, false)
 	e, err := d.cfg.Open(ctx, d.cfg.Codec.EncodeRun(d.call, t))
 	if e.Sent {
@@ -308,7 +308,7 @@
 		d.decodeSent = true
 	}
 	if err == nil {
-		err = d.relayStream(e, watchdog)
+		err = d.relayStream(e, c, watchdog)
 	}
 	done(err == nil)
 	c.End(d.placementOutcome(requestCtx, err), time.Now())
--- a/internal/version/slugrouting/table.go
+++ b/internal/version/slugrouting/table.go
@@ -107,6 +107,16 @@
 	MaxEventReaders int
 }
 
+// TransferPerToken returns the time that the KV cache of one token takes over a link, or 0
+// if the bandwidth is unknown.
+func (e Engine) TransferPerToken() time.Duration {
+	if e.LinkMbps <= 0 {
+		return 0
+	}
+	const bitsPerByte = 8
+	return time.Duration(e.BytesPerToken * bitsPerByte / e.LinkMbps * float64(time.Microsecond))
+}
+
 // Scaling defines the limits and costs of ordering endpoints of a service.
 type Scaling struct {
 	// Min and Max limit the number of endpoints in each data centre.
