Divide engines between prompts and responses by the needs of both

Cause: decode engines were counted at 24 responses each, first, and prompts got the rest.

Change: an engine generates responses in 0.6 of its slots; if the engines do not suffice for both, they are divided in proportion, and responses keep 0.9 of the slots that they take. A data centre's part follows from its share of the engines, not from the number of data centres.

--- a/internal/authority/slugcapacityduty/duty.go
+++ b/internal/authority/slugcapacityduty/duty.go
@@ -199,7 +199,7 @@
 	demand := d.cfg.Demand(s.Name)
 	service := slugcapacity.Service{
 		Min: s.Scaling.Min, Max: s.Scaling.Max, HasCheap: s.Scaling.CheapPrice > 0 && s.Scaling.CheapPrice < 1,
-		PeakPrefillBusy: demand.PrefillBusy, PeakStreams: demand.Streams,
+		PeakPrefillBusy: demand.PrefillBusy, PeakStreams: demand.Streams, Slots: s.Engine.Slots,
 	}
 	for _, dc := range dataCentres(s, engines) {
 		loc := location{s.Name, dc}
@@ -305,10 +305,9 @@
 func (d *Duty) orderRoles(ctx context.Context, grant *sluglease.Grant, s *slugrouting.Service, engines []slugregistry.Endpoint) {
 	list := d.servingEngines(s, engines)
 	demand := d.cfg.Demand(s.Name)
+	service := slugcapacity.Service{PeakPrefillBusy: demand.PrefillBusy, PeakStreams: demand.Streams, Slots: s.Engine.Slots}
 	locations := len(dataCentres(s, engines))
-	changes := slugcapacity.RoleChanges(list, func(_ slugname.DataCentre, n int) int {
-		return slugcapacity.DecodeEngines(n, demand.Streams, locations)
-	})
+	changes := slugcapacity.RoleChanges(list, func(_ slugname.DataCentre, n int) int { return service.DecodeEngines(n, len(list), locations) })
 	for _, c := range changes {
 		if time.Since(d.roleOrderedAt[c.Engine]) < roleRetryInterval {
 			continue
--- a/internal/decision/slugcapacity/capacity.go
+++ b/internal/decision/slugcapacity/capacity.go
@@ -37,9 +37,12 @@
 	// targetPrefillUtilization is the average utilization planned for engines that
 	// process prompts; above it prompts wait too long for each other.
 	targetPrefillUtilization = 0.45
-	// decodeStreamsPerEngine is the number of concurrent responses that an engine
-	// generates without delaying their events.
-	decodeStreamsPerEngine = 24
+	// targetSlotUtilization is the fraction of an engine's slots that running responses
+	// should take; the others absorb fluctuations.
+	targetSlotUtilization = 0.6
+	// maxSlotUtilization is the fraction of the slots above which responses wait for each
+	// other.
+	maxSlotUtilization = 0.9
 	// minDecodeShare is the fraction of a data centre's engines that decode regardless
 	// of demand, so that others remain when one is lost.
 	minDecodeShare = 1.0 / 6
@@ -87,6 +90,8 @@
 	PeakPrefillBusy float64
 	// PeakStreams is the recent peak of the number of concurrent responses.
 	PeakStreams float64
+	// Slots is the number of requests that one engine runs concurrently.
+	Slots int
 }
 
 // Order sets the number of engines of one kind in a data centre.
@@ -112,7 +117,7 @@
 // engineTarget returns the planned number of engines of both kinds in a data centre.
 func (s Service) engineTarget(d DataCentre) int {
 	n := max(float64(d.Initial), math.Ceil(float64(s.Max)*plannedShare))
-	demand := s.PeakPrefillBusy/targetPrefillUtilization + s.PeakStreams/decodeStreamsPerEngine
+	demand := s.PeakPrefillBusy/targetPrefillUtilization + s.PeakStreams/(targetSlotUtilization*float64(max(1, s.Slots)))
 	n = max(n, math.Ceil(demand/float64(max(1, len(s.DataCentres)))))
 	return min(max(int(n), s.Min), s.Max)
 }
@@ -193,12 +198,24 @@
 	Role   slugplan.Role
 }
 
-// DecodeEngines returns the number of decode engines that a data centre needs. engines
-// is the number of engines in the data centre; streams, the number of concurrent
-// responses, and dataCentres are those of the whole service.
-func DecodeEngines(engines int, streams float64, dataCentres int) int {
-	total := max(streams*decodeHeadroom/decodeStreamsPerEngine, minDecodeEngines)
-	n := int(math.Ceil(total / float64(max(1, dataCentres))))
+// DecodeEngines returns the number of decode engines that a data centre needs, which has
+// engines of the total number of engines of the service. dataCentres is the number of data
+// centres in which the service may run.
+//
+// It answers a mix of prompts and responses that shifts while engines are few, because
+// those of a data centre were reclaimed. As long as the engines suffice for both, decode
+// gets what its responses need. Otherwise the engines are divided in proportion to the
+// needs of both, but responses that have begun still find a slot.
+func (s Service) DecodeEngines(engines, total, dataCentres int) int {
+	slots := float64(max(1, s.Slots))
+	streams := s.PeakStreams * decodeHeadroom
+	decode := streams / (targetSlotUtilization * slots)
+	prefill := s.PeakPrefillBusy / targetPrefillUtilization
+	if need := decode + prefill; need > float64(total) {
+		decode = max(decode*float64(total)/need, streams/(maxSlotUtilization*slots))
+	}
+	n := int(math.Ceil(decode * float64(engines) / float64(max(1, total))))
+	n = max(n, int(math.Ceil(minDecodeEngines/float64(max(1, dataCentres)))))
 	n = max(n, int(math.Round(float64(engines)*minDecodeShare)))
 	return max(0, min(n, engines-minPrefillEngines))
 }
--- a/internal/decision/slugcapacity/capacity_test.go
+++ b/internal/decision/slugcapacity/capacity_test.go
@@ -107,10 +107,25 @@
 
 // TestDecodeEngines guards against data centres with too few decode or prefill engines.
 func TestDecodeEngines(t *testing.T) {
-	assert.Equal(t, DecodeEngines(8, 0, 3), 1, "one decode engine in each of three data centres")
-	assert.Equal(t, DecodeEngines(8, 0, 1), 2, "another remains after the loss of one")
-	assert.Equal(t, DecodeEngines(8, 240, 3), 5)
-	assert.Equal(t, DecodeEngines(12, 0, 3), 2, "the minimum share of the engines")
-	assert.Equal(t, DecodeEngines(2, 0, 3), 1)
-	assert.Equal(t, DecodeEngines(1, 500, 3), 0)
+	for name, c := range map[string]struct {
+		busy, streams     float64
+		slots             int
+		engines, total    int
+		dataCentres, want int
+	}{
+		"one decode engine in each of three data centres": {0, 0, 64, 8, 24, 3, 1},
+		"another remains after the loss of one":           {0, 0, 64, 8, 8, 1, 2},
+		"slots for all responses":                         {0, 240, 40, 8, 24, 3, 5},
+		"few slots in each engine":                        {0, 30, 12, 12, 38, 3, 2},
+		"the minimum share of the engines":                {0, 0, 64, 12, 36, 3, 2},
+		"one prefill engine remains":                      {0, 0, 64, 2, 24, 3, 1},
+		"a single engine processes prompts":               {0, 500, 64, 1, 24, 3, 0},
+		// Two of three data centres lost half of their engines during a burst of prompts.
+		"prompts keep most engines of a reduced service": {11, 200, 64, 6, 12, 3, 3},
+		"the rest of the service in the same burst":      {11, 200, 64, 3, 12, 3, 2},
+		"responses that have begun keep their slots":     {40, 300, 64, 6, 12, 3, 4},
+	} {
+		s := Service{PeakPrefillBusy: c.busy, PeakStreams: c.streams, Slots: c.slots}
+		assert.Equal(t, s.DecodeEngines(c.engines, c.total, c.dataCentres), c.want, name)
+	}
 }
