Take the peak of the summed demand, and divide short engines by current responses

Change: hosts report their current demand, the holder keeps the peak of the sum (slugpeak); where engines are short, responses get the slots that they take now; the number is divided among data centres by largest remainder.

--- a/internal/authority/slugcapacityduty/duty.go
+++ b/internal/authority/slugcapacityduty/duty.go
@@ -28,6 +28,7 @@
 	"github.com/sassafraslug/sassafraslug/internal/base/slugname"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugstore"
 	"github.com/sassafraslug/sassafraslug/internal/decision/slugcapacity"
+	"github.com/sassafraslug/sassafraslug/internal/decision/slugpeak"
 	"github.com/sassafraslug/sassafraslug/internal/decision/slugplan"
 	"github.com/sassafraslug/sassafraslug/internal/fleet/slugregistry"
 	"github.com/sassafraslug/sassafraslug/internal/version/slugrouting"
@@ -45,12 +46,17 @@
 	delayAllowance = 3 * time.Second
 	// roleRetryInterval is the time between attempts to change the role of an engine.
 	roleRetryInterval = 1500 * time.Millisecond
+	// demandMemory is how long a peak of demand counts. New engines take seconds to start,
+	// so capacity follows the peaks.
+	demandMemory = 12 * time.Second
+	// recentDemand is the span whose peak counts as the current demand.
+	recentDemand = 2 * time.Second
 )
 
 // Name is the name of the object that holds the ordered numbers of engines.
 const Name = "plans/capacity"
 
-// Demand is the recent peak demand for a service.
+// Demand is the current demand for a service.
 type Demand struct {
 	// PrefillBusy is the number of engines that prefill keeps busy.
 	PrefillBusy float64
@@ -129,6 +135,8 @@
 	roleOrderedAt map[slugname.Endpoint]time.Time
 	// orderedRole is the role that an engine was last asked to take.
 	orderedRole map[slugname.Endpoint]slugplan.Role
+	// prefillBusy and streams are the recent demands for each service.
+	prefillBusy, streams map[slugname.Service]*slugpeak.Window
 }
 
 // New returns a Duty.
@@ -138,6 +146,7 @@
 func (d *Duty) Run(ctx context.Context, grant *sluglease.Grant) error {
 	d.unavailableAt, d.cheapOrderedAt, d.regularOrderedAt = map[location]time.Time{}, map[location]time.Time{}, map[location]time.Time{}
 	d.startedAt = time.Now()
+	d.prefillBusy, d.streams = map[slugname.Service]*slugpeak.Window{}, map[slugname.Service]*slugpeak.Window{}
 	d.roleOrderedAt, d.orderedRole = map[slugname.Endpoint]time.Time{}, map[slugname.Endpoint]slugplan.Role{}
 	var err error
 	if d.record, err = slugrecord.Load[record](ctx, d.cfg.Store, Name); err != nil {
@@ -196,10 +205,10 @@
 
 // planInput returns the state of a service as input for slugcapacity.
 func (d *Duty) planInput(s *slugrouting.Service, engines []slugregistry.Endpoint, now time.Time) slugcapacity.Service {
-	demand := d.cfg.Demand(s.Name)
+	demand := d.peakDemand(s.Name, now)
 	service := slugcapacity.Service{
 		Min: s.Scaling.Min, Max: s.Scaling.Max, HasCheap: s.Scaling.CheapPrice > 0 && s.Scaling.CheapPrice < 1,
-		PeakPrefillBusy: demand.PrefillBusy, PeakStreams: demand.Streams, Slots: s.Engine.Slots,
+		PeakPrefillBusy: demand.prefillBusy, PeakStreams: demand.streams, Streams: demand.recentStreams, Slots: s.Engine.Slots,
 	}
 	for _, dc := range dataCentres(s, engines) {
 		loc := location{s.Name, dc}
@@ -224,6 +233,23 @@
 	return service
 }
 
+// peaks are the recent peaks of the demand for a service.
+type peaks struct {
+	prefillBusy, streams, recentStreams float64
+}
+
+// peakDemand returns the peaks of the demand for a service, including the current demand.
+func (d *Duty) peakDemand(s slugname.Service, now time.Time) peaks {
+	if d.prefillBusy[s] == nil {
+		d.prefillBusy[s], d.streams[s] = slugpeak.New(demandMemory), slugpeak.New(demandMemory)
+	}
+	demand := d.cfg.Demand(s)
+	busy, streams := d.prefillBusy[s], d.streams[s]
+	busy.Add(demand.PrefillBusy, now)
+	streams.Add(demand.Streams, now)
+	return peaks{busy.Peak(demandMemory, now), streams.Peak(demandMemory, now), streams.Peak(recentDemand, now)}
+}
+
 // dataCentres returns the data centres where a service runs or may run, sorted.
 func dataCentres(s *slugrouting.Service, engines []slugregistry.Endpoint) []slugname.DataCentre {
 	seen := map[slugname.DataCentre]bool{}
@@ -304,10 +330,12 @@
 // orderRoles sends the role changes that the plan requires.
 func (d *Duty) orderRoles(ctx context.Context, grant *sluglease.Grant, s *slugrouting.Service, engines []slugregistry.Endpoint) {
 	list := d.servingEngines(s, engines)
-	demand := d.cfg.Demand(s.Name)
-	service := slugcapacity.Service{PeakPrefillBusy: demand.PrefillBusy, PeakStreams: demand.Streams, Slots: s.Engine.Slots}
-	locations := len(dataCentres(s, engines))
-	changes := slugcapacity.RoleChanges(list, func(_ slugname.DataCentre, n int) int { return service.DecodeEngines(n, len(list), locations) })
+	sizes := map[slugname.DataCentre]int{}
+	for _, e := range list {
+		sizes[e.DataCentre]++
+	}
+	decode := d.planInput(s, engines, time.Now()).DecodeEngines(sizes)
+	changes := slugcapacity.RoleChanges(list, func(dc slugname.DataCentre, _ int) int { return decode[dc] })
 	for _, c := range changes {
 		if time.Since(d.roleOrderedAt[c.Engine]) < roleRetryInterval {
 			continue
--- a/internal/decision/slugcapacity/capacity.go
+++ b/internal/decision/slugcapacity/capacity.go
@@ -19,6 +19,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -88,8 +89,9 @@
 	DataCentres []DataCentre
 	// PeakPrefillBusy is the recent peak of the number of engines kept busy by prompts.
 	PeakPrefillBusy float64
-	// PeakStreams is the recent peak of the number of concurrent responses.
-	PeakStreams float64
+	// PeakStreams is the recent peak of the number of concurrent responses, and Streams
+	// their current number.
+	PeakStreams, Streams float64
 	// Slots is the number of requests that one engine runs concurrently.
 	Slots int
 }
@@ -198,26 +200,58 @@
 	Role   slugplan.Role
 }
 
-// DecodeEngines returns the number of decode engines that a data centre needs, which has
-// engines of the total number of engines of the service. dataCentres is the number of data
-// centres in which the service may run.
+// DecodeEngines returns the number of decode engines that each data centre needs, given its
+// number of engines.
 //
 // It answers a mix of prompts and responses that shifts while engines are few, because
 // those of a data centre were reclaimed. As long as the engines suffice for both, decode
-// gets what its responses need. Otherwise the engines are divided in proportion to the
-// needs of both, but responses that have begun still find a slot.
-func (s Service) DecodeEngines(engines, total, dataCentres int) int {
+// gets what the peak of responses needs, with some in every data centre. Otherwise the
+// engines are divided in proportion to the needs of both, but the present responses still
+// find slots.
+func (s Service) DecodeEngines(engines map[slugname.DataCentre]int) map[slugname.DataCentre]int {
+	total := 0
+	for _, n := range engines {
+		total += n
+	}
 	slots := float64(max(1, s.Slots))
-	streams := s.PeakStreams * decodeHeadroom
-	decode := streams / (targetSlotUtilization * slots)
+	decode := s.PeakStreams * decodeHeadroom / (targetSlotUtilization * slots)
 	prefill := s.PeakPrefillBusy / targetPrefillUtilization
-	if need := decode + prefill; need > float64(total) {
-		decode = max(decode*float64(total)/need, streams/(maxSlotUtilization*slots))
+	short := decode+prefill > float64(total)
+	if short {
+		decode = max(decode*float64(total)/(decode+prefill), s.Streams*decodeHeadroom/(maxSlotUtilization*slots))
+	}
+	least := int(math.Ceil(minDecodeEngines / float64(max(1, len(s.DataCentres)))))
+	if !short {
+		decode = max(decode, float64(least*len(engines)))
+	}
+	decode = max(decode, float64(total)*minDecodeShare)
+	out := divide(int(math.Ceil(decode)), engines, total)
+	for d, n := range engines {
+		if !short {
+			out[d] = max(out[d], least)
+		}
+		out[d] = max(0, min(out[d], n-minPrefillEngines))
+	}
+	return out
+}
+
+// divide divides n in proportion to the sizes, of which total is the sum. What remains after
+// rounding down goes to the largest remainders.
+func divide(n int, sizes map[slugname.DataCentre]int, total int) map[slugname.DataCentre]int {
+	out := map[slugname.DataCentre]int{}
+	names := slices.Sorted(maps.Keys(sizes))
+	remaining := n
+	for _, d := range names {
+		out[d] = n * sizes[d] / max(1, total)
+		remaining -= out[d]
 	}
-	n := int(math.Ceil(decode * float64(engines) / float64(max(1, total))))
-	n = max(n, int(math.Ceil(minDecodeEngines/float64(max(1, dataCentres)))))
-	n = max(n, int(math.Round(float64(engines)*minDecodeShare)))
-	return max(0, min(n, engines-minPrefillEngines))
+	slices.SortStableFunc(names, func(a, b slugname.DataCentre) int {
+		return cmp.Compare(n*sizes[b]%max(1, total), n*sizes[a]%max(1, total))
+	})
+	for _, d := range names[:min(remaining, len(names))] {
+		out[d]++
+	}
+	return out
 }
 
 // RoleChanges returns the role changes after which each data centre has its number of decode
