--- a/internal/decision/slugcapacity/capacity.go
+++ b/internal/decision/slugcapacity/capacity.go
@@ -118,10 +118,15 @@
 
 // engineTarget returns the planned number of engines of both kinds in a data centre.
 func (s Service) engineTarget(d DataCentre) int {
-	n := max(float64(d.Initial), math.Ceil(float64(s.Max)*plannedShare))
+	n := max(d.Initial, int(math.Ceil(float64(s.Max)*plannedShare)), s.demandedEngines())
+	return min(max(n, s.Min), s.Max)
+}
+
+// demandedEngines returns the number of engines that each data centre needs for the peak of
+// demand.
+func (s Service) demandedEngines() int {
 	demand := s.PeakPrefillBusy/targetPrefillUtilization + s.PeakStreams/(targetSlotUtilization*float64(max(1, s.Slots)))
-	n = max(n, math.Ceil(demand/float64(max(1, len(s.DataCentres)))))
-	return min(max(int(n), s.Min), s.Max)
+	return int(math.Ceil(demand / float64(max(1, len(s.DataCentres)))))
 }
 
 // Orders returns the orders that bring a service to its plan; those that add engines
@@ -133,8 +138,9 @@
 		regular, cheap, reason := s.regularTarget(), s.cheapTarget(d), "planned capacity"
 		cheapUnavailable := !s.HasCheap || !d.CheapRefusedAt.IsZero() && now.Sub(d.CheapRefusedAt) < cheapRetryDelay
 		if cheapUnavailable {
-			// Regular engines replace the missing reclaimable ones.
-			regular = max(regular, min(s.engineTarget(d)-d.Cheap, max(d.Initial, d.Regular)))
+			// Regular engines replace the missing reclaimable ones, as far as demand calls
+			// for them: they cost several times as much.
+			regular = max(regular, min(s.engineTarget(d)-d.Cheap, max(d.Initial, d.Regular, s.demandedEngines()-d.Cheap)))
 			cheap, reason = d.Cheap, "no reclaimable engines to be had"
 		}
 		if !cheapUnavailable && d.shouldOrderCheap(cheap) {
--- a/internal/decision/slugcapacity/capacity_test.go
+++ b/internal/decision/slugcapacity/capacity_test.go
@@ -21,6 +21,13 @@
 	return Service{Min: 1, Max: 12, HasCheap: true, DataCentres: d}
 }
 
+// busyService returns a service whose prompts and responses call for 9 engines.
+func busyService(d ...DataCentre) Service {
+	s := service(d...)
+	s.PeakPrefillBusy, s.PeakStreams, s.Slots = 3.5, 40, 64
+	return s
+}
+
 // describe formats orders for comparison.
 func describe(orders []Order) string {
 	out := ""
@@ -75,6 +82,7 @@
 		"cheap engines are ordered before any engine has registered":      {service(newDataCentre("a", 0, 0)), "a 6 cheap; "},
 		"a settled service gets no orders":                                {service(settled), ""},
 		"regular engines replace reclaimed ones while none are available": {service(noCheap), "a 6 regular; "},
+		"demand calls for more regular engines than there were at first":  {busyService(noCheap), "a 9 regular; "},
 		"nothing is released without cheap engines":                       {Service{Min: 1, Max: 12, DataCentres: []DataCentre{newDataCentre("a", 6, 0)}}, ""},
 	} {
 		assert.Equal(t, describe(Orders(c.s, now)), c.want, name)
