--- a/internal/request/slugdispatch/dispatcher.go
+++ b/internal/request/slugdispatch/dispatcher.go
@@ -26,6 +26,7 @@
 	"github.com/sassafraslug/sassafraslug/internal/connection/slugsend"
 	"github.com/sassafraslug/sassafraslug/internal/decision/slugbudget"
 	"github.com/sassafraslug/sassafraslug/internal/decision/slugplacement"
+	"github.com/sassafraslug/sassafraslug/internal/decision/slugstanding"
 	"github.com/sassafraslug/sassafraslug/internal/decision/slugsuspect"
 	"github.com/sassafraslug/sassafraslug/internal/request/slugrefusal"
 	"github.com/sassafraslug/sassafraslug/internal/version/slugconfig"
@@ -66,6 +67,8 @@
 	ConfigurationAge func() time.Duration
 	// Placer returns the placer of a service.
 	Placer func(slugname.Service) *slugplacement.Placer
+	// Standing returns the queue of a service's prompts.
+	Standing func(slugname.Service) *slugstanding.Queue
 	// Budget returns the retry budget of a service.
 	Budget func(slugname.Service) *slugbudget.Budget
 	// Suspects tracks requests that may crash endpoints.
--- a/internal/request/slugdispatch/stream.go
+++ b/internal/request/slugdispatch/stream.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"slices"
 	"sync"
@@ -14,6 +15,7 @@
 	"github.com/sassafraslug/sassafraslug/internal/connection/slugsend"
 	"github.com/sassafraslug/sassafraslug/internal/decision/slugplacement"
 	"github.com/sassafraslug/sassafraslug/internal/decision/slugplan"
+	"github.com/sassafraslug/sassafraslug/internal/decision/slugstanding"
 	"github.com/sassafraslug/sassafraslug/internal/request/slugrefusal"
 )
 
@@ -93,9 +95,9 @@
 			return nil, noRetry(errors.CombineErrors(last, errRetryBudget))
 		}
 		c = d.announce(ctx, c, exclude)
-		if wait, late := d.missesDeadline(c); late {
+		if refusal := d.refuseOverload(c); refusal != nil {
 			d.cancelChoice(c)
-			return nil, noRetry(slugrefusal.NotRun(slugrefusal.CodeOverloaded, "the first event is expected after %s, which exceeds the deadline", wait.Round(time.Millisecond)).WithRetryAfter(d.retryAfter()))
+			return nil, noRetry(refusal)
 		}
 		prefilled, sent, err := d.attemptPrefill(ctx, c)
 		if err == nil {
@@ -210,6 +212,30 @@
 	return &prefillResult{c, h}, true, nil
 }
 
+// refuseOverload refuses a prompt that cannot be served before its deadline, or that would
+// lengthen a standing queue. A stream that has begun is not refused.
+func (d *dispatch) refuseOverload(c *slugplacement.Choice) *slugrefusal.Refusal {
+	if expected, late := d.missesDeadline(c); late {
+		return slugrefusal.NotRun(slugrefusal.CodeOverloaded, "the first event is expected after %s, which exceeds the deadline", expected.Round(time.Millisecond)).WithRetryAfter(d.retryAfter())
+	}
+	if d.headerWritten || d.possibleRuns > 0 || !c.Measured {
+		return nil
+	}
+	p := slugstanding.Prompt{Wait: c.Wait(), Work: c.RelativeWork()}
+	retryAfter, ok := d.cfg.Standing(d.service.Name).Admit(p, d.service.ShortestObjective, time.Now())
+	if ok {
+		return nil
+	}
+	return slugrefusal.NotRun(slugrefusal.CodeOverloaded, "the engines have had a queue for some time, now of %s", p.Wait.Round(time.Millisecond)).WithRetryAfter(d.retryAfterQueue(retryAfter))
+}
+
+// retryAfterQueue returns a random time after which the caller should return, given the time
+// after which the queue will have shortened. The caller still has most of its time then.
+func (d *dispatch) retryAfterQueue(shortened time.Duration) time.Duration {
+	spread := time.Duration(rand.Int64N(int64(transientRetryAfter)))
+	return min(shortened+spread, max(d.remaining()/3, 0))
+}
+
 // missesDeadline returns the predicted time to the first event, and whether that comes
 // after the deadline. A prediction that does not rest on measurements misses nothing.
 func (d *dispatch) missesDeadline(c *slugplacement.Choice) (time.Duration, bool) {
