Decline at the owner the prompts that would miss their deadline

Change: an announcement carries the longest wait with which the prompt meets its deadline; the owner declines it beyond that and adds nothing.

--- a/internal/daemon/slughost/announce.go
+++ b/internal/daemon/slughost/announce.go
@@ -29,22 +29,24 @@
 
 // announce announces a prompt for the chosen endpoint to its owner. It returns the
 // queueing delay, work and cached tokens to expect there, or false if the owner gave no
-// answer.
-func (h *Host) announce(ctx context.Context, s slugname.Service, c *slugplacement.Choice) (slugplacement.Forecast, bool) {
+// answer. The owner declines a prompt that would wait longer than maxWait, unless that is 0.
+func (h *Host) announce(ctx context.Context, s slugname.Service, c *slugplacement.Choice, maxWait time.Duration) (slugplacement.Forecast, bool) {
 	owner, known := h.owner(c.Name)
 	if !known {
 		return slugplacement.Forecast{}, false
 	}
 	job, copied := c.Job()
 	if owner.Process == h.member.Self().Process {
-		return h.placer(s).Announce(c.Name, job, copied, time.Now())
+		return h.placer(s).Announce(c.Name, job, copied, maxWait, time.Now())
 	}
 	a := slugpeer.Announcement{Service: s, Endpoint: c.Name, Parts: encodeParts(job), Copied: uint32(copied)}
-	f, ok := h.sendAnnouncement(ctx, owner, a)
+	answer, ok := h.sendAnnouncement(ctx, owner, slugpeer.Message{Announcement: &a, MaxWaitUs: maxWait.Microseconds()})
 	if !ok {
 		return slugplacement.Forecast{}, false
 	}
-	return decodeForecast(f), true
+	f := decodeForecast(answer.Forecast)
+	f.Declined = answer.Declined
+	return f, true
 }
 
 // withdrawAnnouncement withdraws an announcement.
@@ -60,29 +62,31 @@
 	}
 	a := slugpeer.Announcement{Service: s, Endpoint: c.Name, Parts: encodeParts(job), Withdraw: encodeForecast(f)}
 	// If this message is lost, the announced work counts until it would have been done.
-	go h.sendAnnouncement(context.Background(), owner, a)
+	go h.sendAnnouncement(context.Background(), owner, slugpeer.Message{Announcement: &a})
 }
 
 // sendAnnouncement sends an announcement, or its withdrawal, to the owner of the endpoint.
-func (h *Host) sendAnnouncement(ctx context.Context, owner slugmember.Record, a slugpeer.Announcement) (*slugpeer.Forecast, bool) {
+func (h *Host) sendAnnouncement(ctx context.Context, owner slugmember.Record, m slugpeer.Message) (slugpeer.Message, bool) {
 	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
 	defer cancel()
-	answer, err := h.transport.Call(ctx, owner, slugpeer.Message{Protocol: slugpeer.Protocol, Announcement: &a})
-	return answer.Forecast, err == nil && answer.Forecast != nil
+	m.Protocol = slugpeer.Protocol
+	answer, err := h.transport.Call(ctx, owner, m)
+	return answer, err == nil && answer.Forecast != nil
 }
 
-// handleAnnouncement handles an announcement, or its withdrawal, from a peer.
-func (h *Host) handleAnnouncement(a slugpeer.Announcement) *slugpeer.Forecast {
+// handleAnnouncement handles an announcement, or its withdrawal, from a peer. It declines a
+// prompt that would wait longer than maxWait, unless that is 0.
+func (h *Host) handleAnnouncement(a slugpeer.Announcement, maxWait time.Duration) (f *slugpeer.Forecast, declined bool) {
 	job := decodeJob(a.Parts)
 	if a.Withdraw != nil {
 		h.placer(a.Service).WithdrawAnnouncement(a.Endpoint, job, decodeForecast(a.Withdraw), time.Now())
-		return a.Withdraw
+		return a.Withdraw, false
 	}
-	f, ok := h.placer(a.Service).Announce(a.Endpoint, job, int(a.Copied), time.Now())
+	forecast, ok := h.placer(a.Service).Announce(a.Endpoint, job, int(a.Copied), maxWait, time.Now())
 	if !ok {
-		return nil
+		return nil, false
 	}
-	return encodeForecast(f)
+	return encodeForecast(forecast), forecast.Declined
 }
 
 // encodeForecast converts the result of an announcement for a peer.
--- a/internal/daemon/slughost/host.go
+++ b/internal/daemon/slughost/host.go
@@ -33,7 +33,6 @@
 	"github.com/sassafraslug/sassafraslug/internal/decision/slugpace"
 	"github.com/sassafraslug/sassafraslug/internal/decision/slugplacement"
 	"github.com/sassafraslug/sassafraslug/internal/decision/slugplan"
-	"github.com/sassafraslug/sassafraslug/internal/decision/slugstanding"
 	"github.com/sassafraslug/sassafraslug/internal/decision/slugsuspect"
 	"github.com/sassafraslug/sassafraslug/internal/fleet/slugregistry"
 	"github.com/sassafraslug/sassafraslug/internal/fleet/slugroles"
@@ -122,7 +121,6 @@
 	mu           sync.Mutex
 	placers      map[slugname.Service]*slugplacement.Placer
 	paces        map[slugname.Service]*slugpace.Model
-	queues       map[slugname.Service]*slugstanding.Queue
 	retryBudgets map[slugname.Service]*slugbudget.Budget
 	// firstSeen holds the time at which each endpoint was first seen.
 	firstSeen map[slugname.Endpoint]firstSighting
@@ -146,7 +144,7 @@
 	return &Host{
 		settings: s, network: n, adapter: a, log: log, metrics: new(expvar.Map).Init(), counters: slugcounters.New(), plannedRoles: slugroles.New(),
 		usageAggregate: slugusageaggregate.New(), firstSeen: map[slugname.Endpoint]firstSighting{},
-		placers: map[slugname.Service]*slugplacement.Placer{}, paces: map[slugname.Service]*slugpace.Model{}, queues: map[slugname.Service]*slugstanding.Queue{},
+		placers: map[slugname.Service]*slugplacement.Placer{}, paces: map[slugname.Service]*slugpace.Model{},
 		retryBudgets: map[slugname.Service]*slugbudget.Budget{},
 	}
 }
@@ -189,7 +187,7 @@
 	h.dispatcher = slugdispatch.New(slugdispatch.Config{
 		Table: h.follower.Table, Fresh: h.configFresh,
 		ConfigurationAge: func() time.Duration { return slugclock.Since(h.follower.LastConfirmed()) },
-		Placer:           h.placer, Standing: h.standingQueue, Budget: h.retryBudget, Suspects: h.suspects, Codec: h.adapter.Codec, Open: h.sender.Open, Announce: h.announce, WithdrawAnnouncement: h.withdrawAnnouncement,
+		Placer:           h.placer, Budget: h.retryBudget, Suspects: h.suspects, Codec: h.adapter.Codec, Open: h.sender.Open, Announce: h.announce, WithdrawAnnouncement: h.withdrawAnnouncement,
 		Started: h.usageCounter.Count, Ended: h.counters.Record, Log: h.log,
 	})
 	return nil
@@ -224,18 +222,6 @@
 	return p
 }
 
-// standingQueue returns the queue of a service's prompts and creates it on first use.
-func (h *Host) standingQueue(s slugname.Service) *slugstanding.Queue {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	q := h.queues[s]
-	if q == nil {
-		q = slugstanding.New()
-		h.queues[s] = q
-	}
-	return q
-}
-
 // retryBudget returns the retry budget of a service and creates it on first use.
 func (h *Host) retryBudget(s slugname.Service) *slugbudget.Budget {
 	h.mu.Lock()
--- a/internal/decision/slugplacement/announce.go
+++ b/internal/decision/slugplacement/announce.go
@@ -13,13 +13,18 @@
 	Wait, Work time.Duration
 	// Cached is the number of prompt tokens that the endpoint has cached.
 	Cached int
+	// Declined is set if the prompt would wait longer than the sender accepts. It was not
+	// added to the backlog.
+	Declined bool
 }
 
 // Announce records that a process is about to send a prompt to an endpoint of which this
 // process is the owner. fetched is the number of prompt tokens that the endpoint fetches
-// from another endpoint's KV cache. Announce reports false if the endpoint is unknown or
-// does not process prompts.
-func (p *Placer) Announce(e slugname.Endpoint, j Job, fetched int, now time.Time) (Forecast, bool) {
+// from another endpoint's KV cache, and maxWait the longest wait that the sender accepts, or
+// 0 for any. Many prompts that are to be refused would otherwise lengthen the backlog until
+// they are withdrawn, so that more are refused while the endpoint idles. Announce reports
+// false if the endpoint is unknown or does not process prompts.
+func (p *Placer) Announce(e slugname.Endpoint, j Job, fetched int, maxWait time.Duration, now time.Time) (Forecast, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	s := p.byName[e]
@@ -32,7 +37,12 @@
 	if fetched > f.Cached {
 		f.Work += p.fetchTime(s, fetched, p.workUnit(j))
 	}
-	f.Wait = p.backlog.Add(e, f.Work, now)
+	f.Wait = p.backlog.Add(e, 0, now)
+	if maxWait > 0 && f.Wait > maxWait {
+		f.Declined = true
+		return f, true
+	}
+	p.backlog.Add(e, f.Work, now)
 	s.cache.addAll(j.Parts)
 	return f, true
 }
@@ -62,7 +72,10 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	c.state.addWork(c, -1)
-	c.state.idleAt, c.state.forecastAt = now.Add(f.Wait+f.Work), now
+	c.state.idleAt, c.state.forecastAt = now.Add(f.Wait), now
+	if !f.Declined {
+		c.state.idleAt = c.state.idleAt.Add(f.Work)
+	}
 	c.state.cache.correct(c.job.Parts, f.Cached)
 	if c.FetchFrom == "" {
 		c.Cached = f.Cached
--- a/internal/decision/slugplacement/announce_test.go
+++ b/internal/decision/slugplacement/announce_test.go
@@ -15,20 +15,20 @@
 func TestAnnounceReturnsWaitAndCache(t *testing.T) {
 	owner := newPlacer(newEngines(2, 1))
 	long := newJob("s", 1000)
-	first, ok := owner.Announce("e-00", long, 0, start)
+	first, ok := owner.Announce("e-00", long, 0, 0, start)
 	assert.Assert(t, ok)
 	assert.Equal(t, first.Wait, time.Duration(0))
 	assert.Equal(t, first.Cached, 0)
-	second, _ := owner.Announce("e-00", newJob("s", 900), 0, start)
+	second, _ := owner.Announce("e-00", newJob("s", 900), 0, 0, start)
 	assert.Equal(t, second.Wait, first.Work)
 	assert.Equal(t, second.Cached, long.sharedTokens(), "the parts announced before will be cached by then")
 	assert.Assert(t, second.Work < first.Work/2, "%s after %s", second.Work, first.Work)
 	owner.WithdrawAnnouncement("e-00", newJob("s", 900), second, start)
-	third, _ := owner.Announce("e-00", newJob("t", 1), 0, start)
+	third, _ := owner.Announce("e-00", newJob("t", 1), 0, 0, start)
 	assert.Equal(t, third.Wait, first.Work)
-	_, ok = owner.Announce("e-02", long, 0, start)
+	_, ok = owner.Announce("e-02", long, 0, 0, start)
 	assert.Assert(t, !ok, "a decode engine accepts no prompts")
-	_, ok = owner.Announce("e-99", long, 0, start)
+	_, ok = owner.Announce("e-99", long, 0, 0, start)
 	assert.Assert(t, !ok, "an unknown engine")
 }
 
@@ -36,15 +36,30 @@
 // was sent elsewhere. Parts announced before remain.
 func TestWithdrawAnnouncementRemovesParts(t *testing.T) {
 	owner := newPlacer(newEngines(1, 0))
-	_, _ = owner.Announce("e-00", newJob("s", 1000), 0, start)
-	a, _ := owner.Announce("e-00", newJob("t", 1000), 0, start)
+	_, _ = owner.Announce("e-00", newJob("s", 1000), 0, 0, start)
+	a, _ := owner.Announce("e-00", newJob("t", 1000), 0, 0, start)
 	owner.WithdrawAnnouncement("e-00", newJob("t", 1000), a, start)
-	again, _ := owner.Announce("e-00", newJob("t", 1000), 0, start)
+	again, _ := owner.Announce("e-00", newJob("t", 1000), 0, 0, start)
 	assert.Equal(t, again.Cached, 0)
-	earlier, _ := owner.Announce("e-00", newJob("s", 1000), 0, start)
+	earlier, _ := owner.Announce("e-00", newJob("s", 1000), 0, 0, start)
 	assert.Assert(t, earlier.Cached > 0)
 }
 
+// TestDeclinedPromptsAddNoBacklog guards against prompts that are refused for their wait and
+// still make others wait.
+func TestDeclinedPromptsAddNoBacklog(t *testing.T) {
+	owner := newPlacer(newEngines(1, 0))
+	first, _ := owner.Announce("e-00", newJob("s", 0), 0, 0, start)
+	for i := range 100 {
+		f, ok := owner.Announce("e-00", newJob(fmt.Sprint("t", i), 0), 0, first.Work/2, start)
+		assert.Assert(t, ok && f.Declined)
+		assert.Equal(t, f.Wait, first.Work)
+	}
+	f, _ := owner.Announce("e-00", newJob("t0", 1), 0, first.Work, start)
+	assert.Assert(t, !f.Declined)
+	assert.Equal(t, f.Cached, 0, "declined prompts are not cached")
+}
+
 // TestManyHostsShareTheirLoad guards against overloading single engines when many
 // hosts, each of which knows only its own prompts, send at once. With announcements the
 // busiest engine gets less than one and a half times the mean work, and less than
@@ -87,7 +102,7 @@
 	var asked []slugname.Endpoint
 	for range 3 {
 		job, fetched := c.Job()
-		a, _ := owner.Announce(c.Name, job, fetched, start)
+		a, _ := owner.Announce(c.Name, job, fetched, 0, start)
 		asked = append(asked, c.Name)
 		next, better := c.ApplyForecast(a, asked, start)
 		if c.Before(best) {
@@ -100,6 +115,6 @@
 		c = next
 	}
 	job, fetched := best.Job()
-	_, _ = owner.Announce(best.Name, job, fetched, start)
+	_, _ = owner.Announce(best.Name, job, fetched, 0, start)
 	return best
 }
--- a/internal/decision/slugplacement/placer.go
+++ b/internal/decision/slugplacement/placer.go
@@ -302,14 +302,6 @@
 // Wait returns the predicted time for which the prompt waits for other prompts.
 func (c *Choice) Wait() time.Duration { return c.wait }
 
-// RelativeWork returns the work of the prompt as a fraction of the mean work of the prompts
-// of the service, both without cache.
-func (c *Choice) RelativeWork() float64 {
-	c.p.mu.Lock()
-	defer c.p.mu.Unlock()
-	return float64(c.p.cfg.Pace.Work(c.job.Tokens, 0)) / float64(max(1, c.p.workUnit(c.job)))
-}
-
 // Stalled reports whether the prompt is overdue and its endpoint has completed no
 // prompt since it was sent. A prompt that is merely late continues: processing it again
 // elsewhere would add to the load that made it late.
--- a/internal/membership/slugpeer/row.go
+++ b/internal/membership/slugpeer/row.go
@@ -164,6 +164,11 @@
 	// is the answer to it.
 	Announcement *Announcement `cbor:"11,keyasint,omitempty"`
 	Forecast     *Forecast     `cbor:"12,keyasint,omitempty"`
+	// MaxWaitUs is the longest wait that the sender of an announcement accepts, in
+	// microseconds, or 0 for any. Declined answers that the prompt would wait longer and was
+	// not counted.
+	MaxWaitUs int64 `cbor:"13,keyasint,omitempty"`
+	Declined  bool  `cbor:"14,keyasint,omitempty"`
 }
 
 // Announcement describes a prompt that is about to be sent to an endpoint, or withdraws an
--- a/internal/membership/slugpeer/table.go
+++ b/internal/membership/slugpeer/table.go
@@ -40,8 +40,9 @@
 	// Follow answers a peer that follows objects in the store through this process; it may
 	// be nil.
 	Follow func(Follow) *Changes
-	// Announce handles a prompt that a peer announces for an endpoint; it may be nil.
-	Announce func(Announcement) *Forecast
+	// Announce handles a prompt that a peer announces for an endpoint, with the longest wait
+	// that the peer accepts or 0, and reports whether the prompt was declined; it may be nil.
+	Announce func(a Announcement, maxWait time.Duration) (f *Forecast, declined bool)
 	// UsageReported is called with the counts of accounting windows of a peer; it may be nil.
 	UsageReported func(slugname.Process, []WindowCount)
 	// Fanout is the number of live peers called per round; 0 means 2.
@@ -292,7 +293,7 @@
 		return answer
 	}
 	if m.Announcement != nil && t.cfg.Announce != nil {
-		answer.Forecast = t.cfg.Announce(*m.Announcement)
+		answer.Forecast, answer.Declined = t.cfg.Announce(*m.Announcement, time.Duration(max(0, m.MaxWaitUs))*time.Microsecond)
 		return answer
 	}
 	if m.Usage != nil && t.cfg.UsageReported != nil {
--- a/internal/request/slugdispatch/dispatcher.go
+++ b/internal/request/slugdispatch/dispatcher.go
@@ -26,7 +26,6 @@
 	"github.com/sassafraslug/sassafraslug/internal/connection/slugsend"
 	"github.com/sassafraslug/sassafraslug/internal/decision/slugbudget"
 	"github.com/sassafraslug/sassafraslug/internal/decision/slugplacement"
-	"github.com/sassafraslug/sassafraslug/internal/decision/slugstanding"
 	"github.com/sassafraslug/sassafraslug/internal/decision/slugsuspect"
 	"github.com/sassafraslug/sassafraslug/internal/request/slugrefusal"
 	"github.com/sassafraslug/sassafraslug/internal/version/slugconfig"
@@ -67,8 +66,6 @@
 	ConfigurationAge func() time.Duration
 	// Placer returns the placer of a service.
 	Placer func(slugname.Service) *slugplacement.Placer
-	// Standing returns the queue of a service's prompts.
-	Standing func(slugname.Service) *slugstanding.Queue
 	// Budget returns the retry budget of a service.
 	Budget func(slugname.Service) *slugbudget.Budget
 	// Suspects tracks requests that may crash endpoints.
@@ -77,9 +74,10 @@
 	Codec Codec
 	// Announce announces a prompt to the owner of the chosen endpoint, and returns the
 	// owner's forecast of the wait and the cache that the prompt will find there; false
-	// means that there is none. WithdrawAnnouncement withdraws an announcement. Both
+	// means that there is none. The owner declines a prompt that would wait longer than
+	// maxWait, unless that is 0. WithdrawAnnouncement withdraws an announcement. Both
 	// may be nil.
-	Announce             func(context.Context, slugname.Service, *slugplacement.Choice) (slugplacement.Forecast, bool)
+	Announce             func(ctx context.Context, s slugname.Service, c *slugplacement.Choice, maxWait time.Duration) (slugplacement.Forecast, bool)
 	WithdrawAnnouncement func(slugname.Service, *slugplacement.Choice, slugplacement.Forecast)
 	// Open sends a request to an endpoint and reads the header of the response.
 	Open func(context.Context, slugsend.Request) (*slugsend.Exchange, error)
--- a/internal/request/slugdispatch/stream.go
+++ b/internal/request/slugdispatch/stream.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"io"
-	"math/rand/v2"
 	"net/http"
 	"slices"
 	"sync"
@@ -15,7 +14,6 @@
 	"github.com/sassafraslug/sassafraslug/internal/connection/slugsend"
 	"github.com/sassafraslug/sassafraslug/internal/decision/slugplacement"
 	"github.com/sassafraslug/sassafraslug/internal/decision/slugplan"
-	"github.com/sassafraslug/sassafraslug/internal/decision/slugstanding"
 	"github.com/sassafraslug/sassafraslug/internal/request/slugrefusal"
 )
 
@@ -130,7 +128,7 @@
 	var announced []*slugplacement.Choice
 	exclude = slices.Clone(exclude)
 	for range maxAnnouncements {
-		forecast, ok := d.cfg.Announce(ctx, d.service.Name, c)
+		forecast, ok := d.cfg.Announce(ctx, d.service.Name, c, d.maxWait(c))
 		if !ok {
 			break
 		}
@@ -158,7 +156,7 @@
 // cancelChoice ends a choice to which nothing was sent, and withdraws its announcement.
 func (d *dispatch) cancelChoice(c *slugplacement.Choice) {
 	c.End(slugplacement.Abandoned, time.Now())
-	if c.FromOwner {
+	if c.FromOwner && !c.Forecast.Declined {
 		d.cfg.WithdrawAnnouncement(d.service.Name, c, c.Forecast)
 	}
 }
@@ -212,35 +210,30 @@
 	return &prefillResult{c, h}, true, nil
 }
 
-// refuseOverload refuses a prompt that cannot be served before its deadline, or that would
-// lengthen a standing queue. A stream that has begun is not refused.
+// refuseOverload refuses a prompt that cannot be served before its deadline.
 func (d *dispatch) refuseOverload(c *slugplacement.Choice) *slugrefusal.Refusal {
-	if expected, late := d.missesDeadline(c); late {
-		return slugrefusal.NotRun(slugrefusal.CodeOverloaded, "the first event is expected after %s, which exceeds the deadline", expected.Round(time.Millisecond)).WithRetryAfter(d.retryAfter())
-	}
-	if d.headerWritten || d.possibleRuns > 0 || !c.Measured {
-		return nil
-	}
-	p := slugstanding.Prompt{Wait: c.Wait(), Work: c.RelativeWork()}
-	retryAfter, ok := d.cfg.Standing(d.service.Name).Admit(p, d.service.ShortestObjective, time.Now())
-	if ok {
+	expected, late := d.missesDeadline(c)
+	if !late {
 		return nil
 	}
-	return slugrefusal.NotRun(slugrefusal.CodeOverloaded, "the engines have had a queue for some time, now of %s", p.Wait.Round(time.Millisecond)).WithRetryAfter(d.retryAfterQueue(retryAfter))
-}
-
-// retryAfterQueue returns a random time after which the caller should return, given the time
-// after which the queue will have shortened. The caller still has most of its time then.
-func (d *dispatch) retryAfterQueue(shortened time.Duration) time.Duration {
-	spread := time.Duration(rand.Int64N(int64(transientRetryAfter)))
-	return min(shortened+spread, max(d.remaining()/3, 0))
+	return slugrefusal.NotRun(slugrefusal.CodeOverloaded, "the first event is expected after %s, which exceeds the deadline", expected.Round(time.Millisecond)).WithRetryAfter(d.retryAfter())
 }
 
 // missesDeadline returns the predicted time to the first event, and whether that comes
 // after the deadline. A prediction that does not rest on measurements misses nothing.
 func (d *dispatch) missesDeadline(c *slugplacement.Choice) (time.Duration, bool) {
 	expected := c.Predicted + d.placer.FirstEventTime(time.Now())
-	return expected, c.Measured && expected > d.remaining()
+	return expected, c.Forecast.Declined || c.Measured && expected > d.remaining()
+}
+
+// maxWait returns the longest wait at the endpoint with which the prompt meets its deadline,
+// or 0 if the prediction does not rest on measurements.
+func (d *dispatch) maxWait(c *slugplacement.Choice) time.Duration {
+	if !c.Measured {
+		return 0
+	}
+	processing := c.Predicted - c.Wait() + d.placer.FirstEventTime(time.Now())
+	return max(time.Millisecond, d.remaining()-processing)
 }
 
 // errStalled is the cancellation cause of an attempt at a stalled endpoint.
--- a/internal/version/slugrouting/table.go
+++ b/internal/version/slugrouting/table.go
@@ -142,9 +142,6 @@
 	Engine *Engine
 	// Scaling is set for services whose endpoints can be ordered.
 	Scaling *Scaling
-	// ShortestObjective is the shortest objective of the routes of streams to the service,
-	// or 0 if there is none. New sets it.
-	ShortestObjective time.Duration
 }
 
 // Limits limit the requests and connections of callers.
@@ -198,9 +195,6 @@
 	for _, x := range s.Services {
 		t.services[x.Name] = x
 	}
-	for _, r := range s.Routes {
-		t.recordObjective(r)
-	}
 	for _, w := range s.Workspaces {
 		t.workspaces[w.Name] = w
 		for _, k := range w.Keys {
@@ -210,19 +204,6 @@
 	return t
 }
 
-// recordObjective updates the shortest objective of the services of a route.
-func (t *Table) recordObjective(r *Route) {
-	if r.Kind != Stream || r.Objective <= 0 {
-		return
-	}
-	for _, target := range r.Targets {
-		s := t.services[target.Service]
-		if s != nil && (s.ShortestObjective == 0 || r.Objective < s.ShortestObjective) {
-			s.ShortestObjective = r.Objective
-		}
-	}
-}
-
 // Match returns the route of a host name with the longest prefix of path, or nil if there
 // is none. A prefix may end within a path segment. host may include a port.
 func (t *Table) Match(host, path string) *Route {
