Print help to standard output, with exit status 0

Cause: without a terminating function kingpin went on after the help text and reported the missing subcommand; the daemons' help went to standard error.

Change: the help flag ends the program with 0, for the tool and each of its commands and for the daemons; tests for every command and for the usage errors beside them.

--- a/cmd/sassafraslug-standin/main.go
+++ b/cmd/sassafraslug-standin/main.go
@@ -18,6 +18,7 @@
 
 func main() {
 	app := kingpin.New("sassafraslug-standin", "Serves stand-ins for the platform, engines and plain services.")
+	app.UsageWriter(os.Stdout)
 	listen := app.Flag("listen", "Address on which the platform listens.").Default("127.0.0.1:7000").String()
 	models := app.Flag("model", "Model of an engine service, as SERVICE=MODEL; may be repeated.").StringMap()
 	hosts := app.Flag("host", "Host in the host list, as NAME=DATACENTRE; may be repeated.").StringMap()
--- a/cmd/sassafraslug/main.go
+++ b/cmd/sassafraslug/main.go
@@ -46,6 +46,8 @@
 	control   *string
 	tokenFile *string
 	commands  map[string]func(context.Context) error
+	// helped is set once a help text was printed because of a flag.
+	helped bool
 }
 
 func main() {
@@ -60,8 +62,8 @@
 	app := kingpin.New("sassafraslug", "Command-line tool to operate the sassafraslug serving system.")
 	app.HelpFlag.Short('h')
 	app.UsageWriter(out)
-	app.Terminate(nil)
 	t := &tool{app: app, out: out, commands: map[string]func(context.Context) error{}}
+	app.Terminate(func(int) { t.helped = true })
 	t.json = app.Flag("json", "Print the output as JSON.").Bool()
 	t.control = app.Flag("control", "Operators' address of a control process.").Envar("SASSAFRASLUG_CONTROL").Default("127.0.0.1:8091").String()
 	t.tokenFile = app.Flag("token-file", "File that holds the operators' token.").Envar("SASSAFRASLUG_TOKEN_FILE").String()
@@ -81,6 +83,9 @@
 // run parses the arguments, runs the command and returns the exit status.
 func (t *tool) run(ctx context.Context, args []string, errOut io.Writer) int {
 	name, err := t.app.Parse(args)
+	if t.helped {
+		return exitOK
+	}
 	if err != nil {
 		_, _ = fmt.Fprintf(errOut, "sassafraslug: %s, try --help\n", err)
 		return exitUsage
--- a/cmd/sassafraslug/main_test.go
+++ b/cmd/sassafraslug/main_test.go
@@ -33,6 +33,25 @@
 	golden.Assert(t, b.String()+"```\n", "../../../docs/COMMANDS.md")
 }
 
+// TestHelp guards against a help flag that counts as a usage error or prints to standard
+// error, for the program and each of its commands.
+func TestHelp(t *testing.T) {
+	lines := [][]string{{"--help"}, {"-h"}, {"help"}}
+	for _, c := range newTool(&bytes.Buffer{}).app.Model().FlattenedCommands() {
+		lines = append(lines, append(strings.Fields(c.FullCommand), "--help"))
+	}
+	lines = append(lines, []string{"bench", "--help"}, []string{"manifest", "--help"}, []string{"settings", "--help"})
+	for _, args := range lines {
+		code, out, errOut := runCLI(args...)
+		assert.Equal(t, code, exitOK, "%v: %s", args, errOut)
+		assert.Equal(t, errOut, "", "%v", args)
+		assert.Assert(t, strings.Contains(out, "usage: sassafraslug"), "%v: %s", args, out)
+	}
+	code, _, errOut := runCLI("bench")
+	assert.Equal(t, code, exitUsage)
+	assert.Assert(t, strings.Contains(errOut, "must select a subcommand of 'bench'"), "%s", errOut)
+}
+
 // Scripts rely on the exit status of each kind of error.
 func TestErrors(t *testing.T) {
 	for _, tt := range []struct {
--- a/internal/daemon/slugdaemon/daemon.go
+++ b/internal/daemon/slugdaemon/daemon.go
@@ -43,10 +43,17 @@
 // settings file.
 func Main(name string, d slugsettings.Daemon, file string, args []string, run Run) int {
 	app := kingpin.New("sassafraslug-"+name, "The sassafraslug "+name+" daemon.")
+	helped := false
+	app.UsageWriter(os.Stdout)
+	app.Terminate(func(int) { helped = true })
 	path := app.Flag("settings", "INI file with the settings.").Short('s').PlaceHolder("FILE").Default(file).String()
 	loader := slugsettings.New(d)
 	loader.Flags(app)
-	if _, err := app.Parse(args); err != nil {
+	_, err := app.Parse(args)
+	if helped {
+		return ExitSuccess
+	}
+	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return ExitUsage
 	}
--- /dev/null
+++ b/internal/daemon/slugdaemon/daemon_test.go
@@ -0,0 +1,57 @@
+package slugdaemon
+
+import (
+	"context"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/sassafraslug/sassafraslug/internal/base/slugevent"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugsettings"
+	"gotest.tools/v3/assert"
+)
+
+// runMain runs Main with the given arguments and returns its exit status and what it printed.
+func runMain(t *testing.T, args ...string) (code int, out, errOut string) {
+	t.Helper()
+	files := map[string]**os.File{"out": &os.Stdout, "err": &os.Stderr}
+	printed := map[string]string{}
+	for name, stream := range files {
+		f, err := os.Create(filepath.Join(t.TempDir(), name))
+		assert.NilError(t, err)
+		original := *stream
+		*stream = f
+		defer func() { *stream = original }()
+		printed[name] = f.Name()
+	}
+	code = Main("host", slugsettings.Host, "nowhere.ini", args, func(context.Context, *slugsettings.Settings, *slugevent.Log) error {
+		t.Error("the daemon was run")
+		return nil
+	})
+	read := func(name string) string {
+		b, err := os.ReadFile(printed[name])
+		assert.NilError(t, err)
+		return string(b)
+	}
+	return code, read("out"), read("err")
+}
+
+// TestHelp guards against a help flag that prints to standard error or starts the daemon.
+func TestHelp(t *testing.T) {
+	code, out, errOut := runMain(t, "--help")
+	assert.Equal(t, code, ExitSuccess)
+	assert.Equal(t, errOut, "")
+	assert.Assert(t, strings.Contains(out, "usage: sassafraslug-host"), "%s", out)
+}
+
+// TestUsageErrors guards against a daemon that starts in spite of an unknown flag or without
+// its settings file.
+func TestUsageErrors(t *testing.T) {
+	code, _, errOut := runMain(t, "--nonsense")
+	assert.Equal(t, code, ExitUsage)
+	assert.Assert(t, strings.Contains(errOut, "nonsense"), "%s", errOut)
+	code, _, errOut = runMain(t)
+	assert.Equal(t, code, ExitUsage)
+	assert.Assert(t, strings.Contains(errOut, "nowhere.ini"), "%s", errOut)
+}
