Bound the peers that a host talks to, and send only rows that changed

Each engine's owner was any of all hosts, found by hashing all of them for each announcement; with hundreds of hosts most announcements need a handshake.

Change: the endpoints of a data centre are owned by 8 of its hosts (slugowner, with a cache); in a system of more than 12 hosts a process exchanges rows with 8 near and 4 far neighbours, a far one in every second round; a row that is the same gets no new version; paces are told again when they differ by a tenth; the list of live processes is built ten times a second at most.

--- a/internal/daemon/slughost/announce.go
+++ b/internal/daemon/slughost/announce.go
@@ -14,24 +14,21 @@
 // the endpoint that was chosen before.
 const announceTimeout = 100 * time.Millisecond
 
-// owner returns the process that owns an endpoint. All prompts for the endpoint are
-// announced to its owner.
-func (h *Host) owner(e slugname.Endpoint) (slugmember.Record, bool) {
-	h.mu.Lock()
-	owners := h.endpointOwners
-	h.mu.Unlock()
-	ranked := slugmember.HighestRanked(string(e), owners, 1)
-	if len(ranked) == 0 {
+// owner returns the process that owns an endpoint in a data centre. All prompts for the
+// endpoint are announced to its owner.
+func (h *Host) owner(e slugname.Endpoint, dc slugname.DataCentre) (slugmember.Record, bool) {
+	p, ok := h.owners.Owner(e, dc)
+	if !ok {
 		return slugmember.Record{}, false
 	}
-	return h.member.Record(ranked[0])
+	return h.member.Record(p)
 }
 
 // announce announces a prompt for the chosen endpoint to its owner. It returns the
 // queueing delay, work and cached tokens to expect there, or false if the owner gave no
 // answer. The owner declines a prompt that would wait longer than maxWait, unless that is 0.
 func (h *Host) announce(ctx context.Context, s slugname.Service, c *slugplacement.Choice, maxWait time.Duration) (slugplacement.Forecast, bool) {
-	owner, known := h.owner(c.Name)
+	owner, known := h.owner(c.Name, c.DataCentre)
 	if !known {
 		return slugplacement.Forecast{}, false
 	}
@@ -51,7 +48,7 @@
 
 // withdrawAnnouncement withdraws an announcement.
 func (h *Host) withdrawAnnouncement(s slugname.Service, c *slugplacement.Choice, f slugplacement.Forecast) {
-	owner, known := h.owner(c.Name)
+	owner, known := h.owner(c.Name, c.DataCentre)
 	if !known {
 		return
 	}
--- a/internal/daemon/slughost/caches.go
+++ b/internal/daemon/slughost/caches.go
@@ -6,10 +6,10 @@
 	"time"
 
 	"github.com/sassafraslug/sassafraslug/internal/base/slugbackoff"
-	"github.com/sassafraslug/sassafraslug/internal/base/slugname"
 	"github.com/sassafraslug/sassafraslug/internal/decision/slugplacement"
 	"github.com/sassafraslug/sassafraslug/internal/decision/slugplan"
 	"github.com/sassafraslug/sassafraslug/internal/fleet/slugcachefeed"
+	"github.com/sassafraslug/sassafraslug/internal/fleet/slugregistry"
 	"golang.org/x/sync/errgroup"
 )
 
@@ -57,7 +57,7 @@
 		}
 		all := s.Engine.MaxEventReaders >= hosts
 		for _, e := range h.usableEndpoints(s.Name, time.Now()) {
-			if e.Role == slugplan.RolePrefill && (all || h.owns(e.Name)) {
+			if e.Role == slugplan.RolePrefill && (all || h.owns(e)) {
 				out = append(out, slugcachefeed.Engine{Name: e.Name, Address: e.Address, Service: s.Name})
 			}
 		}
@@ -66,9 +66,9 @@
 }
 
 // owns reports whether this process owns an endpoint.
-func (h *Host) owns(e slugname.Endpoint) bool {
-	r, known := h.owner(e)
-	return known && r.Process == h.member.Self().Process
+func (h *Host) owns(e slugregistry.Endpoint) bool {
+	p, ok := h.owners.Owner(e.Name, e.DataCentre)
+	return ok && p == h.member.Self().Process
 }
 
 // applyCachePage passes changes of an engine's cache to the placer of its service.
--- a/internal/daemon/slughost/host.go
+++ b/internal/daemon/slughost/host.go
@@ -38,6 +38,7 @@
 	"github.com/sassafraslug/sassafraslug/internal/fleet/slugroles"
 	"github.com/sassafraslug/sassafraslug/internal/membership/slugconfigfollower"
 	"github.com/sassafraslug/sassafraslug/internal/membership/slugmember"
+	"github.com/sassafraslug/sassafraslug/internal/membership/slugowner"
 	"github.com/sassafraslug/sassafraslug/internal/membership/slugpeer"
 	"github.com/sassafraslug/sassafraslug/internal/membership/slugpeerclock"
 	"github.com/sassafraslug/sassafraslug/internal/request/slugdispatch"
@@ -112,25 +113,30 @@
 	usageCounter   *slugusagecounter.Counter
 	usageAggregate *slugusageaggregate.Aggregate
 	plannedRoles   *slugroles.Roles
+	owners         *slugowner.Owners
 
 	requests, lookups, readiness, metricsServer *slugserve.Server
 
 	leaving atomic.Bool
 	stop    context.CancelFunc
 
-	mu           sync.Mutex
-	placers      map[slugname.Service]*slugplacement.Placer
-	paces        map[slugname.Service]*slugpace.Model
-	retryBudgets map[slugname.Service]*slugbudget.Budget
+	liveMu sync.Mutex
+	live   []livePeer
+	// liveAt is when live was found.
+	liveAt time.Time
+
+	mu      sync.Mutex
+	placers map[slugname.Service]*slugplacement.Placer
+	paces   map[slugname.Service]*slugpace.Model
+	// publishedPaces are the paces that peers were told.
+	publishedPaces map[slugname.Service]slugpeer.Pace
+	retryBudgets   map[slugname.Service]*slugbudget.Budget
 	// firstSeen holds the time at which each endpoint was first seen.
 	firstSeen map[slugname.Endpoint]firstSighting
 	// peerDraining and peerRoles hold the leaving endpoints and the planned roles that
 	// live processes have reported, this one included.
 	peerDraining map[slugname.Endpoint]bool
 	peerRoles    map[slugname.Endpoint]slugplan.Role
-	// endpointOwners are the processes among which the ownership of endpoints is
-	// distributed.
-	endpointOwners []slugname.Process
 }
 
 // firstSighting is the time at which an incarnation of an endpoint was first seen.
@@ -143,8 +149,9 @@
 func New(s *slugsettings.Settings, n *slugnetwork.Network, a Adapter, log *slugevent.Log) *Host {
 	return &Host{
 		settings: s, network: n, adapter: a, log: log, metrics: new(expvar.Map).Init(), counters: slugcounters.New(), plannedRoles: slugroles.New(),
+		owners:         slugowner.New(),
 		usageAggregate: slugusageaggregate.New(), firstSeen: map[slugname.Endpoint]firstSighting{},
-		placers: map[slugname.Service]*slugplacement.Placer{}, paces: map[slugname.Service]*slugpace.Model{},
+		placers: map[slugname.Service]*slugplacement.Placer{}, paces: map[slugname.Service]*slugpace.Model{}, publishedPaces: map[slugname.Service]slugpeer.Pace{},
 		retryBudgets: map[slugname.Service]*slugbudget.Budget{},
 	}
 }
--- a/internal/daemon/slughost/join.go
+++ b/internal/daemon/slughost/join.go
@@ -21,6 +21,7 @@
 	"github.com/sassafraslug/sassafraslug/internal/fleet/slugregistry"
 	"github.com/sassafraslug/sassafraslug/internal/membership/slugconfigfollower"
 	"github.com/sassafraslug/sassafraslug/internal/membership/slugmember"
+	"github.com/sassafraslug/sassafraslug/internal/membership/slugowner"
 	"github.com/sassafraslug/sassafraslug/internal/membership/slugpeer"
 	"github.com/sassafraslug/sassafraslug/internal/membership/slugpeerclock"
 	"github.com/sassafraslug/sassafraslug/internal/version/slugrouting"
@@ -228,9 +229,14 @@
 	for _, p := range h.allPlacers() {
 		p.SetPeerLoads(sums)
 	}
-	owners := processNames(h.livePeers())
+	live := h.livePeers()
+	owning := make([]slugowner.Process, len(live))
+	for i, p := range live {
+		owning[i] = slugowner.Process{Name: p.Process, DataCentre: p.Record.DataCentre}
+	}
+	h.owners.Update(owning)
 	h.mu.Lock()
-	h.peerDraining, h.peerRoles, h.endpointOwners = draining, roles, owners
+	h.peerDraining, h.peerRoles = draining, roles
 	h.mu.Unlock()
 }
 
@@ -240,9 +246,23 @@
 	Record slugmember.Record
 }
 
+// livePeersMaxAge is how long the list of live processes is reused. Several loops ask for it,
+// and building it takes time for each host of the system.
+const livePeersMaxAge = 100 * time.Millisecond
+
 // livePeers returns the processes that are alive and not leaving, including this one,
-// sorted by name.
+// sorted by name. The result must not be modified.
 func (h *Host) livePeers() []livePeer {
+	h.liveMu.Lock()
+	defer h.liveMu.Unlock()
+	if now := time.Now(); now.Sub(h.liveAt) >= livePeersMaxAge {
+		h.live, h.liveAt = h.findLivePeers(), now
+	}
+	return h.live
+}
+
+// findLivePeers returns the processes that are alive and not leaving.
+func (h *Host) findLivePeers() []livePeer {
 	var out []livePeer
 	for _, s := range h.table.Statuses() {
 		r, known := h.member.Record(s.Process)
@@ -269,12 +289,28 @@
 	out := map[slugname.Service]slugpeer.Pace{}
 	for name, m := range h.paces {
 		if f, ok := m.Own(time.Now()); ok {
-			out[name] = slugpeer.Pace{FixedUs: uint32(f.Fixed.Microseconds()), PerTokenNs: f.PerToken, PerPairNs: f.PerPair, Samples: uint32(f.Samples)}
+			p := slugpeer.Pace{FixedUs: uint32(f.Fixed.Microseconds()), PerTokenNs: f.PerToken, PerPairNs: f.PerPair, Samples: uint32(f.Samples)}
+			if last, published := h.publishedPaces[name]; published && similarPace(last, f) {
+				p = last
+			}
+			h.publishedPaces[name] = p
+			out[name] = p
 		}
 	}
 	return out
 }
 
+// samePaceTolerance is the relative difference of paces below which peers are not told.
+const samePaceTolerance = 0.1
+
+// similarPace reports whether a fit predicts about the same as what was published last.
+func similarPace(published slugpeer.Pace, f slugpace.Fit) bool {
+	const tokens, cached = 8192, 4096
+	last := decodePace(published)
+	was, is := last.Work(tokens, cached)+last.Fixed, f.Work(tokens, cached)+f.Fixed
+	return (is - was).Abs() < time.Duration(samePaceTolerance*float64(was))
+}
+
 // decodePace converts the pace that a peer reports.
 func decodePace(p slugpeer.Pace) slugpace.Fit {
 	return slugpace.Fit{Fixed: time.Duration(p.FixedUs) * time.Microsecond, PerToken: p.PerTokenNs, PerPair: p.PerPairNs, Samples: int(p.Samples)}
--- a/internal/membership/slugpeer/table.go
+++ b/internal/membership/slugpeer/table.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"reflect"
 	"slices"
 	"sync"
 	"time"
@@ -65,6 +66,11 @@
 	maxDigestRows = 40
 	// silentRowTTL is how long the row of a silent process is kept.
 	silentRowTTL = time.Minute
+	// nearNeighbours and farNeighbours are the numbers of peers in this data centre and in
+	// others with which a process of a large system exchanges rows.
+	nearNeighbours, farNeighbours = 8, 4
+	// farRounds is the number of rounds in which a far neighbour is called once on average.
+	farRounds = 2
 	// defaultFanout is the default of Config.Fanout.
 	defaultFanout = 2
 	// silentCallInterval is the time between calls to silent processes. Each call costs a
@@ -111,12 +117,18 @@
 	return t
 }
 
-// Update changes the row of this process. The new version spreads in the next rounds.
+// Update changes the row of this process. The new version spreads in the next rounds, unless
+// the row is the same as before.
 func (t *Table) Update(f func(*Row)) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	state := t.rows[t.self]
-	f(&state.row)
+	next := state.row
+	f(&next)
+	if reflect.DeepEqual(next, state.row) {
+		return
+	}
+	state.row = next
 	state.version++
 }
 
@@ -206,8 +218,7 @@
 // one, so that the sides of a network partition find each other again.
 func (t *Table) runRound(ctx context.Context, fanout int) {
 	alive, silent := t.splitByLiveness()
-	rand.Shuffle(len(alive), func(i, j int) { alive[i], alive[j] = alive[j], alive[i] })
-	chosen := alive[:min(fanout, len(alive))]
+	chosen := t.choosePeers(alive, fanout)
 	if len(silent) > 0 && t.silentCallDue(len(alive)) {
 		chosen = append(chosen, silent[rand.IntN(len(silent))])
 	}
@@ -221,6 +232,41 @@
 	_ = group.Wait()
 }
 
+// choosePeers returns the peers to call in one round. In a small system, and for an urgent
+// push, all live peers are equally likely. In a large system a process calls a few near
+// neighbours, and in some rounds a far one, so that its connections stay in use and most rows
+// stay in their data centre.
+func (t *Table) choosePeers(alive []slugmember.Record, fanout int) []slugmember.Record {
+	if len(alive) <= nearNeighbours+farNeighbours || fanout > t.cfg.Fanout {
+		rand.Shuffle(len(alive), func(i, j int) { alive[i], alive[j] = alive[j], alive[i] })
+		return alive[:min(fanout, len(alive))]
+	}
+	var near, far []slugname.Process
+	records := make(map[slugname.Process]slugmember.Record, len(alive))
+	for _, r := range alive {
+		records[r.Process] = r
+		if r.DataCentre == t.cfg.Self.DataCentre {
+			near = append(near, r.Process)
+		} else {
+			far = append(far, r.Process)
+		}
+	}
+	subject := string(t.cfg.Self.Process)
+	near, far = slugmember.HighestRanked(subject, near, nearNeighbours), slugmember.HighestRanked(subject, far, farNeighbours)
+	farCalls := 0
+	if len(far) > 0 && (len(near) == 0 || rand.IntN(farRounds) == 0) {
+		farCalls = 1
+	}
+	var out []slugmember.Record
+	for _, i := range rand.Perm(len(near))[:min(len(near), fanout-1)] {
+		out = append(out, records[near[i]])
+	}
+	for _, i := range rand.Perm(len(far))[:farCalls] {
+		out = append(out, records[far[i]])
+	}
+	return out
+}
+
 // silentCallDue reports whether a silent process is to be called in this round, and
 // records the call: always as long as no other process is alive, otherwise once per
 // silentCallInterval.
--- a/internal/membership/slugpeer/table_test.go
+++ b/internal/membership/slugpeer/table_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -46,3 +48,65 @@
 		assert.Assert(t, calls["gone-1"] > 0 && calls["gone-2"] > 0, "%v", calls)
 	})
 }
+
+// TestUnchangedRowIsNotSent guards against traffic for rows that are the same as before, and
+// against a change that does not spread.
+func TestUnchangedRowIsNotSent(t *testing.T) {
+	table := New(Config{Self: slugmember.Record{Process: "self"}, LastConfirmed: slugclock.Now})
+	set := func(streams uint32) uint32 {
+		table.Update(func(r *Row) { r.Loads = map[slugname.Endpoint]Load{"e": {Streams: streams}} })
+		return table.rows[table.self].version
+	}
+	first := set(1)
+	assert.Equal(t, set(1), first)
+	assert.Equal(t, set(2), first+1)
+	assert.Equal(t, table.Self().Loads["e"].Streams, uint32(2))
+}
+
+// TestNeighboursAreFew guards against connections to all hosts of a large system, against
+// rows that mostly leave their data centre, and against neighbours that do not connect the
+// whole system.
+func TestNeighboursAreFew(t *testing.T) {
+	const hosts, rounds = 295, 60
+	records := make([]slugmember.Record, hosts)
+	for i := range records {
+		records[i] = slugmember.Record{Process: slugname.Process(fmt.Sprintf("p-%03d", i)), DataCentre: slugname.DataCentre(fmt.Sprint("dc-", i%5))}
+	}
+	edges := map[slugname.Process]map[slugname.Process]bool{}
+	far := 0
+	for _, self := range records {
+		table := New(Config{Self: self, LastConfirmed: slugclock.Now, Fanout: 3})
+		edges[self.Process] = map[slugname.Process]bool{}
+		alive := slices.DeleteFunc(slices.Clone(records), func(r slugmember.Record) bool { return r.Process == self.Process })
+		for range rounds {
+			chosen := table.choosePeers(alive, 3)
+			assert.Assert(t, len(chosen) >= 2)
+			for _, r := range chosen {
+				edges[self.Process][r.Process] = true
+				if r.DataCentre != self.DataCentre {
+					far++
+				}
+			}
+		}
+		assert.Assert(t, len(edges[self.Process]) <= nearNeighbours+farNeighbours)
+	}
+	assert.Assert(t, far < hosts*rounds, "%d calls to other data centres", far)
+	reached, frontier := map[slugname.Process]bool{"p-000": true}, []slugname.Process{"p-000"}
+	for steps := 0; len(frontier) > 0; steps++ {
+		assert.Assert(t, steps <= 6, "the system is too wide")
+		var next []slugname.Process
+		for from, to := range edges {
+			// Rows travel in both directions of a call.
+			for p := range to {
+				for _, pair := range [][2]slugname.Process{{from, p}, {p, from}} {
+					if slices.Contains(frontier, pair[0]) && !reached[pair[1]] {
+						reached[pair[1]] = true
+						next = append(next, pair[1])
+					}
+				}
+			}
+		}
+		frontier = next
+	}
+	assert.Equal(t, len(reached), hosts)
+}
