--- a/internal/decision/slugcapacity/capacity.go
+++ b/internal/decision/slugcapacity/capacity.go
@@ -38,6 +38,9 @@
 	// targetPrefillUtilization is the average utilization planned for engines that
 	// process prompts; above it prompts wait too long for each other.
 	targetPrefillUtilization = 0.45
+	// maxPrefillUtilization is the utilization above which the wait for other prompts grows
+	// without bound.
+	maxPrefillUtilization = 0.85
 	// targetSlotUtilization is the fraction of an engine's slots that running responses
 	// should take; the others absorb fluctuations.
 	targetSlotUtilization = 0.6
@@ -118,14 +121,14 @@
 
 // engineTarget returns the planned number of engines of both kinds in a data centre.
 func (s Service) engineTarget(d DataCentre) int {
-	n := max(d.Initial, int(math.Ceil(float64(s.Max)*plannedShare)), s.demandedEngines())
+	n := max(d.Initial, int(math.Ceil(float64(s.Max)*plannedShare)), s.demandedEngines(targetPrefillUtilization, targetSlotUtilization))
 	return min(max(n, s.Min), s.Max)
 }
 
 // demandedEngines returns the number of engines that each data centre needs for the peak of
-// demand.
-func (s Service) demandedEngines() int {
-	demand := s.PeakPrefillBusy/targetPrefillUtilization + s.PeakStreams/(targetSlotUtilization*float64(max(1, s.Slots)))
+// demand at the given utilizations.
+func (s Service) demandedEngines(prefill, slots float64) int {
+	demand := s.PeakPrefillBusy/prefill + s.PeakStreams/(slots*float64(max(1, s.Slots)))
 	return int(math.Ceil(demand / float64(max(1, len(s.DataCentres)))))
 }
 
@@ -138,9 +141,11 @@
 		regular, cheap, reason := s.regularTarget(), s.cheapTarget(d), "planned capacity"
 		cheapUnavailable := !s.HasCheap || !d.CheapRefusedAt.IsZero() && now.Sub(d.CheapRefusedAt) < cheapRetryDelay
 		if cheapUnavailable {
-			// Regular engines replace the missing reclaimable ones, as far as demand calls
-			// for them: they cost several times as much.
-			regular = max(regular, min(s.engineTarget(d)-d.Cheap, max(d.Initial, d.Regular, s.demandedEngines()-d.Cheap)))
+			// Regular engines replace the missing reclaimable ones. They cost several times as
+			// much, so more than there were at first are ordered only for a demand that would
+			// saturate the engines.
+			demanded := s.demandedEngines(maxPrefillUtilization, maxSlotUtilization)
+			regular = max(regular, min(s.engineTarget(d)-d.Cheap, max(d.Initial, d.Regular, demanded-d.Cheap)))
 			cheap, reason = d.Cheap, "no reclaimable engines to be had"
 		}
 		if !cheapUnavailable && d.shouldOrderCheap(cheap) {
