--- a/internal/decision/slugpace/pace_test.go
+++ b/internal/decision/slugpace/pace_test.go
@@ -32,7 +32,7 @@
 	p := prompts[e.random.IntN(len(prompts))]
 	s := Sample{Tokens: p[0], Cached: p[1]}
 	noise := 0.95 + 0.1*e.random.Float64()
-	s.Took = time.Duration(float64(e.Work(p[0], p[1]))*slowness*noise) + e.Fit.Fixed
+	s.Took = time.Duration(float64(e.Work(p[0], p[1]))*slowness*noise) + e.Fixed
 	if e.random.IntN(3) == 0 {
 		ahead := prompts[e.random.IntN(len(prompts))]
 		s.Wait = m.Work(ahead[0], ahead[1])
@@ -44,7 +44,7 @@
 // ratio returns predicted to true time of a prompt.
 func (e engine) ratio(m *Model, tokens, cached int, slowness float64) float64 {
 	predicted := m.Work(tokens, cached) + m.Fixed()
-	return float64(predicted) / (float64(e.Work(tokens, cached))*slowness + float64(e.Fit.Fixed))
+	return float64(predicted) / (float64(e.Work(tokens, cached))*slowness + float64(e.Fixed))
 }
 
 func assertPredicts(t *testing.T, e engine, m *Model, slowness float64) {
