--- a/internal/daemon/slughost/host.go
+++ b/internal/daemon/slughost/host.go
@@ -118,7 +118,9 @@
 	requests, lookups, readiness, metricsServer *slugserve.Server
 
 	leaving atomic.Bool
-	stop    context.CancelFunc
+	// aborted ends when the daemon is to stop without finishing anything, which abort does.
+	aborted context.Context
+	abort   context.CancelFunc
 
 	liveMu sync.Mutex
 	live   []livePeer
@@ -147,7 +149,9 @@
 
 // New returns a Host that does nothing until Run is called.
 func New(s *slugsettings.Settings, n *slugnetwork.Network, a Adapter, log *slugevent.Log) *Host {
+	aborted, abort := context.WithCancel(context.Background())
 	return &Host{
+		aborted: aborted, abort: abort,
 		settings: s, network: n, adapter: a, log: log, metrics: new(expvar.Map).Init(), counters: slugcounters.New(), plannedRoles: slugroles.New(),
 		owners:         slugowner.New(),
 		usageAggregate: slugusageaggregate.New(), firstSeen: map[slugname.Endpoint]firstSighting{},
@@ -161,7 +165,7 @@
 func (h *Host) Run(ctx context.Context) error {
 	work, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
-	h.stop = stop
+	defer context.AfterFunc(h.aborted, stop)()
 	h.log.Emit(slugevent.ProcessStarted, slugevent.Fields{"host": h.settings.Host, "dataCentre": h.settings.DataCentre, "callers": h.settings.CallersListen, "peers": h.settings.PeersListen})
 	err := slugstep.Run(work, h.log, []slugstep.Step{
 		{Name: "join the system", Run: h.join},
@@ -184,7 +188,7 @@
 }
 
 // Abort stops the daemon immediately without finishing anything, as a crash would.
-func (h *Host) Abort() { h.stop() }
+func (h *Host) Abort() { h.abort() }
 
 // build creates the components of the request path.
 func (h *Host) build(_ context.Context, _ *errgroup.Group) error {
--- a/internal/daemon/slughost/join.go
+++ b/internal/daemon/slughost/join.go
@@ -7,7 +7,6 @@
 	"expvar"
 	"maps"
 	"net/http"
-	"slices"
 	"time"
 
 	"github.com/sassafraslug/sassafraslug/internal/base/slugbackoff"
@@ -262,16 +261,6 @@
 	return h.live
 }
 
-// unheardPeers returns the processes that have a record and from which no row has arrived
-// yet. After the start of a large system these are most of them.
-func (h *Host) unheardPeers() []slugmember.Record {
-	heard := map[slugname.Process]bool{}
-	for _, s := range h.table.Statuses() {
-		heard[s.Process] = true
-	}
-	return slices.DeleteFunc(slices.Clone(h.member.Records()), func(r slugmember.Record) bool { return heard[r.Process] })
-}
-
 // findLivePeers returns the processes that are alive and not leaving.
 func (h *Host) findLivePeers() []livePeer {
 	var out []livePeer
--- a/internal/daemon/slughost/serve.go
+++ b/internal/daemon/slughost/serve.go
@@ -135,7 +135,7 @@
 	h.sendUsage(ctx)
 	h.withdraw(ctx)
 	h.log.Emit(slugevent.ShutdownDone, slugevent.Fields{"requests": h.dispatcher.Running()})
-	h.stop()
+	h.abort()
 	for _, s := range h.servers() {
 		err = errors.CombineErrors(err, s.Close())
 	}
--- a/internal/daemon/slughost/share.go
+++ b/internal/daemon/slughost/share.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"slices"
-	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -49,15 +48,11 @@
 type watchSharing struct {
 	host    *Host
 	mirrors map[string]*slugmirror.Mirror
-
-	mu sync.Mutex
-	// failed are the processes that did not answer a follow call.
-	failed map[slugname.Process]bool
 }
 
 // newWatchSharing returns a watchSharing with an empty mirror for each watched prefix.
 func newWatchSharing(h *Host) *watchSharing {
-	w := &watchSharing{host: h, mirrors: map[string]*slugmirror.Mirror{}, failed: map[slugname.Process]bool{}}
+	w := &watchSharing{host: h, mirrors: map[string]*slugmirror.Mirror{}}
 	for _, prefix := range []string{slugmember.Prefix, h.adapter.ConfigName, h.adapter.EntryPrefix} {
 		w.mirrors[prefix] = slugmirror.New()
 	}
@@ -125,32 +120,16 @@
 	for _, p := range w.host.livePeers() {
 		candidates = append(candidates, slugwatcher.Candidate{Process: p.Process, DataCentre: p.Record.DataCentre, Failing: p.StoreUnavailable})
 	}
-	for _, r := range w.host.unheardPeers() {
-		// A record may be that of a process that has ended.
-		if !w.hasFailed(r.Process) {
-			candidates = append(candidates, slugwatcher.Candidate{Process: r.Process, DataCentre: r.DataCentre})
-		}
-	}
 	self := w.host.member.Self()
 	return slugwatcher.Choose(self.Process, self.DataCentre, candidates)
 }
 
-// hasFailed reports whether a process did not answer a follow call.
-func (w *watchSharing) hasFailed(p slugname.Process) bool {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return w.failed[p]
-}
-
 // source returns a source that follows a process as long as the process's data is younger
 // than limit.
 func (w *watchSharing) source(to slugmember.Record, limit time.Duration) *slugstore.Source {
 	return &slugstore.Source{Follow: func(ctx context.Context, prefix string, after slugstore.Version, wait time.Duration) (slugstore.Changes, error) {
 		changes, err := w.follow(ctx, to, slugpeer.Follow{Prefix: prefix, After: after}, min(wait, peerFollowWait), limit)
 		if err != nil {
-			w.mu.Lock()
-			w.failed[to.Process] = true
-			w.mu.Unlock()
 			w.host.log.Error(slugevent.WatchMoved, err, slugevent.Fields{"prefix": prefix, "process": to.Process, "after": after})
 			return changes, errors.Mark(err, slugstore.ErrSourceUnavailable)
 		}
