Log whether an endpoint broke off an attempt, and the parts of its prompt

With the logs of the incident one cannot tell whether the lost requests had a part of their prompts in common. Event 415 now says so: interrupted, and parts.

--- a/internal/decision/slugplacement/job.go
+++ b/internal/decision/slugplacement/job.go
@@ -45,3 +45,12 @@
 	}
 	return n
 }
+
+// PartIDs returns the IDs of the parts in order.
+func (j Job) PartIDs() []PartID {
+	ids := make([]PartID, len(j.Parts))
+	for i, p := range j.Parts {
+		ids[i] = p.ID
+	}
+	return ids
+}
--- a/internal/request/slugdispatch/dispatcher.go
+++ b/internal/request/slugdispatch/dispatcher.go
@@ -325,11 +325,17 @@
 // minRetryTime is the remaining time that a retry needs at least.
 const minRetryTime = 60 * time.Millisecond
 
-// logAttemptFailure logs a failed attempt.
-func (d *dispatch) logAttemptFailure(c *slugplacement.Choice, stage string, cause error) {
-	d.cfg.Log.Error(slugevent.AttemptFailed, cause, slugevent.Fields{
+// logAttemptFailure logs a failed attempt. interrupted reports that the endpoint broke off
+// the attempt; the parts of the prompt tell which of them the lost requests had in common.
+func (d *dispatch) logAttemptFailure(c *slugplacement.Choice, stage string, interrupted bool, cause error) {
+	f := slugevent.Fields{
 		"request": d.call.ID, "endpoint": c.Name, "stage": stage, "route": d.route.Name, "leftMs": d.remaining().Milliseconds(),
-	})
+		"interrupted": interrupted,
+	}
+	if interrupted {
+		f["parts"] = d.call.Prompt.PartIDs()
+	}
+	d.cfg.Log.Error(slugevent.AttemptFailed, cause, f)
 }
 
 // countStart reports to Config.Started, once per request, that the request began to run.
--- a/internal/request/slugdispatch/plain.go
+++ b/internal/request/slugdispatch/plain.go
@@ -76,10 +76,11 @@
 		if sent && !errors.Is(err, errNotRun) {
 			d.possibleRuns++
 		}
-		if d.reportInterruption(ctx, c, sent, err) {
+		interrupted := d.reportInterruption(ctx, c, sent, err)
+		if interrupted {
 			d.countStart() // The request most likely began to run before the failure.
 		}
-		d.logAttemptFailure(c, "run", err)
+		d.logAttemptFailure(c, "run", interrupted, err)
 	}
 	return sent, err
 }
--- a/internal/request/slugdispatch/stream.go
+++ b/internal/request/slugdispatch/stream.go
@@ -199,8 +199,7 @@
 	c.End(d.placementOutcome(ctx, err), time.Now())
 	if err != nil {
 		e.Abort()
-		d.reportInterruption(ctx, c, e.Sent, err)
-		d.logAttemptFailure(c, "prefill", err)
+		d.logAttemptFailure(c, "prefill", d.reportInterruption(ctx, c, e.Sent, err), err)
 		return nil, e.Sent, err
 	}
 	d.cfg.Log.Emit(slugevent.EndpointChosen, slugevent.Fields{
@@ -335,10 +334,11 @@
 		return nil
 	}
 	e.Abort()
-	if d.reportInterruption(ctx, c, e.Sent, err) {
+	interrupted := d.reportInterruption(ctx, c, e.Sent, err)
+	if interrupted {
 		d.countStart() // The request most likely began to run before the failure.
 	}
-	d.logAttemptFailure(c, "decode", err)
+	d.logAttemptFailure(c, "decode", interrupted, err)
 	return d.afterDecodeFailure(ctx, c, prefilled, e.Sent, err)
 }
 
@@ -370,7 +370,7 @@
 		// There is no retry: endpoints expire unused caches on their own.
 		e, err := d.cfg.Open(ctx, d.cfg.Codec.EncodeRelease(prefilled.choice.Address, prefilled.handle.ID))
 		if err != nil {
-			d.logAttemptFailure(prefilled.choice, "release", err)
+			d.logAttemptFailure(prefilled.choice, "release", false, err)
 			return
 		}
 		_, _ = io.Copy(io.Discard, io.LimitReader(e.Response.Body, maxHandleBytes))
