Quarantine prompt parts and requests by what the requests lost in crashes share

What callers saw: requests that had one part of their prompts in common, and nothing else, crashed one decode engine after the other; each crash cut the streams of 20 to 40 others.

Cause: crashes were attributed to the fingerprint of a whole request, and only when the endpoint's entry showed a restart under the same name. Engines return under new names, so nothing was ever attributed (no event 406 in the logs), not even to a request repeated unchanged; and different requests never added up.

Change: slugquarantine attributes a crash to the traits of the requests it broke off: the request as a whole and each part of its prompt but the last. Responses clear traits, so parts that sound requests share are not blamed; a part that was served lately needs more crashes without any response; crashes that a quarantined part explains do not count against others. An endpoint has crashed if it broke off an attempt and then refuses connections (one probe), or its entry ends. slugevidence spreads entries among the neighbours, which pass on what is new to them, compares all entries with one peer twice a second, and keeps the verdicts in the store under quarantines/, written by one process. Every attempt is checked before it is sent, on both paths, and a request that may have run is not repeated while it is suspected.

TestEnded replaces TestRestarted with its three cases and two more.

slugsuspect keeps what the product's own interface uses.

--- a/internal/base/slugevent/event.go
+++ b/internal/base/slugevent/event.go
@@ -90,6 +90,9 @@
 	RequestFailed
 	EndpointChosen
 	AttemptFailed
+	QuarantineAdopted
+	QuarantineEnded
+	QuarantineUnreadable
 )
 
 var descriptions = map[Event]Description{
@@ -145,7 +148,10 @@
 	EventRejected:           {logrus.WarnLevel, "event of another request or out-of-sequence event rejected", "check the endpoint"},
 	EndpointCrashed:         {logrus.WarnLevel, "endpoint crashed", "check the endpoint"},
 	RequestSuspected:        {logrus.WarnLevel, "request suspected of causing a crash", "none"},
-	RequestQuarantined:      {logrus.ErrorLevel, "request quarantined after repeated crashes", "contact the workspace about the request; it is refused until the time in the field until"},
+	RequestQuarantined:      {logrus.ErrorLevel, "request quarantined after repeated crashes", "contact the workspace about the request, or about the part of prompts that the field trait identifies; it is refused until the time in the field until, or for the duration in forMs"},
+	QuarantineAdopted:       {logrus.WarnLevel, "quarantine taken over from the store", "none; the process that decided logged event 407 with the crashes"},
+	QuarantineEnded:         {logrus.InfoLevel, "quarantine ended", "none"},
+	QuarantineUnreadable:    {logrus.ErrorLevel, "quarantine in the store cannot be decoded", "find out who wrote the object named in the fields, and remove it"},
 	ConnectionSilent:        {logrus.WarnLevel, "connection stopped responding", "check the network between the hosts"},
 	UsageWriteFailed:        {logrus.WarnLevel, "usage record could not be written", "check the store; totals are kept and written later"},
 	ClaimOutcomeUnstored:    {logrus.WarnLevel, "outcome of a call with an idempotency key could not be stored", "check the store; later calls with the key get the answer that the outcome is unknown"},
--- a/internal/daemon/slughost/host.go
+++ b/internal/daemon/slughost/host.go
@@ -33,10 +33,11 @@
 	"github.com/sassafraslug/sassafraslug/internal/decision/slugpace"
 	"github.com/sassafraslug/sassafraslug/internal/decision/slugplacement"
 	"github.com/sassafraslug/sassafraslug/internal/decision/slugplan"
-	"github.com/sassafraslug/sassafraslug/internal/decision/slugsuspect"
+	"github.com/sassafraslug/sassafraslug/internal/decision/slugquarantine"
 	"github.com/sassafraslug/sassafraslug/internal/fleet/slugregistry"
 	"github.com/sassafraslug/sassafraslug/internal/fleet/slugroles"
 	"github.com/sassafraslug/sassafraslug/internal/membership/slugconfigfollower"
+	"github.com/sassafraslug/sassafraslug/internal/membership/slugevidence"
 	"github.com/sassafraslug/sassafraslug/internal/membership/slugmember"
 	"github.com/sassafraslug/sassafraslug/internal/membership/slugowner"
 	"github.com/sassafraslug/sassafraslug/internal/membership/slugpeer"
@@ -80,10 +81,6 @@
 	dialTimeout = 2 * time.Second
 	// storeIdleConnections limits the idle connections to the store.
 	storeIdleConnections = 8
-	// quarantineCrashes is the number of crashes that quarantine a request even if it was
-	// never the only suspect. With a higher number, callers who repeat such a request
-	// would take down more endpoints.
-	quarantineCrashes = 3
 	// retryReserve is the fraction of the retry budget that is never used, because the
 	// windows of different processes do not start at the same time.
 	retryReserve = 0.15
@@ -107,7 +104,8 @@
 	follower       *slugconfigfollower.Follower
 	registry       *slugregistry.Registry
 	sender         *slugsend.Sender
-	suspects       *slugsuspect.Tracker
+	evidence       *slugevidence.Exchange
+	probes         probes
 	dispatcher     *slugdispatch.Dispatcher
 	clock          *slugpeerclock.Clock
 	usageCounter   *slugusagecounter.Counter
@@ -133,6 +131,7 @@
 	// publishedPaces are the paces that peers were told.
 	publishedPaces map[slugname.Service]slugpeer.Pace
 	retryBudgets   map[slugname.Service]*slugbudget.Budget
+	quarantines    map[slugname.Service]*slugquarantine.Tracker
 	// firstSeen holds the time at which each endpoint was first seen.
 	firstSeen map[slugname.Endpoint]firstSighting
 	// peerDraining and peerRoles hold the leaving endpoints and the planned roles that
@@ -156,7 +155,7 @@
 		owners:         slugowner.New(),
 		usageAggregate: slugusageaggregate.New(), firstSeen: map[slugname.Endpoint]firstSighting{},
 		placers: map[slugname.Service]*slugplacement.Placer{}, paces: map[slugname.Service]*slugpace.Model{}, publishedPaces: map[slugname.Service]slugpeer.Pace{},
-		retryBudgets: map[slugname.Service]*slugbudget.Budget{},
+		retryBudgets: map[slugname.Service]*slugbudget.Budget{}, quarantines: map[slugname.Service]*slugquarantine.Tracker{},
 	}
 }
 
@@ -175,6 +174,7 @@
 		{Name: "follow the endpoints", Run: h.followEndpoints},
 		{Name: "follow the caches of engines", Run: h.followCaches},
 		{Name: "exchange with peers", Run: h.exchange},
+		{Name: "follow the quarantines", Run: h.followQuarantines},
 		{Name: "serve callers", Run: h.serve},
 		{Name: "tell of usage", Run: h.sendUsagePeriodically},
 		{Name: "take part in the duties", Run: h.runDuties},
@@ -194,11 +194,10 @@
 func (h *Host) build(_ context.Context, _ *errgroup.Group) error {
 	h.usageCounter = slugusagecounter.New(slugusagecounter.Config{Window: h.settings.UsageWindow, Now: h.clock.Now})
 	h.sender = slugsend.New(slugsend.Config{Dial: h.network.Dial})
-	h.suspects = slugsuspect.New(slugsuspect.Config{MaxCrashes: quarantineCrashes}, h.handleSuspicion)
 	h.dispatcher = slugdispatch.New(slugdispatch.Config{
 		Table: h.follower.Table, Fresh: h.configFresh,
 		ConfigurationAge: func() time.Duration { return slugclock.Since(h.follower.LastConfirmed()) },
-		Placer:           h.placer, Budget: h.retryBudget, Suspects: h.suspects, Codec: h.adapter.Codec, Open: h.sender.Open, Announce: h.announce, WithdrawAnnouncement: h.withdrawAnnouncement,
+		Placer:           h.placer, Budget: h.retryBudget, Quarantine: h.quarantine, EndpointBroke: h.endpointBroke, Codec: h.adapter.Codec, Open: h.sender.Open, Announce: h.announce, WithdrawAnnouncement: h.withdrawAnnouncement,
 		Started: h.usageCounter.Count, Ended: h.counters.Record, Log: h.log,
 	})
 	return nil
--- a/internal/daemon/slughost/join.go
+++ b/internal/daemon/slughost/join.go
@@ -17,7 +17,6 @@
 	"github.com/sassafraslug/sassafraslug/internal/decision/slugpace"
 	"github.com/sassafraslug/sassafraslug/internal/decision/slugplacement"
 	"github.com/sassafraslug/sassafraslug/internal/decision/slugplan"
-	"github.com/sassafraslug/sassafraslug/internal/decision/slugsuspect"
 	"github.com/sassafraslug/sassafraslug/internal/fleet/slugregistry"
 	"github.com/sassafraslug/sassafraslug/internal/membership/slugconfigfollower"
 	"github.com/sassafraslug/sassafraslug/internal/membership/slugmember"
@@ -51,14 +50,18 @@
 		InForce:  h.configChanged, Log: h.log, Wait: h.configWait(),
 		SharedWatch: h.sharedWatches.SharedWatch(h.adapter.ConfigName, h.configWait()),
 	})
-	h.registry = slugregistry.New(slugregistry.Config{Decode: h.adapter.DecodeEntry, Changed: h.updatePlacers, StoreAnswersOthers: h.storeReachable, Restarted: h.endpointRestarted, Log: h.log})
+	h.registry = slugregistry.New(slugregistry.Config{Decode: h.adapter.DecodeEntry, Changed: h.updatePlacers, StoreAnswersOthers: h.storeReachable, Ended: h.endpointEnded, Log: h.log})
 	h.clock = slugpeerclock.New()
 	h.table = slugpeer.New(slugpeer.Config{
 		Clock: h.clock.OwnTime, ClockReported: h.clock.AddSample,
 		Self: h.member.Self(), Call: transport.Call, Peers: h.member.Records, LastConfirmed: h.follower.LastConfirmed,
-		RowChanged: h.handlePeerRow, RevisionConfirmed: h.follower.ObservePeer, Bundle: h.follower.Encoded, Fanout: exchangeFanout, Interval: h.exchangeInterval,
+		RevisionConfirmed: h.follower.ObservePeer, Bundle: h.follower.Encoded, Fanout: exchangeFanout, Interval: h.exchangeInterval,
 		Follow: h.sharedWatches.Serve, UsageReported: h.usageAggregate.Update, Announce: h.handleAnnouncement,
+		Evidence: func(list []slugpeer.Evidence, compare bool) []slugpeer.Evidence {
+			return h.evidence.Serve(list, compare)
+		},
 	})
+	h.evidence = h.newEvidence()
 	return nil
 }
 
@@ -164,11 +167,11 @@
 			loads[name] = encodeLoad(l)
 		}
 	}
-	suspicions, serviceLoads := h.suspects.Suspicions(time.Now()), h.recentServiceLoads()
+	serviceLoads := h.recentServiceLoads()
 	paces := h.measuredPaces()
 	plannedRoles, draining, storeUnavailable := h.plannedRoles.All(time.Now()), h.leavingEndpoints(), h.store.Failing(storeFailureHold)
 	h.table.Update(func(r *slugpeer.Row) {
-		r.Loads, r.Suspicions, r.ServiceLoads = loads, suspicions, serviceLoads
+		r.Loads, r.ServiceLoads = loads, serviceLoads
 		r.PlannedRoles, r.Draining, r.StoreUnavailable, r.Paces = plannedRoles, draining, storeUnavailable, paces
 	})
 	h.applyPeerState()
@@ -356,42 +359,3 @@
 	sum.CacheTokens += int(l.CacheTokens)
 	return sum
 }
-
-// endpointRestarted records the crash of an endpoint.
-func (h *Host) endpointRestarted(e slugname.Endpoint) {
-	if h.suspects == nil {
-		return
-	}
-	h.suspects.Restarted(e, time.Now())
-}
-
-// handlePeerRow handles a changed row of a peer by taking over its suspicions.
-func (h *Host) handlePeerRow(r slugpeer.Row) {
-	if h.suspects == nil {
-		return
-	}
-	now := time.Now()
-	for _, s := range r.Suspicions {
-		h.suspects.MergePeer(s, now)
-	}
-}
-
-// handleSuspicion logs a request that was interrupted by endpoint crashes, and sends the
-// suspicion to peers.
-func (h *Host) handleSuspicion(s slugsuspect.Suspicion) {
-	event := slugevent.RequestSuspected
-	if h.suspects.State(s.Fingerprint, time.Now()) == slugsuspect.Quarantined {
-		event = slugevent.RequestQuarantined
-	}
-	h.log.Emit(event, slugevent.Fields{"workspace": s.Fingerprint.Workspace, "fingerprint": s.Fingerprint.Hash, "crashes": len(s.Crashes), "forMs": s.For.Milliseconds()})
-	go h.pushSuspicions()
-}
-
-// pushSuspicions sends the current suspicions to peers immediately.
-func (h *Host) pushSuspicions() {
-	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
-	defer cancel()
-	list := h.suspects.Suspicions(time.Now())
-	h.table.Update(func(r *slugpeer.Row) { r.Suspicions = list })
-	h.table.Push(ctx)
-}
--- a/internal/daemon/slughost/serve.go
+++ b/internal/daemon/slughost/serve.go
@@ -55,6 +55,7 @@
 // serveMetrics writes the metrics of this process.
 func (h *Host) serveMetrics(w http.ResponseWriter, _ *http.Request) {
 	h.counters.Export(h.metrics)
+	h.exportQuarantines()
 	slugmetrics.Write(w, h.metrics, h.transport.Bytes())
 }
 
--- a/internal/daemon/slughost/share.go
+++ b/internal/daemon/slughost/share.go
@@ -11,6 +11,7 @@
 	"github.com/sassafraslug/sassafraslug/internal/base/slugname"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugstore"
 	"github.com/sassafraslug/sassafraslug/internal/membership/slugconfigfollower"
+	"github.com/sassafraslug/sassafraslug/internal/membership/slugevidence"
 	"github.com/sassafraslug/sassafraslug/internal/membership/slugmember"
 	"github.com/sassafraslug/sassafraslug/internal/membership/slugmirror"
 	"github.com/sassafraslug/sassafraslug/internal/membership/slugpeer"
@@ -53,7 +54,7 @@
 // newWatchSharing returns a watchSharing with an empty mirror for each watched prefix.
 func newWatchSharing(h *Host) *watchSharing {
 	w := &watchSharing{host: h, mirrors: map[string]*slugmirror.Mirror{}}
-	for _, prefix := range []string{slugmember.Prefix, h.adapter.ConfigName, h.adapter.EntryPrefix} {
+	for _, prefix := range []string{slugmember.Prefix, h.adapter.ConfigName, h.adapter.EntryPrefix, slugevidence.Prefix} {
 		w.mirrors[prefix] = slugmirror.New()
 	}
 	return w
--- a/internal/decision/slugplacement/job.go
+++ b/internal/decision/slugplacement/job.go
@@ -47,10 +47,10 @@
 }
 
 // PartIDs returns the IDs of the parts in order.
-func (j Job) PartIDs() []PartID {
-	ids := make([]PartID, len(j.Parts))
+func (j Job) PartIDs() []string {
+	ids := make([]string, len(j.Parts))
 	for i, p := range j.Parts {
-		ids[i] = p.ID
+		ids[i] = string(p.ID)
 	}
 	return ids
 }
--- a/internal/decision/slugplacement/learn.go
+++ b/internal/decision/slugplacement/learn.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/sassafraslug/sassafraslug/internal/base/slugname"
 	"github.com/sassafraslug/sassafraslug/internal/decision/slugpace"
 	"github.com/sassafraslug/sassafraslug/internal/decision/slugplan"
 )
@@ -31,6 +32,16 @@
 	}
 }
 
+// RecordDown records that nothing listens at the address of an endpoint, so that it is
+// avoided until its entry changes.
+func (p *Placer) RecordDown(e slugname.Endpoint, incarnation int64, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if s := p.byName[e]; s != nil && s.Incarnation == incarnation {
+		s.avoidUntil = later(s.avoidUntil, now.Add(downAvoidDuration))
+	}
+}
+
 // later returns the later of two times.
 func later(a, b time.Time) time.Time {
 	if a.After(b) {
--- a/internal/decision/slugplacement/placer.go
+++ b/internal/decision/slugplacement/placer.go
@@ -93,6 +93,9 @@
 	avoidThreshold = 1.5
 	// avoidDuration is how long a failing endpoint is avoided.
 	avoidDuration = 1500 * time.Millisecond
+	// downAvoidDuration is how long an endpoint is avoided at whose address nothing listens.
+	// It exceeds the time after which the entry of a crashed endpoint disappears.
+	downAvoidDuration = 4 * time.Second
 	// fullAvoidDuration is how long an endpoint is avoided that refused for lack of
 	// capacity.
 	fullAvoidDuration = 120 * time.Millisecond
--- /dev/null
+++ b/internal/decision/slugquarantine/tracker_test.go
@@ -0,0 +1,241 @@
+package slugquarantine
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// start returns the n-th start of an endpoint.
+func start(n int) Start { return Start{Endpoint: "i", Incarnation: int64(n)} }
+
+// subject returns a request with its own last part.
+func subject(n int, parts ...string) Subject {
+	return NewSubject("hub", "/x", fmt.Append(nil, n), append(parts, fmt.Sprint("own-", n)))
+}
+
+// crashWith crashes the n-th start while it runs the given requests.
+func crashWith(t *Tracker, n int, now time.Time, subjects ...Subject) {
+	for _, s := range subjects {
+		t.Begin(start(n), s, now.Add(-50*time.Millisecond)).Interrupted(now)
+	}
+	t.Crashed(start(n), now)
+}
+
+// serve completes a request.
+func serve(t *Tracker, now time.Time, s Subject) {
+	t.Begin(start(0), s, now.Add(-20*time.Millisecond)).Served(now)
+}
+
+// settle decides, and again after the time in which traits may still be cleared.
+func settle(t *Tracker, now time.Time) []Verdict {
+	return append(t.Decide(now), t.Decide(now.Add(confirmationDelay))...)
+}
+
+// Guards against crashes that are not attributed to what the interrupted requests have in
+// common, and against blame without sufficient evidence.
+func TestDecide(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		play func(t *Tracker, now time.Time)
+		want []Trait
+	}{
+		{"a part in four crashes", func(tr *Tracker, now time.Time) {
+			for i := range partCrashes {
+				crashWith(tr, i+1, now, subject(i, "aa", "bad"))
+				serve(tr, now, subject(100+i, "aa", "s"))
+			}
+		}, subject(0, "bad").Parts},
+		{"three crashes", func(tr *Tracker, now time.Time) {
+			for i := range partCrashes - 1 {
+				crashWith(tr, i+1, now, subject(i, "bad"))
+			}
+		}, nil},
+		{"one request in three crashes", func(tr *Tracker, now time.Time) {
+			for i := range requestCrashes {
+				crashWith(tr, i+1, now, subject(7, "aa", "s"))
+			}
+		}, []Trait{subject(7, "aa", "s").Request}},
+		{"one request in many crashes blames none of its parts", func(tr *Tracker, now time.Time) {
+			for i := range 8 {
+				crashWith(tr, i+1, now, subject(7, "aa", "s"))
+			}
+		}, []Trait{subject(7, "aa", "s").Request}},
+		{"a shared part is served before the crashes", func(tr *Tracker, now time.Time) {
+			serve(tr, now.Add(-time.Second), subject(50, "aa"))
+			for i := range servedPartCrashes - 1 {
+				crashWith(tr, i+1, now, subject(i, "aa"))
+			}
+		}, nil},
+		{"a shared part is served after the crashes", func(tr *Tracker, now time.Time) {
+			for i := range 12 {
+				crashWith(tr, i+1, now, subject(i, "aa"))
+			}
+			serve(tr, now.Add(time.Millisecond), subject(50, "aa"))
+		}, nil},
+		{"a part that was served stops being served", func(tr *Tracker, now time.Time) {
+			serve(tr, now.Add(-servedPartSilence-time.Second), subject(50, "aa"))
+			for i := range servedPartCrashes {
+				crashWith(tr, i+1, now, subject(i, "aa"))
+			}
+		}, subject(0, "aa").Parts},
+		{"nothing was served yet", func(tr *Tracker, now time.Time) {
+			for i := range partCrashes {
+				crashWith(tr, i+1, now, subject(i, "aa", "bad"), subject(200+i, "aa", "s"), subject(300+i, "aa", "u"))
+			}
+		}, subject(0, "bad").Parts[:1]},
+		{"broken attempts without a crash", func(tr *Tracker, now time.Time) {
+			for i := range 20 {
+				tr.Begin(start(i+1), subject(i, "bad"), now).Interrupted(now)
+			}
+		}, nil},
+		{"a crash long after the broken attempt", func(tr *Tracker, now time.Time) {
+			for i := range 20 {
+				tr.Begin(start(i+1), subject(i, "bad"), now).Interrupted(now.Add(-interruptionWindow - time.Second))
+				tr.Crashed(start(i+1), now)
+			}
+		}, nil},
+		{"broken attempts reported after the crash", func(tr *Tracker, now time.Time) {
+			for i := range partCrashes {
+				tr.Crashed(start(i+1), now)
+				tr.Begin(start(i+1), subject(i, "bad"), now.Add(-time.Second)).Interrupted(now)
+			}
+		}, subject(0, "bad").Parts},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			tr, now := New(), time.Now()
+			test.play(tr, now)
+			var got []Trait
+			for _, v := range settle(tr, now.Add(10*time.Millisecond)) {
+				got = append(got, v.Trait)
+			}
+			assert.DeepEqual(t, got, test.want)
+		})
+	}
+}
+
+// Guards against requests that are refused for a part that only their last, own one
+// resembles, and against quarantined ones that pass.
+func TestFind(t *testing.T) {
+	tr, now := New(), time.Now()
+	for i := range partCrashes {
+		crashWith(tr, i+1, now, subject(i, "aa", "bad"))
+		serve(tr, now, subject(100+i, "aa"))
+	}
+	settle(tr, now)
+	now = now.Add(time.Second)
+	for _, test := range []struct {
+		parts []string
+		want  bool
+	}{
+		{[]string{"aa", "bad", "new"}, true}, {[]string{"bad", "new"}, true}, {[]string{"aa", "new"}, false}, {[]string{"aa", "bad"}, false}, {nil, false},
+	} {
+		_, found := tr.Find(NewSubject("other", "/y", nil, test.parts), now)
+		assert.Equal(t, found, test.want, "%v", test.parts)
+	}
+}
+
+// Guards against a quarantine that does not end: a response to a request that was sent after
+// a crash ends it, and so does time, after which one crash is enough to renew it.
+func TestQuarantineEnds(t *testing.T) {
+	quarantine := func() (*Tracker, time.Time, Trait) {
+		tr, now := New(), time.Now()
+		for i := range partCrashes {
+			crashWith(tr, i+1, now, subject(i, "p"))
+		}
+		assert.Equal(t, len(settle(tr, now)), 1)
+		return tr, now.Add(time.Second), subject(0, "p").Parts[0]
+	}
+	t.Run("response", func(t *testing.T) {
+		tr, now, trait := quarantine()
+		serve(tr, now, subject(50, "p"))
+		assert.Assert(t, !tr.Quarantined(trait, now))
+		assert.Equal(t, len(settle(tr, now)), 0)
+	})
+	t.Run("time", func(t *testing.T) {
+		tr, now, trait := quarantine()
+		now = now.Add(newQuarantine)
+		assert.Equal(t, len(settle(tr, now)), 0)
+		assert.Assert(t, !tr.Quarantined(trait, now))
+		crashWith(tr, 50, now.Add(time.Second), subject(60, "p"))
+		assert.Equal(t, len(settle(tr, now.Add(time.Second))), 1)
+	})
+}
+
+// Guards against processes that disagree: whatever the order in which entries arrive, and
+// however often, all processes quarantine the culprit and no other part, although each of
+// them has seen one crash only and the responses were given by another one.
+func TestTrackersAgree(t *testing.T) {
+	now := time.Now()
+	var trackers []*Tracker
+	for i := range partCrashes {
+		tr := New()
+		crashWith(tr, i+1, now, subject(i, "aa", "bad"), subject(300+i, "aa", "s"))
+		trackers = append(trackers, tr)
+	}
+	serving, late := New(), New()
+	serve(serving, now.Add(time.Millisecond), subject(200, "aa", "s"))
+	trackers = append(trackers, serving)
+	for round := range 3 {
+		at := now.Add(time.Duration(round+1) * 20 * time.Millisecond)
+		for i := range trackers {
+			for j := range trackers {
+				trackers[j].Merge(trackers[i].All(at), at)
+			}
+		}
+	}
+	at := now.Add(time.Second)
+	for _, tr := range trackers {
+		tr.Decide(at)
+		tr.Decide(at.Add(confirmationDelay))
+		assert.Assert(t, tr.Quarantined(subject(0, "bad").Parts[0], at.Add(time.Second)))
+		assert.Assert(t, !tr.Quarantined(subject(0, "aa").Parts[0], at.Add(time.Second)))
+		assert.Assert(t, !tr.Quarantined(subject(0, "s").Parts[0], at.Add(time.Second)))
+	}
+	// A process that comes back takes over the verdict with the first entry.
+	late.Merge(trackers[0].All(at.Add(time.Second)), at.Add(time.Second))
+	assert.Assert(t, late.Quarantined(subject(0, "bad").Parts[0], at.Add(2*time.Second)))
+	// Without news, nothing more is sent.
+	for range 5 {
+		for _, tr := range trackers {
+			tr.Changed(at.Add(2 * time.Second))
+		}
+	}
+	for _, tr := range trackers {
+		tr.Merge(trackers[0].All(at.Add(3*time.Second)), at.Add(3*time.Second))
+		assert.Equal(t, len(tr.Changed(at.Add(3*time.Second))), 0)
+	}
+}
+
+// Guards against a verdict of the store that is not taken over, or does not end with its
+// object.
+func TestAdopt(t *testing.T) {
+	tr, now := New(), time.Now()
+	trait := subject(0, "p").Parts[0]
+	tr.Adopt(trait, time.Minute, now)
+	assert.Assert(t, tr.Quarantined(trait, now))
+	assert.Equal(t, len(tr.Unstored(now)), 0)
+	tr.Adopt(trait, 0, now)
+	assert.Assert(t, !tr.Quarantined(trait, now))
+}
+
+// Guards against state that grows without bound.
+func TestStateIsBounded(t *testing.T) {
+	tr, now := New(), time.Now()
+	for i := range 3 * maxServed {
+		serve(tr, now, subject(i, fmt.Sprint("s-", i)))
+		crashWith(tr, i+1, now, subject(i, fmt.Sprint("p-", i)))
+	}
+	assert.Assert(t, len(tr.records) <= maxRecords)
+	assert.Assert(t, len(tr.served) <= maxServed)
+	assert.Assert(t, len(tr.All(now)) <= maxEntries)
+	later := now.Add(crashRetention + servedRetention + time.Second)
+	for range maxRecords/maxEntries + 1 {
+		tr.Changed(later)
+	}
+	tr.Decide(later)
+	tr.Decide(later.Add(2 * pruneInterval))
+	assert.Equal(t, len(tr.records)+len(tr.served)+len(tr.interruptions)+len(tr.crashed), 0)
+}
--- a/internal/decision/slugsuspect/tracker.go
+++ b/internal/decision/slugsuspect/tracker.go
@@ -86,9 +86,6 @@
 	defaultQuarantine = 10 * time.Minute
 	defaultMemory     = 5 * time.Minute
 	defaultCrashes    = 5
-	// interruptionRetention is how long an interrupted attempt is remembered. It exceeds
-	// the seconds that a crashed endpoint takes to restart and to report the restart.
-	interruptionRetention = 20 * time.Second
 	// sameCrashSeconds is the maximum time between reports of the same crash of an
 	// endpoint.
 	sameCrashSeconds = 2
@@ -129,8 +126,6 @@
 	mu       sync.Mutex
 	inFlight map[slugname.Endpoint]map[Fingerprint]activeRuns
 	suspects map[Fingerprint]*suspectRecord
-	// interrupted holds when an endpoint last interrupted an attempt of a request.
-	interrupted map[slugname.Endpoint]map[Fingerprint]time.Time
 	// exclusive holds the suspects that run now; the channel is closed when the run
 	// ends.
 	exclusive map[Fingerprint]chan struct{}
@@ -152,7 +147,7 @@
 	}
 	return &Tracker{
 		cfg: cfg, inFlight: map[slugname.Endpoint]map[Fingerprint]activeRuns{}, suspects: map[Fingerprint]*suspectRecord{},
-		interrupted: map[slugname.Endpoint]map[Fingerprint]time.Time{}, exclusive: map[Fingerprint]chan struct{}{}, onChange: onChange,
+		exclusive: map[Fingerprint]chan struct{}{}, onChange: onChange,
 	}
 }
 
@@ -279,38 +274,6 @@
 	t.notify(changes)
 }
 
-// Interrupted records that an endpoint interrupted an attempt of a request. This alone
-// does not make the request suspect: the connection may have failed, or the endpoint may
-// be at fault.
-func (t *Tracker) Interrupted(e slugname.Endpoint, f Fingerprint, now time.Time) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if t.interrupted[e] == nil {
-		t.interrupted[e] = map[Fingerprint]time.Time{}
-	}
-	t.interrupted[e][f] = now
-	for old, at := range t.interrupted[e] {
-		if now.Sub(at) > interruptionRetention {
-			delete(t.interrupted[e], old)
-		}
-	}
-}
-
-// Restarted records that an endpoint restarted without leaving first. The requests
-// whose attempts it recently interrupted become suspects.
-func (t *Tracker) Restarted(e slugname.Endpoint, now time.Time) {
-	t.mu.Lock()
-	var changes []Suspicion
-	for f, at := range t.interrupted[e] {
-		if now.Sub(at) <= interruptionRetention && t.addCrash(f, Crash{Endpoint: e, Second: at.Unix()}, now) {
-			changes = append(changes, t.suspicion(f, now))
-		}
-	}
-	delete(t.interrupted, e)
-	t.mu.Unlock()
-	t.notify(changes)
-}
-
 // notify reports changed suspicions to onChange. The caller must not hold t.mu.
 func (t *Tracker) notify(list []Suspicion) {
 	if t.onChange == nil {
--- a/internal/fleet/slugregistry/registry.go
+++ b/internal/fleet/slugregistry/registry.go
@@ -52,9 +52,9 @@
 	// Changed is called after endpoints were added, removed or changed, with the affected
 	// services; it may be nil.
 	Changed func([]slugname.Service)
-	// Restarted is called for each endpoint that restarted without leaving first; it may
-	// be nil.
-	Restarted func(slugname.Endpoint)
+	// Ended is called with the old registration of each endpoint that restarted, or whose
+	// entry disappeared, without leaving first; it may be nil.
+	Ended func(Endpoint)
 	// StoreAnswersOthers reports whether the store answers other processes. If it does, a
 	// failed call only means that this process is cut off from the store, and entries that
 	// disappear did not expire in an outage. A nil function reports false.
@@ -91,6 +91,8 @@
 	lastOutage, recovered time.Time
 	// synced reports that the store has been read at least once.
 	synced bool
+	// ended holds the endpoints to be passed to Config.Ended.
+	ended []Endpoint
 }
 
 // New returns an empty Registry.
@@ -98,8 +100,8 @@
 	if cfg.Changed == nil {
 		cfg.Changed = func([]slugname.Service) {}
 	}
-	if cfg.Restarted == nil {
-		cfg.Restarted = func(slugname.Endpoint) {}
+	if cfg.Ended == nil {
+		cfg.Ended = func(Endpoint) {}
 	}
 	if cfg.StoreAnswersOthers == nil {
 		cfg.StoreAnswersOthers = func() bool { return false }
@@ -168,29 +170,30 @@
 	if r.failing {
 		r.failing, r.recovered = false, now
 	}
-	var restarted []slugname.Endpoint
 	for _, o := range objects {
-		if r.applyEntry(o, now, changed) {
-			restarted = append(restarted, nameOf(o))
-		}
+		r.applyEntry(o, now, changed)
 	}
+	r.finish(now, changed)
+}
+
+// finish completes a change of the endpoints: it removes those whose grace period is over,
+// and notifies. It unlocks r.mu, which must be held.
+func (r *Registry) finish(now time.Time, changed map[slugname.Service]bool) {
 	r.removeExpired(now, changed)
 	r.rebuildIndex(changed)
+	ended := r.ended
+	r.ended = nil
 	r.mu.Unlock()
 	r.notifyChanged(changed)
-	for _, e := range restarted {
-		r.cfg.Restarted(e)
+	for _, e := range ended {
+		r.cfg.Ended(e)
 	}
 }
 
 // RemoveExpired removes the endpoints whose grace period is over.
 func (r *Registry) RemoveExpired() {
-	changed := map[slugname.Service]bool{}
 	r.mu.Lock()
-	r.removeExpired(time.Now(), changed)
-	r.rebuildIndex(changed)
-	r.mu.Unlock()
-	r.notifyChanged(changed)
+	r.finish(time.Now(), map[slugname.Service]bool{})
 }
 
 // notifyChanged calls Config.Changed with the changed services, if there are any.
@@ -215,16 +218,15 @@
 	return slugname.Endpoint(name)
 }
 
-// applyEntry applies one entry and reports whether its endpoint restarted without leaving
-// first; r.mu must be held.
-func (r *Registry) applyEntry(o slugstore.Object, now time.Time, changed map[slugname.Service]bool) (restarted bool) {
+// applyEntry applies one entry; r.mu must be held.
+func (r *Registry) applyEntry(o slugstore.Object, now time.Time, changed map[slugname.Service]bool) {
 	name := nameOf(o)
 	old, known := r.endpoints[name]
 	if o.Body == nil {
 		if known {
 			r.entryRemoved(name, old, now, changed)
 		}
-		return false
+		return
 	}
 	e, err := r.cfg.Decode(o)
 	if err != nil {
@@ -232,11 +234,11 @@
 		if known {
 			r.remove(name, old, "its entry cannot be read", changed)
 		}
-		return false
+		return
 	}
 	delete(r.missing, name)
 	if known && old == e {
-		return false
+		return
 	}
 	r.endpoints[name] = e
 	changed[e.Service] = true
@@ -247,7 +249,9 @@
 		"endpoint": name, "service": e.Service, "dataCentre": e.DataCentre, "address": e.Address, "role": e.Role,
 		"leaving": e.Leaving, "cheap": e.Cheap, "incarnation": e.Incarnation, "version": o.Version,
 	})
-	return known && !old.Leaving && old.Incarnation != e.Incarnation
+	if known && !old.Leaving && old.Incarnation != e.Incarnation {
+		r.ended = append(r.ended, old)
+	}
 }
 
 // entryRemoved removes an endpoint whose entry disappeared, or starts its grace period if
@@ -265,6 +269,9 @@
 func (r *Registry) remove(name slugname.Endpoint, old Endpoint, reason string, changed map[slugname.Service]bool) {
 	delete(r.endpoints, name)
 	delete(r.missing, name)
+	if !old.Leaving {
+		r.ended = append(r.ended, old)
+	}
 	changed[old.Service] = true
 	r.cfg.Log.Emit(slugevent.EndpointGone, slugevent.Fields{"endpoint": name, "service": old.Service, "reason": reason})
 }
--- a/internal/fleet/slugregistry/registry_test.go
+++ b/internal/fleet/slugregistry/registry_test.go
@@ -149,9 +149,9 @@
 	})
 }
 
-// TestRestarted guards against missed and false restarts: only a new incarnation of an
-// endpoint that was not leaving counts.
-func TestRestarted(t *testing.T) {
+// TestEnded guards against missed and false ends: only a new incarnation, or the removal, of
+// an endpoint that was not leaving counts, and it names the incarnation that ended.
+func TestEnded(t *testing.T) {
 	for _, c := range []struct {
 		name, before, after string
 		want                int
@@ -159,12 +159,21 @@
 		{"new incarnation", `{"service":"x","born":1}`, `{"service":"x","born":2}`, 1},
 		{"new incarnation after leaving", `{"service":"x","born":1,"leaving":true}`, `{"service":"x","born":2}`, 0},
 		{"change within one incarnation", `{"service":"x","born":1}`, `{"service":"y","born":1}`, 0},
+		{"removal", `{"service":"x","born":1}`, "", 1},
+		{"removal after leaving", `{"service":"x","born":1,"leaving":true}`, "", 0},
 	} {
-		restarted := 0
-		r := New(Config{Decode: decode, Restarted: func(slugname.Endpoint) { restarted++ }, Log: slugevent.Discard()})
+		var ended []Endpoint
+		r := New(Config{Decode: decode, Ended: func(e Endpoint) { ended = append(ended, e) }, Log: slugevent.Discard()})
 		r.Apply([]slugstore.Object{entry("a", c.before)})
-		assert.Equal(t, restarted, 0, c.name)
-		r.Apply([]slugstore.Object{entry("a", c.after)})
-		assert.Equal(t, restarted, c.want, c.name)
+		assert.Equal(t, len(ended), 0, c.name)
+		after := slugstore.Object{Name: entry("a", c.before).Name}
+		if c.after != "" {
+			after = entry("a", c.after)
+		}
+		r.Apply([]slugstore.Object{after})
+		assert.Equal(t, len(ended), c.want, c.name)
+		for _, e := range ended {
+			assert.Equal(t, e.Incarnation, Incarnation(1), c.name)
+		}
 	}
 }
--- a/internal/membership/slugpeer/row.go
+++ b/internal/membership/slugpeer/row.go
@@ -20,6 +20,7 @@
 	"github.com/sassafraslug/sassafraslug/internal/base/slugname"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugstore"
 	"github.com/sassafraslug/sassafraslug/internal/decision/slugplan"
+	"github.com/sassafraslug/sassafraslug/internal/decision/slugquarantine"
 	"github.com/sassafraslug/sassafraslug/internal/decision/slugsuspect"
 	"github.com/sassafraslug/sassafraslug/internal/membership/slugmember"
 	"github.com/sassafraslug/sassafraslug/internal/version/slugconfig"
@@ -169,6 +170,17 @@
 	// not counted.
 	MaxWaitUs int64 `cbor:"13,keyasint,omitempty"`
 	Declined  bool  `cbor:"14,keyasint,omitempty"`
+	// Evidence are entries about requests that may crash endpoints. CompareEvidence asks for
+	// all entries of the receiver in return.
+	Evidence        []Evidence `cbor:"15,keyasint,omitempty"`
+	CompareEvidence bool       `cbor:"16,keyasint,omitempty"`
+}
+
+// Evidence holds the entries of one service about requests that may crash endpoints.
+type Evidence struct {
+	_       struct{} `cbor:",toarray"`
+	Service slugname.Service
+	Entries []slugquarantine.Entry
 }
 
 // Announcement describes a prompt that is about to be sent to an endpoint, or withdraws an
--- a/internal/membership/slugpeer/table.go
+++ b/internal/membership/slugpeer/table.go
@@ -44,6 +44,9 @@
 	// Announce handles a prompt that a peer announces for an endpoint, with the longest wait
 	// that the peer accepts or 0, and reports whether the prompt was declined; it may be nil.
 	Announce func(a Announcement, maxWait time.Duration) (f *Forecast, declined bool)
+	// Evidence merges the evidence of a peer, and returns that of this process if the peer
+	// asks to compare; it may be nil.
+	Evidence func(list []Evidence, compare bool) []Evidence
 	// UsageReported is called with the counts of accounting windows of a peer; it may be nil.
 	UsageReported func(slugname.Process, []WindowCount)
 	// Fanout is the number of live peers called per round; 0 means 2.
@@ -232,6 +235,12 @@
 	_ = group.Wait()
 }
 
+// Neighbours returns up to n live peers, chosen like those of a round.
+func (t *Table) Neighbours(n int) []slugmember.Record {
+	alive, _ := t.splitByLiveness()
+	return t.choosePeers(alive, min(n, t.cfg.Fanout))
+}
+
 // choosePeers returns the peers to call in one round. In a small system, and for an urgent
 // push, all live peers are equally likely. In a large system a process calls a few near
 // neighbours, and in some rounds a far one, so that its connections stay in use and most rows
@@ -258,7 +267,7 @@
 		farCalls = 1
 	}
 	var out []slugmember.Record
-	for _, i := range rand.Perm(len(near))[:min(len(near), fanout-1)] {
+	for _, i := range rand.Perm(len(near))[:min(len(near), max(1, fanout-1))] {
 		out = append(out, records[near[i]])
 	}
 	for _, i := range rand.Perm(len(far))[:farCalls] {
@@ -342,6 +351,10 @@
 		answer.Forecast, answer.Declined = t.cfg.Announce(*m.Announcement, time.Duration(max(0, m.MaxWaitUs))*time.Microsecond)
 		return answer
 	}
+	if m.Evidence != nil && t.cfg.Evidence != nil {
+		answer.Evidence = t.cfg.Evidence(m.Evidence, m.CompareEvidence)
+		return answer
+	}
 	if m.Usage != nil && t.cfg.UsageReported != nil {
 		t.cfg.UsageReported(from, m.Usage)
 		return answer
--- a/internal/request/slugdispatch/dispatcher.go
+++ b/internal/request/slugdispatch/dispatcher.go
@@ -26,7 +26,7 @@
 	"github.com/sassafraslug/sassafraslug/internal/connection/slugsend"
 	"github.com/sassafraslug/sassafraslug/internal/decision/slugbudget"
 	"github.com/sassafraslug/sassafraslug/internal/decision/slugplacement"
-	"github.com/sassafraslug/sassafraslug/internal/decision/slugsuspect"
+	"github.com/sassafraslug/sassafraslug/internal/decision/slugquarantine"
 	"github.com/sassafraslug/sassafraslug/internal/request/slugrefusal"
 	"github.com/sassafraslug/sassafraslug/internal/version/slugconfig"
 	"github.com/sassafraslug/sassafraslug/internal/version/slugrouting"
@@ -68,8 +68,11 @@
 	Placer func(slugname.Service) *slugplacement.Placer
 	// Budget returns the retry budget of a service.
 	Budget func(slugname.Service) *slugbudget.Budget
-	// Suspects tracks requests that may crash endpoints.
-	Suspects *slugsuspect.Tracker
+	// Quarantine returns the tracker of crashing requests of a service.
+	Quarantine func(slugname.Service) *slugquarantine.Tracker
+	// EndpointBroke is called when an endpoint broke off an attempt, or, with refused set,
+	// when it refused the connection.
+	EndpointBroke func(s slugname.Service, e slugplacement.Endpoint, refused bool)
 	// Codec encodes requests to endpoints and decodes their responses.
 	Codec Codec
 	// Announce announces a prompt to the owner of the chosen endpoint, and returns the
@@ -109,17 +112,18 @@
 // dispatch is the state of one request, over all of its attempts.
 type dispatch struct {
 	*Dispatcher
-	call        *Call
-	w           http.ResponseWriter
-	table       *slugrouting.Table
-	route       *slugrouting.Route
-	service     *slugrouting.Service
-	workspace   *slugrouting.Workspace
-	keyHash     slugconfig.KeyHash
-	placer      *slugplacement.Placer
-	budget      *slugbudget.Budget
-	fingerprint slugsuspect.Fingerprint
-	deadline    time.Time
+	call       *Call
+	w          http.ResponseWriter
+	table      *slugrouting.Table
+	route      *slugrouting.Route
+	service    *slugrouting.Service
+	workspace  *slugrouting.Workspace
+	keyHash    slugconfig.KeyHash
+	placer     *slugplacement.Placer
+	budget     *slugbudget.Budget
+	quarantine *slugquarantine.Tracker
+	subject    slugquarantine.Subject
+	deadline   time.Time
 
 	// excluded holds the endpoints that must not be tried again.
 	excluded []slugname.Endpoint
@@ -225,9 +229,29 @@
 		timeout = defaultTimeout
 	}
 	d.deadline = d.call.Received.Add(timeout - responseMargin)
-	d.fingerprint = slugsuspect.NewFingerprint(d.workspaceName(), d.call.Path, d.call.Body)
-	if d.cfg.Suspects.State(d.fingerprint, time.Now()) == slugsuspect.Quarantined {
-		return slugrefusal.NotRun(slugrefusal.CodeQuarantinedUnrun, "the request is quarantined because it crashed endpoints")
+	d.quarantine = d.cfg.Quarantine(name)
+	d.subject = slugquarantine.NewSubject(d.workspaceName(), d.call.Path, d.call.Body, d.call.Prompt.PartIDs())
+	return d.refuseQuarantined()
+}
+
+// refuseQuarantined refuses a request that crashes endpoints, as others did that had
+// something in common with it.
+func (d *dispatch) refuseQuarantined() *slugrefusal.Refusal {
+	v, ok := d.quarantine.Find(d.subject, time.Now())
+	if !ok {
+		return nil
+	}
+	if v.Trait.Scope == slugquarantine.ScopePart {
+		return slugrefusal.NotRun(slugrefusal.CodeQuarantinedUnrun, "a part of the prompt is quarantined because requests with it crashed endpoints (%016x)", v.Trait.Hash)
+	}
+	return slugrefusal.NotRun(slugrefusal.CodeQuarantinedUnrun, "the request is quarantined because it crashed endpoints (%016x)", v.Trait.Hash)
+}
+
+// stopQuarantined ends a request that was quarantined while it was in progress. Such a
+// request is not sent again, even if it may have run.
+func (d *dispatch) stopQuarantined() error {
+	if refusal := d.refuseQuarantined(); refusal != nil {
+		return noRetry(refusal)
 	}
 	return nil
 }
@@ -317,8 +341,12 @@
 }
 
 // tryRetry reports whether the request may be sent once more, and if so takes the retry
-// from the budget.
+// from the budget. A request that may have run is not sent again if endpoints crashed
+// repeatedly under requests with something in common with it.
 func (d *dispatch) tryRetry(now time.Time) bool {
+	if d.possibleRuns > 0 && d.quarantine.Suspected(d.subject, now) {
+		return false
+	}
 	return d.remaining() > minRetryTime && d.budget.TryRetry(now)
 }
 
--- a/internal/request/slugdispatch/plain.go
+++ b/internal/request/slugdispatch/plain.go
@@ -6,12 +6,14 @@
 	"io"
 	"net/http"
 	"strconv"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugname"
 	"github.com/sassafraslug/sassafraslug/internal/connection/slugsend"
 	"github.com/sassafraslug/sassafraslug/internal/decision/slugplacement"
+	"github.com/sassafraslug/sassafraslug/internal/decision/slugquarantine"
 )
 
 // Reasons for which an attempt or a request fails.
@@ -34,6 +36,9 @@
 		if refusal := d.reauthorize(); refusal != nil && d.possibleRuns == 0 {
 			return refusal
 		}
+		if err := d.stopQuarantined(); err != nil {
+			return d.callerError(ctx, err)
+		}
 		c, ok := d.placer.Plain(d.excluded, time.Now())
 		if !ok {
 			return d.callerError(ctx, errors.CombineErrors(last, errNoEndpoint))
@@ -60,7 +65,7 @@
 // whether the request may have reached the endpoint.
 func (d *dispatch) attemptPlain(ctx context.Context, c *slugplacement.Choice) (sent bool, err error) {
 	d.endpoints = append(d.endpoints, c.Name)
-	done := d.cfg.Suspects.Begin(c.Name, d.fingerprint, false)
+	run := d.begin(c)
 	e, err := d.cfg.Open(ctx, d.cfg.Codec.EncodeRun(d.call, d.target(c)))
 	sent = e.Sent
 	if sent {
@@ -69,14 +74,15 @@
 	if err == nil {
 		err = d.relayPlain(e)
 	}
-	done(err == nil)
 	c.End(d.placementOutcome(ctx, err), time.Now())
-	if err != nil {
+	if err == nil {
+		run.Served(time.Now())
+	} else {
 		e.Abort()
 		if sent && !errors.Is(err, errNotRun) {
 			d.possibleRuns++
 		}
-		interrupted := d.reportInterruption(ctx, c, sent, err)
+		interrupted := d.reportInterruption(ctx, c, run, sent, err)
 		if interrupted {
 			d.countStart() // The request most likely began to run before the failure.
 		}
@@ -85,14 +91,26 @@
 	return sent, err
 }
 
-// reportInterruption tells the suspect tracker if the endpoint interrupted an attempt,
-// and returns whether it did. An attempt that was canceled on this side does not count:
-// the request may still have been waiting in the endpoint's queue.
-func (d *dispatch) reportInterruption(ctx context.Context, c *slugplacement.Choice, sent bool, err error) bool {
-	if !sent || ctx.Err() != nil || errors.Is(err, errNotRun) {
+// begin returns the run of the request at the chosen endpoint.
+func (d *dispatch) begin(c *slugplacement.Choice) *slugquarantine.Run {
+	return d.quarantine.Begin(slugquarantine.Start{Endpoint: c.Name, Incarnation: c.Incarnation}, d.subject, time.Now())
+}
+
+// reportInterruption reports an endpoint that broke off an attempt or refused the
+// connection, and returns whether it broke off the attempt. An attempt that was canceled on
+// this side does not count: the request may still have been waiting in the endpoint's queue.
+func (d *dispatch) reportInterruption(ctx context.Context, c *slugplacement.Choice, run *slugquarantine.Run, sent bool, err error) bool {
+	switch {
+	case ctx.Err() != nil || errors.Is(err, errNotRun):
+		return false
+	case !sent:
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			d.cfg.EndpointBroke(d.service.Name, c.Endpoint, true)
+		}
 		return false
 	}
-	d.cfg.Suspects.Interrupted(c.Name, d.fingerprint, time.Now())
+	run.Interrupted(time.Now())
+	d.cfg.EndpointBroke(d.service.Name, c.Endpoint, false)
 	return true
 }
 
--- a/internal/request/slugdispatch/stream.go
+++ b/internal/request/slugdispatch/stream.go
@@ -53,6 +53,9 @@
 		if refusal := d.reauthorize(); refusal != nil && !d.headerWritten && d.possibleRuns == 0 {
 			return refusal
 		}
+		if err := d.stopQuarantined(); err != nil {
+			return d.callerError(ctx, err)
+		}
 		prefilled, err := d.prefill(ctx)
 		if err == nil {
 			err = d.decode(ctx, prefilled)
@@ -84,6 +87,9 @@
 	exclude := slices.Clone(d.excluded)
 	var last error
 	for range maxSends {
+		if err := d.stopQuarantined(); err != nil {
+			return nil, err
+		}
 		c, ok := d.placer.Prefill(d.job(), exclude, time.Now())
 		if !ok {
 			return nil, noRetry(errors.CombineErrors(last, errNoEndpoint))
@@ -185,7 +191,7 @@
 	callCtx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	defer d.watchStall(c, cancel)()
-	done := d.cfg.Suspects.Begin(c.Name, d.fingerprint, false)
+	run := d.begin(c)
 	c.Sent(time.Now())
 	e, err := d.cfg.Open(callCtx, d.cfg.Codec.EncodePrefill(d.call, d.target(c)))
 	if e.Sent {
@@ -195,11 +201,10 @@
 	if err == nil {
 		h, err = d.readHandle(e)
 	}
-	done(err == nil)
 	c.End(d.placementOutcome(ctx, err), time.Now())
 	if err != nil {
 		e.Abort()
-		d.logAttemptFailure(c, "prefill", d.reportInterruption(ctx, c, e.Sent, err), err)
+		d.logAttemptFailure(c, "prefill", d.reportInterruption(ctx, c, run, e.Sent, err), err)
 		return nil, e.Sent, err
 	}
 	d.cfg.Log.Emit(slugevent.EndpointChosen, slugevent.Fields{
@@ -290,6 +295,10 @@
 		d.releaseCache(prefilled)
 		return noRetry(refusal)
 	}
+	if err := d.stopQuarantined(); err != nil {
+		d.releaseCache(prefilled)
+		return err
+	}
 	near := d.call.Prompt.DataCentre
 	if prefilled != nil {
 		near = prefilled.choice.DataCentre
@@ -319,7 +328,7 @@
 	watchdog := d.watchEvents(cancel)
 	defer watchdog.Stop()
 	c.Sent(time.Now())
-	done := d.cfg.Suspects.Begin(c.Name, d.fingerprint, false)
+	run := d.begin(c)
 	e, err := d.cfg.Open(ctx, d.cfg.Codec.EncodeRun(d.call, t))
 	if e.Sent {
 		d.sends++
@@ -328,13 +337,14 @@
 	if err == nil {
 		err = d.relayStream(e, c, watchdog)
 	}
-	done(err == nil)
 	c.End(d.placementOutcome(requestCtx, err), time.Now())
 	if err == nil {
+		// A prefill alone does not show that an engine survives the request.
+		run.Served(time.Now())
 		return nil
 	}
 	e.Abort()
-	interrupted := d.reportInterruption(ctx, c, e.Sent, err)
+	interrupted := d.reportInterruption(ctx, c, run, e.Sent, err)
 	if interrupted {
 		d.countStart() // The request most likely began to run before the failure.
 	}
--- a/internal/standin/slugmesh/mesh.go
+++ b/internal/standin/slugmesh/mesh.go
@@ -17,6 +17,7 @@
 	"fmt"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -58,7 +59,7 @@
 }
 
 // errRefused is returned when nothing listens on the address.
-var errRefused = errors.New("connection refused")
+var errRefused error = syscall.ECONNREFUSED
 
 // Partition partitions two hosts from each other, or heals the partition.
 func (m *Mesh) Partition(a, b string, partitioned bool) {
