Use the KV cache of a prompt at another engine if the chosen one is not reached

Cause: after a refused connection to a crashed decode engine, the prompt was processed again, which takes from the retry budget, although nothing had been sent and its KV cache was still there. Now the next decode engine gets the same cache.

TestCrashedDecodeEngineCostsNoPrefill: 12 prefill calls for 6 requests with 4 of 6 decode engines down, now 6.

--- a/internal/request/slugdispatch/stream.go
+++ b/internal/request/slugdispatch/stream.go
@@ -303,20 +303,35 @@
 	if prefilled != nil {
 		near = prefilled.choice.DataCentre
 	}
-	c, ok := d.placer.Decode(d.job(), near, d.excluded, time.Now())
-	if !ok {
-		d.releaseCache(prefilled)
-		return noRetry(errNoEndpoint)
-	}
 	if d.decodeSent && !d.tryRetry(time.Now()) {
-		c.End(slugplacement.Abandoned, time.Now())
 		d.releaseCache(prefilled)
 		return noRetry(errRetryBudget)
 	}
-	return d.attemptDecode(ctx, c, prefilled)
+	exclude := slices.Clone(d.excluded)
+	var last error
+	for range maxSends {
+		c, ok := d.placer.Decode(d.job(), near, exclude, time.Now())
+		if !ok {
+			break
+		}
+		sent, err := d.attemptDecode(ctx, c, prefilled)
+		if err == nil || sent {
+			return err
+		}
+		// Nothing was sent, so that another engine can use the KV cache.
+		last = err
+		exclude = append(exclude, c.Name)
+		if ctx.Err() != nil {
+			break
+		}
+	}
+	d.releaseCache(prefilled)
+	return noRetry(errors.CombineErrors(last, errNoEndpoint))
 }
 
-func (d *dispatch) attemptDecode(ctx context.Context, c *slugplacement.Choice, prefilled *prefillResult) error {
+// attemptDecode has the response generated at one endpoint and relays it. sent reports
+// whether the request may have reached the endpoint; if not, the KV cache is kept.
+func (d *dispatch) attemptDecode(ctx context.Context, c *slugplacement.Choice, prefilled *prefillResult) (sent bool, err error) {
 	d.endpoints = append(d.endpoints, c.Name)
 	t := d.target(c)
 	if prefilled != nil {
@@ -341,7 +356,7 @@
 	if err == nil {
 		// A prefill alone does not show that an engine survives the request.
 		run.Served(time.Now())
-		return nil
+		return true, nil
 	}
 	e.Abort()
 	interrupted := d.reportInterruption(ctx, c, run, e.Sent, err)
@@ -349,13 +364,16 @@
 		d.countStart() // The request most likely began to run before the failure.
 	}
 	d.logAttemptFailure(c, "decode", interrupted, err)
-	return d.afterDecodeFailure(ctx, c, prefilled, e.Sent, err)
+	return e.Sent, d.afterDecodeFailure(ctx, c, prefilled, e.Sent, err)
 }
 
 // afterDecodeFailure records a failed attempt and returns its error, marked with
 // errNoRetry if there must not be another attempt.
 func (d *dispatch) afterDecodeFailure(ctx context.Context, c *slugplacement.Choice, prefilled *prefillResult, sent bool, err error) error {
-	if !sent || errors.Is(err, errNotRun) {
+	if !sent {
+		return err
+	}
+	if errors.Is(err, errNotRun) {
 		d.releaseCache(prefilled)
 		d.exclude(c.Name)
 		return err
