--- a/internal/decision/slugquarantine/record.go
+++ b/internal/decision/slugquarantine/record.go
@@ -28,6 +28,9 @@
 	// served lately, and one that was.
 	newQuarantine    = 10 * time.Minute
 	servedQuarantine = 20 * time.Second
+	// commonCauseWindow is the time within which crashes of different endpoints are attributed
+	// to a common cause, such as a failing rack.
+	commonCauseWindow = 150 * time.Millisecond
 	// maxCrashes bounds the crashes that are remembered of a trait.
 	maxCrashes = 32
 )
@@ -120,21 +123,34 @@
 func (r *record) quarantined(now time.Time) bool { return now.Before(r.until) }
 
 // unexplained returns the number of crashes since the last response that no quarantined part
-// explains, and the number of different requests that they interrupted.
+// explains, and the number of different requests that they interrupted. Crashes at about the
+// same time count once, because they have a common cause.
 func (r *record) unexplained(explained map[Start]Trait) (crashes, requests int) {
 	different := map[uint32]bool{}
+	var times []time.Time
 	for e, c := range r.crashes {
 		if culprit, ok := explained[e]; ok && culprit != r.trait || !c.began.After(r.servedAt) {
 			continue
 		}
-		crashes++
+		times = append(times, c.at)
 		different[c.request] = true
 	}
+	slices.SortFunc(times, time.Time.Compare)
+	var last time.Time
+	for _, at := range times {
+		if at.Sub(last) >= commonCauseWindow {
+			crashes++
+			last = at
+		}
+	}
 	return crashes, len(different)
 }
 
 // due reports whether the crashes are sufficient for a quarantine.
 func (r *record) due(explained map[Start]Trait, now time.Time) bool {
+	if len(r.crashes) < requestCrashes && !r.probation {
+		return false
+	}
 	crashes, requests := r.unexplained(explained)
 	switch {
 	case r.probation:
