--- a/internal/decision/slugquarantine/replay_test.go
+++ b/internal/decision/slugquarantine/replay_test.go
@@ -233,6 +233,9 @@
 			sizes = append(sizes, 295)
 		}
 		for _, hosts := range sizes {
+			if testing.Short() && hosts > 7 {
+				continue
+			}
 			t.Run(fmt.Sprint(test.name, ", ", hosts, " hosts"), func(t *testing.T) {
 				crashes, late, refused := 0, 0, 0
 				for seed := range replaySeeds[hosts] {
