Divide the rate limit that an endpoint states among all hosts

What callers and endpoints saw: an engine that states 'Server-Limit: 5' got 58 requests in 4 s. Cause: nothing read the header. Change: responses of both stages and of plain endpoints are read for it; slugpermit issues the permits of an endpoint at times on which all hosts agree and gives them to the hosts in turn, so that no messages are needed and idle hosts cannot send together what they saved. An endpoint without a permit is no candidate; its work goes elsewhere, and if none has a permit the request is refused at once, before its prompt is processed. A response without the header ends the limit.

--- a/internal/base/slugevent/event.go
+++ b/internal/base/slugevent/event.go
@@ -93,6 +93,9 @@
 	QuarantineAdopted
 	QuarantineEnded
 	QuarantineUnreadable
+	EndpointLimited
+	EndpointUnlimited
+	LimitUnreadable
 )
 
 var descriptions = map[Event]Description{
@@ -151,6 +154,9 @@
 	RequestQuarantined:      {logrus.ErrorLevel, "request quarantined after repeated crashes", "contact the workspace about the request, or about the part of prompts that the field trait identifies; it is refused until the time in the field until, or for the duration in forMs"},
 	QuarantineAdopted:       {logrus.WarnLevel, "quarantine taken over from the store", "none; the process that decided logged event 407 with the crashes"},
 	QuarantineEnded:         {logrus.InfoLevel, "quarantine ended", "none"},
+	EndpointLimited:         {logrus.WarnLevel, "endpoint states a rate limit", "check the endpoint: it is in need; requests beyond the limit go to others"},
+	EndpointUnlimited:       {logrus.InfoLevel, "endpoint no longer states a rate limit", "none"},
+	LimitUnreadable:         {logrus.WarnLevel, "rate limit of an endpoint cannot be read", "check the endpoint; the limit that it stated before stays in effect"},
 	QuarantineUnreadable:    {logrus.ErrorLevel, "quarantine in the store cannot be decoded", "find out who wrote the object named in the fields, and remove it"},
 	ConnectionSilent:        {logrus.WarnLevel, "connection stopped responding", "check the network between the hosts"},
 	UsageWriteFailed:        {logrus.WarnLevel, "usage record could not be written", "check the store; totals are kept and written later"},
--- a/internal/daemon/slughost/host.go
+++ b/internal/daemon/slughost/host.go
@@ -31,6 +31,7 @@
 	"github.com/sassafraslug/sassafraslug/internal/daemon/slugserve"
 	"github.com/sassafraslug/sassafraslug/internal/decision/slugbudget"
 	"github.com/sassafraslug/sassafraslug/internal/decision/slugpace"
+	"github.com/sassafraslug/sassafraslug/internal/decision/slugpermit"
 	"github.com/sassafraslug/sassafraslug/internal/decision/slugplacement"
 	"github.com/sassafraslug/sassafraslug/internal/decision/slugplan"
 	"github.com/sassafraslug/sassafraslug/internal/decision/slugquarantine"
@@ -106,6 +107,7 @@
 	sender         *slugsend.Sender
 	evidence       *slugevidence.Exchange
 	probes         probes
+	hostShare      atomic.Pointer[slugpermit.Share]
 	dispatcher     *slugdispatch.Dispatcher
 	clock          *slugpeerclock.Clock
 	usageCounter   *slugusagecounter.Counter
@@ -226,7 +228,7 @@
 	defer h.mu.Unlock()
 	p := h.placers[s]
 	if p == nil {
-		p = slugplacement.New(slugplacement.Config{DataCentre: h.settings.DataCentre, Pace: pace})
+		p = slugplacement.New(slugplacement.Config{DataCentre: h.settings.DataCentre, Pace: pace, Share: h.share, Clock: h.clock.Now})
 		h.placers[s] = p
 	}
 	return p
@@ -246,12 +248,30 @@
 }
 
 // hostCount returns the number of known hosts, including this one.
-func (h *Host) hostCount() int {
+func (h *Host) hostCount() int { return max(1, h.share().Hosts) }
+
+// share returns the place of this host among all known hosts. Hosts that are gone count
+// until their records are removed.
+func (h *Host) share() slugpermit.Share {
+	if s := h.hostShare.Load(); s != nil {
+		return *s
+	}
+	return slugpermit.Share{Hosts: 1}
+}
+
+// updateShare determines the place of this host among all known hosts.
+func (h *Host) updateShare() {
 	seen := map[slugname.Host]bool{h.settings.Host: true}
 	for _, r := range h.member.Records() {
 		seen[r.Host] = true
 	}
-	return len(seen)
+	share := slugpermit.Share{Hosts: len(seen)}
+	for other := range seen {
+		if other < h.settings.Host {
+			share.Rank++
+		}
+	}
+	h.hostShare.Store(&share)
 }
 
 // followEndpoints starts to follow the registry entries of the endpoints.
--- a/internal/daemon/slughost/join.go
+++ b/internal/daemon/slughost/join.go
@@ -40,7 +40,7 @@
 	h.transport = transport
 	h.sharedWatches = newWatchSharing(h)
 	h.member = slugmember.New(slugmember.Config{
-		Self: h.newRecord(), Store: h.store.For("members"), Changed: h.updateRetryBudgets, BatchDelay: watchBatchDelay, Wait: memberWatchWait,
+		Self: h.newRecord(), Store: h.store.For("members"), Changed: h.divideLimits, BatchDelay: watchBatchDelay, Wait: memberWatchWait,
 		SharedWatch: h.sharedWatches.SharedWatch(slugmember.Prefix, memberWatchWait),
 	})
 	transport.SetLookup(h.member.ByCertificate)
@@ -101,9 +101,10 @@
 	}
 }
 
-// updateRetryBudgets divides the fixed part of the retry budgets evenly among the known
-// hosts.
-func (h *Host) updateRetryBudgets() {
+// divideLimits divides the fixed part of the retry budgets, and the rate limits of
+// endpoints, evenly among the known hosts.
+func (h *Host) divideLimits() {
+	h.updateShare()
 	extra := h.settings.RetryExtra / float64(h.hostCount())
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- /dev/null
+++ b/internal/decision/slugplacement/limit.go
@@ -0,0 +1,88 @@
+package slugplacement
+
+import (
+	"time"
+
+	"github.com/sassafraslug/sassafraslug/internal/base/slugname"
+	"github.com/sassafraslug/sassafraslug/internal/decision/slugpermit"
+	"github.com/sassafraslug/sassafraslug/internal/decision/slugplan"
+)
+
+// Limit is the rate limit that a response of an endpoint states.
+type Limit struct {
+	// Stated is set if the response states a limit.
+	Stated bool
+	// PerSecond is the number of requests per second from all hosts together.
+	PerSecond float64
+}
+
+// hasPermit reports whether the rate limit of an endpoint, if it has one, allows this host a
+// request. The caller must hold p.mu.
+func (p *Placer) hasPermit(s *endpointState) bool {
+	return s.permits == nil || s.permits.Available(p.cfg.Share(), p.cfg.Clock())
+}
+
+// TakePermit takes a permit to send a request to the chosen endpoint, and reports whether
+// there was one. It is called immediately before the request is sent.
+func (c *Choice) TakePermit() bool {
+	c.p.mu.Lock()
+	defer c.p.mu.Unlock()
+	return c.state.permits == nil || c.state.permits.Take(c.p.cfg.Share(), c.p.cfg.Clock())
+}
+
+// RecordLimit records what a response of the endpoint to a request that was sent at the
+// given time states about its rate limit, and reports whether that is new. A response that
+// states no limit ends the limit, unless it may have been given before the limit was stated.
+func (c *Choice) RecordLimit(l Limit, sentAt, now time.Time) (changed bool) {
+	c.p.mu.Lock()
+	defer c.p.mu.Unlock()
+	s := c.state
+	switch {
+	case !l.Stated:
+		if s.permits == nil || !sentAt.After(s.limitedAt) {
+			return false
+		}
+		s.permits = nil
+		return true
+	case s.permits == nil:
+		s.permits, changed = slugpermit.New(l.PerSecond, c.p.cfg.Clock()), true
+	default:
+		s.permits.SetLimit(l.PerSecond)
+	}
+	s.limitedAt = now
+	return changed
+}
+
+// Limited returns the endpoints that have a rate limit.
+func (p *Placer) Limited() []slugname.Endpoint {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var out []slugname.Endpoint
+	for _, s := range p.list {
+		if s.permits != nil {
+			out = append(out, s.Name)
+		}
+	}
+	return out
+}
+
+// NextPermit returns the time until an endpoint with a role allows a request, which is 0 if
+// one does already or if there is none with the role.
+func (p *Placer) NextPermit(r slugplan.Role) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	shortest, found := time.Duration(0), false
+	share, now := p.cfg.Share(), p.cfg.Clock()
+	for _, s := range p.list {
+		if s.Role != r {
+			continue
+		}
+		if s.permits == nil {
+			return 0
+		}
+		if wait := s.permits.Wait(share, now); !found || wait < shortest {
+			shortest, found = wait, true
+		}
+	}
+	return shortest
+}
--- a/internal/decision/slugplacement/placer.go
+++ b/internal/decision/slugplacement/placer.go
@@ -34,6 +34,7 @@
 	"github.com/sassafraslug/sassafraslug/internal/decision/slugbacklog"
 	"github.com/sassafraslug/sassafraslug/internal/decision/slugmedian"
 	"github.com/sassafraslug/sassafraslug/internal/decision/slugpace"
+	"github.com/sassafraslug/sassafraslug/internal/decision/slugpermit"
 	"github.com/sassafraslug/sassafraslug/internal/decision/slugplan"
 )
 
@@ -117,6 +118,11 @@
 	DataCentre slugname.DataCentre
 	// Pace predicts the time of prompts; nil means a model without measurements.
 	Pace *slugpace.Model
+	// Share returns the place of this host among all hosts, by which they divide the rate
+	// limit of an endpoint, and Clock the time on which all hosts agree. Nil means a single
+	// host, and time.Now.
+	Share func() slugpermit.Share
+	Clock func() time.Time
 	// Random returns a number in [0, 1) for breaking ties; nil means math/rand/v2.
 	Random func() float64
 }
@@ -140,6 +146,10 @@
 	// idleAt is when the work announced by all processes will be done, according to the
 	// forecast of the endpoint's owner at forecastAt.
 	idleAt, forecastAt time.Time
+	// permits divide the rate limit that the endpoint last stated, at limitedAt; nil if it
+	// stated none.
+	permits   *slugpermit.Permits
+	limitedAt time.Time
 	// lastPrefillAt is when this process last saw a prompt processed there.
 	lastPrefillAt time.Time
 }
@@ -167,6 +177,12 @@
 	if cfg.Pace == nil {
 		cfg.Pace = slugpace.New()
 	}
+	if cfg.Share == nil {
+		cfg.Share = func() slugpermit.Share { return slugpermit.Share{Hosts: 1} }
+	}
+	if cfg.Clock == nil {
+		cfg.Clock = time.Now
+	}
 	if cfg.Random == nil {
 		cfg.Random = rand.Float64
 	}
@@ -327,12 +343,13 @@
 // been sent yet.
 func (c *Choice) StartedAt() time.Time { return c.startedAt }
 
-// candidates returns the endpoints with a role that are not excluded. Endpoints to avoid
-// are returned only if there are no others. The caller must hold p.mu.
+// candidates returns the endpoints with a role that are not excluded and whose rate limit
+// allows a request. Endpoints to avoid are returned only if there are no others. The caller
+// must hold p.mu.
 func (p *Placer) candidates(r slugplan.Role, exclude []slugname.Endpoint, now time.Time) []*endpointState {
 	var preferred, avoided []*endpointState
 	for _, s := range p.list {
-		if s.Role != r || slices.Contains(exclude, s.Name) {
+		if s.Role != r || slices.Contains(exclude, s.Name) || !p.hasPermit(s) {
 			continue
 		}
 		if now.Before(s.avoidUntil) {
--- a/internal/request/slugdispatch/call.go
+++ b/internal/request/slugdispatch/call.go
@@ -68,6 +68,10 @@
 	WrongEndpoint bool
 	// Signed is set if the response carries a signature of the endpoint.
 	Signed bool
+	// Limit is the rate limit that the endpoint states. LimitUnreadable is set if it states
+	// one that cannot be read.
+	Limit           slugplacement.Limit
+	LimitUnreadable bool
 }
 
 // Handle identifies the KV cache of a processed prompt at its endpoint.
--- a/internal/request/slugdispatch/plain.go
+++ b/internal/request/slugdispatch/plain.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugevent"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugname"
 	"github.com/sassafraslug/sassafraslug/internal/connection/slugsend"
 	"github.com/sassafraslug/sassafraslug/internal/decision/slugplacement"
@@ -23,6 +24,7 @@
 	errWrongRequest = errors.New("response belongs to another request")
 	errUnsigned     = errors.New("response is not signed by the endpoint")
 	errRetryBudget  = errors.New("retry budget is exhausted")
+	errLimited      = errors.New("rate limit of the endpoint is reached")
 )
 
 // maxBufferedResponseBytes bounds the part of a response that is read before anything is
@@ -64,9 +66,13 @@
 // attemptPlain sends the request to one endpoint and relays the response. sent reports
 // whether the request may have reached the endpoint.
 func (d *dispatch) attemptPlain(ctx context.Context, c *slugplacement.Choice) (sent bool, err error) {
+	if !c.TakePermit() {
+		c.End(slugplacement.Abandoned, time.Now())
+		return false, errLimited
+	}
 	d.endpoints = append(d.endpoints, c.Name)
 	run := d.begin(c)
-	e, err := d.cfg.Open(ctx, d.cfg.Codec.EncodeRun(d.call, d.target(c)))
+	e, err := d.open(ctx, c, d.cfg.Codec.EncodeRun(d.call, d.target(c)))
 	sent = e.Sent
 	if sent {
 		d.sends++
@@ -91,6 +97,28 @@
 	return sent, err
 }
 
+// open sends a request to the chosen endpoint and reads the header of the response. It
+// records the rate limit that the response states.
+func (d *dispatch) open(ctx context.Context, c *slugplacement.Choice, request slugsend.Request) (*slugsend.Exchange, error) {
+	sentAt := time.Now()
+	e, err := d.cfg.Open(ctx, request)
+	if err != nil || e.Response == nil {
+		return e, err
+	}
+	head := d.cfg.Codec.DecodeHead(e.Response)
+	fields := slugevent.Fields{"request": d.call.ID, "endpoint": c.Name, "service": d.service.Name, "perSecond": head.Limit.PerSecond}
+	switch {
+	case head.LimitUnreadable:
+		d.cfg.Log.Emit(slugevent.LimitUnreadable, fields)
+	case !c.RecordLimit(head.Limit, sentAt, time.Now()):
+	case head.Limit.Stated:
+		d.cfg.Log.Emit(slugevent.EndpointLimited, fields)
+	default:
+		d.cfg.Log.Emit(slugevent.EndpointUnlimited, fields)
+	}
+	return e, nil
+}
+
 // begin returns the run of the request at the chosen endpoint.
 func (d *dispatch) begin(c *slugplacement.Choice) *slugquarantine.Run {
 	return d.quarantine.Begin(slugquarantine.Start{Endpoint: c.Name, Incarnation: c.Incarnation}, d.subject, time.Now())
--- a/internal/request/slugdispatch/stream.go
+++ b/internal/request/slugdispatch/stream.go
@@ -56,6 +56,10 @@
 		if err := d.stopQuarantined(); err != nil {
 			return d.callerError(ctx, err)
 		}
+		if d.placer.NextPermit(slugplan.RoleDecode) > 0 {
+			// The prompt would be processed in vain.
+			return d.callerError(ctx, noRetry(errors.CombineErrors(last, errLimited)))
+		}
 		prefilled, err := d.prefill(ctx)
 		if err == nil {
 			err = d.decode(ctx, prefilled)
@@ -187,13 +191,17 @@
 // attemptPrefill has the prompt processed at one endpoint. sent reports whether the
 // request may have reached the endpoint.
 func (d *dispatch) attemptPrefill(ctx context.Context, c *slugplacement.Choice) (prefilled *prefillResult, sent bool, err error) {
+	if !c.TakePermit() {
+		d.cancelChoice(c)
+		return nil, false, errLimited
+	}
 	d.endpoints = append(d.endpoints, c.Name)
 	callCtx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	defer d.watchStall(c, cancel)()
 	run := d.begin(c)
 	c.Sent(time.Now())
-	e, err := d.cfg.Open(callCtx, d.cfg.Codec.EncodePrefill(d.call, d.target(c)))
+	e, err := d.open(callCtx, c, d.cfg.Codec.EncodePrefill(d.call, d.target(c)))
 	if e.Sent {
 		d.sends++
 	}
@@ -332,6 +340,10 @@
 // attemptDecode has the response generated at one endpoint and relays it. sent reports
 // whether the request may have reached the endpoint; if not, the KV cache is kept.
 func (d *dispatch) attemptDecode(ctx context.Context, c *slugplacement.Choice, prefilled *prefillResult) (sent bool, err error) {
+	if !c.TakePermit() {
+		c.End(slugplacement.Abandoned, time.Now())
+		return false, errLimited
+	}
 	d.endpoints = append(d.endpoints, c.Name)
 	t := d.target(c)
 	if prefilled != nil {
@@ -344,7 +356,7 @@
 	defer watchdog.Stop()
 	c.Sent(time.Now())
 	run := d.begin(c)
-	e, err := d.cfg.Open(ctx, d.cfg.Codec.EncodeRun(d.call, t))
+	e, err := d.open(ctx, c, d.cfg.Codec.EncodeRun(d.call, t))
 	if e.Sent {
 		d.sends++
 		d.decodeSent = true
