Do not take a stream that breaks off before its first event for a complete one

A response may have neither a length nor chunks and end with its connection. One that ended before its first event reached the caller as 200 and complete, and would have cleared the request of the crash that ended it. TestStreamThatEndsWithItsConnection failed on that case before; streams that end inside an event were aborted already.

--- a/internal/request/slugdispatch/events.go
+++ b/internal/request/slugdispatch/events.go
@@ -85,15 +85,24 @@
 	}
 }
 
-// finishStream completes a response. If there was no event, it still writes the header.
+// finishStream completes a response. If there was no event, it still writes the header,
+// unless the response ended with its connection: then nothing shows that it is complete.
 func (d *dispatch) finishStream(e *slugsend.Exchange) error {
 	_ = e.Response.Body.Close()
 	if !d.headerWritten {
+		if endsWithConnection(e.Response) {
+			return errors.Wrap(io.ErrUnexpectedEOF, "read first event")
+		}
 		d.writeHeader(e.Response, -1)
 	}
 	return nil
 }
 
+// endsWithConnection reports whether a response has neither a length nor chunks.
+func endsWithConnection(r *http.Response) bool {
+	return r.ContentLength < 0 && len(r.TransferEncoding) == 0
+}
+
 // errMissingEvents means that the IDs of the events, which are consecutive numbers, have
 // a gap.
 var errMissingEvents = errors.New("gap in the event numbers")
