Divide the roles among the engines that state no rate limit

The plan of roles counted limited engines as full ones. Now the holder divides the roles among the engines without a limit, as long as there are two.

--- a/internal/authority/slugcapacityduty/duty.go
+++ b/internal/authority/slugcapacityduty/duty.go
@@ -71,6 +71,8 @@
 	Table    func() *slugrouting.Table
 	Registry *slugregistry.Registry
 	Demand   func(slugname.Service) Demand
+	// Limited returns the engines of a service that state a rate limit; nil means none.
+	Limited func(slugname.Service) []slugname.Endpoint
 	// OnRolePlanned is called before an engine is asked to take a role.
 	OnRolePlanned func(slugname.Endpoint, slugplan.Role)
 	Log           *slugevent.Log
@@ -329,7 +331,7 @@
 
 // orderRoles sends the role changes that the plan requires.
 func (d *Duty) orderRoles(ctx context.Context, grant *sluglease.Grant, s *slugrouting.Service, engines []slugregistry.Endpoint) {
-	list := d.servingEngines(s, engines)
+	list := d.servingEngines(s, d.unlimited(s, engines))
 	sizes := map[slugname.DataCentre]int{}
 	for _, e := range list {
 		sizes[e.DataCentre]++
@@ -345,6 +347,32 @@
 	}
 }
 
+// minUnlimited is the number of engines without a rate limit that the roles can be divided
+// among: one for each role.
+const minUnlimited = 2
+
+// unlimited returns the engines that state no rate limit. Those with one keep their roles,
+// and the work is divided among the others, unless there are too few.
+func (d *Duty) unlimited(s *slugrouting.Service, engines []slugregistry.Endpoint) []slugregistry.Endpoint {
+	if d.cfg.Limited == nil {
+		return engines
+	}
+	limited := d.cfg.Limited(s.Name)
+	if len(limited) == 0 {
+		return engines
+	}
+	var out []slugregistry.Endpoint
+	for _, e := range engines {
+		if !slices.Contains(limited, e.Name) {
+			out = append(out, e)
+		}
+	}
+	if len(out) < minUnlimited {
+		return engines
+	}
+	return out
+}
+
 // changing reports whether an engine was asked to take another role and may still be
 // changing to it.
 func (d *Duty) changing(s *slugrouting.Service, e slugregistry.Endpoint) bool {
--- a/internal/daemon/slughost/duties.go
+++ b/internal/daemon/slughost/duties.go
@@ -67,7 +67,7 @@
 func (h *Host) capacityDuty() *slugcapacityduty.Duty {
 	return slugcapacityduty.New(slugcapacityduty.Config{
 		Channel: h.channel(), Store: h.store.For("capacity"), Table: h.follower.Table, Registry: h.registry,
-		Demand: h.demand, OnRolePlanned: h.plannedRoles.Set, Log: h.log,
+		Demand: h.demand, Limited: func(s slugname.Service) []slugname.Endpoint { return h.placer(s).Limited() }, OnRolePlanned: h.plannedRoles.Set, Log: h.log,
 	})
 }
 
