Quarantine messages that chats share when they crash engines, on the product's own interface

The messages of a chat but the last are traits now, the gates exchange evidence and keep verdicts in the store as the host daemon does.

--- a/internal/daemon/sluggate/gate.go
+++ b/internal/daemon/sluggate/gate.go
@@ -25,6 +25,7 @@
 	"github.com/sassafraslug/sassafraslug/internal/base/slugname"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugsettings"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugstep"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugstore"
 	"github.com/sassafraslug/sassafraslug/internal/connection/slugsend"
 	"github.com/sassafraslug/sassafraslug/internal/daemon/slugnetwork"
 	"github.com/sassafraslug/sassafraslug/internal/daemon/slugnode"
@@ -32,9 +33,11 @@
 	"github.com/sassafraslug/sassafraslug/internal/daemon/slugserve"
 	"github.com/sassafraslug/sassafraslug/internal/decision/slugburn"
 	"github.com/sassafraslug/sassafraslug/internal/decision/sluglimit"
+	"github.com/sassafraslug/sassafraslug/internal/decision/slugquarantine"
 	"github.com/sassafraslug/sassafraslug/internal/decision/slugsuspect"
 	"github.com/sassafraslug/sassafraslug/internal/fleet/slugfleet"
 	"github.com/sassafraslug/sassafraslug/internal/membership/slugdirectory"
+	"github.com/sassafraslug/sassafraslug/internal/membership/slugevidence"
 	"github.com/sassafraslug/sassafraslug/internal/membership/slugmember"
 	"github.com/sassafraslug/sassafraslug/internal/membership/slugpartition"
 	"github.com/sassafraslug/sassafraslug/internal/membership/slugpeer"
@@ -71,6 +74,8 @@
 	fleet             *slugfleet.Fleet
 	limiter           *sluglimit.Limiter
 	suspects          *slugsuspect.Tracker
+	quarantines       *slugquarantine.Set
+	evidence          *slugevidence.Exchange
 	ledger            *slugledger.Ledger
 	claims            *slugclaim.Claims
 	burn              *slugburn.Burn
@@ -94,7 +99,7 @@
 
 // New returns a Gate that does nothing until Run is called.
 func New(s *slugsettings.Settings, n *slugnetwork.Network, log *slugevent.Log) *Gate {
-	return &Gate{settings: s, network: n, log: log, metrics: new(expvar.Map).Init(), started: make(chan struct{})}
+	return &Gate{settings: s, network: n, log: log, metrics: new(expvar.Map).Init(), quarantines: slugquarantine.NewSet(), started: make(chan struct{})}
 }
 
 // Run runs the daemon. When ctx is cancelled it shuts down gracefully: it notifies peers
@@ -111,6 +116,7 @@
 		{Name: "publish this process", Run: g.publish},
 		{Name: "follow the configuration", Run: g.follow},
 		{Name: "follow the endpoints", Run: g.followFleet},
+		{Name: "follow the quarantines", Run: g.followQuarantines},
 		{Name: "tell peers", Run: g.publishPeerState},
 		{Name: "record usage", Run: g.recordUsage},
 		{Name: "serve tls to callers", Skip: g.noCertificate, Run: func(context.Context, *errgroup.Group) error { return nil }},
@@ -171,9 +177,19 @@
 		CallersAddress:   slugnode.Advertised(g.settings.CallersAdvertise, g.callers.Address()),
 		OperatorsAddress: slugnode.Advertised(g.settings.OperatorsAdvertise, g.operators.Address()),
 		PeerRowChanged:   g.handlePeerRow,
+		Evidence: func(list []slugpeer.Evidence, compare bool) []slugpeer.Evidence {
+			return g.evidence.Serve(list, compare)
+		},
 	})
+	if err != nil {
+		return err
+	}
 	g.Node = node
-	return err
+	g.evidence = slugevidence.New(slugevidence.Config{
+		Trackers: g.quarantines, Store: g.Store.For("quarantines"), Log: g.log, Peers: g.Table.Neighbours, Call: g.Transport.Call,
+		Rank: func(subject string) int { return slugmember.Rank(subject, g.Member.Self().Process, g.liveGates()) },
+	})
+	return nil
 }
 
 // build creates the components of the request path.
@@ -207,13 +223,28 @@
 // gatesBefore returns how many live gates go before this one in probing a suspected request,
 // at most maxGatesBefore.
 func (g *Gate) gatesBefore(f slugsuspect.Fingerprint) int {
+	return min(maxGatesBefore, slugmember.Rank(strconv.FormatUint(f.Hash, 16), g.Member.Self().Process, g.liveGates()))
+}
+
+// liveGates returns the gates that are alive.
+func (g *Gate) liveGates() []slugname.Process {
 	var gates []slugname.Process
 	for _, s := range g.Table.Statuses() {
 		if s.Kind == slugmember.KindGate && s.Alive {
 			gates = append(gates, s.Process)
 		}
 	}
-	return min(maxGatesBefore, slugmember.Rank(strconv.FormatUint(f.Hash, 16), g.Member.Self().Process, gates))
+	return gates
+}
+
+// followQuarantines starts to exchange evidence against crashing requests, and to follow the
+// verdicts in the store.
+func (g *Gate) followQuarantines(ctx context.Context, group *errgroup.Group) error {
+	group.Go(func() error { return g.evidence.Run(ctx) })
+	group.Go(func() error {
+		return g.Store.For("quarantines").Watch(ctx, slugstore.Watcher{Prefix: slugevidence.Prefix, OnChange: g.evidence.Apply})
+	})
+	return nil
 }
 
 // gateIndex returns the index of this gate among the live gates, and their number.
--- a/internal/daemon/sluggate/http.go
+++ b/internal/daemon/sluggate/http.go
@@ -29,7 +29,7 @@
 func (g *Gate) newCallersMux() *http.ServeMux {
 	chat := slugchat.New(slugchat.Config{
 		Snapshot: g.Follower.Snapshot, Admitter: g.admitter, Sender: g.sender, Ledger: g.ledger, Burn: g.burn,
-		Suspects: g.suspects, Log: g.log, Refused: g.handleRefusal, ProgressTimeout: g.settings.Progress, WriteTimeout: g.settings.WriteTimeout, GatesBefore: g.gatesBefore,
+		Suspects: g.suspects, Quarantines: g.quarantines, Log: g.log, Refused: g.handleRefusal, ProgressTimeout: g.settings.Progress, WriteTimeout: g.settings.WriteTimeout, GatesBefore: g.gatesBefore,
 	})
 	plain := slugplaincall.New(slugplaincall.Config{
 		Snapshot: g.Follower.Snapshot, Admitter: g.admitter, Sender: g.sender, Claims: g.claims,
--- a/internal/daemon/slughost/crashes.go
+++ b/internal/daemon/slughost/crashes.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"expvar"
-	"maps"
 	"sync"
 	"syscall"
 	"time"
@@ -60,26 +59,6 @@
 	return true
 }
 
-// quarantine returns the tracker of crashing requests of a service and creates it on first
-// use.
-func (h *Host) quarantine(s slugname.Service) *slugquarantine.Tracker {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	t := h.quarantines[s]
-	if t == nil {
-		t = slugquarantine.New()
-		h.quarantines[s] = t
-	}
-	return t
-}
-
-// allQuarantines returns the trackers of all services.
-func (h *Host) allQuarantines() map[slugname.Service]*slugquarantine.Tracker {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return maps.Clone(h.quarantines)
-}
-
 // endpointBroke handles an endpoint that broke off an attempt, or that refused the
 // connection. The first is a crash only if it does the second as well.
 func (h *Host) endpointBroke(s slugname.Service, e slugplacement.Endpoint, refused bool) {
@@ -118,7 +97,7 @@
 func (h *Host) endpointCrashed(s slugname.Service, start slugquarantine.Start, address, evidence string) {
 	now := time.Now()
 	h.placer(s).RecordDown(start.Endpoint, start.Incarnation, now)
-	interrupted, isNew := h.quarantine(s).Crashed(start, now)
+	interrupted, isNew := h.quarantines.Of(s).Crashed(start, now)
 	if !isNew || interrupted == 0 {
 		return
 	}
@@ -131,7 +110,7 @@
 // newEvidence returns the exchange of evidence against crashing requests.
 func (h *Host) newEvidence() *slugevidence.Exchange {
 	return slugevidence.New(slugevidence.Config{
-		Trackers: h.allQuarantines, Tracker: h.quarantine, Store: h.store.For("quarantines"), Log: h.log,
+		Trackers: h.quarantines, Store: h.store.For("quarantines"), Log: h.log,
 		Peers: h.table.Neighbours, Call: h.transport.Call, Rank: h.rankFor,
 	})
 }
@@ -162,7 +141,7 @@
 // exportQuarantines writes the numbers of suspected and quarantined traits into the metrics.
 func (h *Host) exportQuarantines() {
 	now := time.Now()
-	for s, t := range h.allQuarantines() {
+	for s, t := range h.quarantines.All() {
 		suspected, quarantined := t.Counts(now)
 		h.metrics.Set("quarantine.suspected."+string(s), intVar(suspected))
 		h.metrics.Set("quarantine.quarantined."+string(s), intVar(quarantined))
--- a/internal/daemon/slughost/host.go
+++ b/internal/daemon/slughost/host.go
@@ -105,6 +105,7 @@
 	follower       *slugconfigfollower.Follower
 	registry       *slugregistry.Registry
 	sender         *slugsend.Sender
+	quarantines    *slugquarantine.Set
 	evidence       *slugevidence.Exchange
 	probes         probes
 	hostShare      atomic.Pointer[slugpermit.Share]
@@ -133,7 +134,6 @@
 	// publishedPaces are the paces that peers were told.
 	publishedPaces map[slugname.Service]slugpeer.Pace
 	retryBudgets   map[slugname.Service]*slugbudget.Budget
-	quarantines    map[slugname.Service]*slugquarantine.Tracker
 	// firstSeen holds the time at which each endpoint was first seen.
 	firstSeen map[slugname.Endpoint]firstSighting
 	// peerDraining and peerRoles hold the leaving endpoints and the planned roles that
@@ -157,7 +157,7 @@
 		owners:         slugowner.New(),
 		usageAggregate: slugusageaggregate.New(), firstSeen: map[slugname.Endpoint]firstSighting{},
 		placers: map[slugname.Service]*slugplacement.Placer{}, paces: map[slugname.Service]*slugpace.Model{}, publishedPaces: map[slugname.Service]slugpeer.Pace{},
-		retryBudgets: map[slugname.Service]*slugbudget.Budget{}, quarantines: map[slugname.Service]*slugquarantine.Tracker{},
+		retryBudgets: map[slugname.Service]*slugbudget.Budget{}, quarantines: slugquarantine.NewSet(),
 	}
 }
 
@@ -199,7 +199,7 @@
 	h.dispatcher = slugdispatch.New(slugdispatch.Config{
 		Table: h.follower.Table, Fresh: h.configFresh,
 		ConfigurationAge: func() time.Duration { return slugclock.Since(h.follower.LastConfirmed()) },
-		Placer:           h.placer, Budget: h.retryBudget, Quarantine: h.quarantine, EndpointBroke: h.endpointBroke, Codec: h.adapter.Codec, Open: h.sender.Open, Announce: h.announce, WithdrawAnnouncement: h.withdrawAnnouncement,
+		Placer:           h.placer, Budget: h.retryBudget, Quarantine: h.quarantines.Of, EndpointBroke: h.endpointBroke, Codec: h.adapter.Codec, Open: h.sender.Open, Announce: h.announce, WithdrawAnnouncement: h.withdrawAnnouncement,
 		Started: h.usageCounter.Count, Ended: h.counters.Record, Log: h.log,
 	})
 	return nil
--- a/internal/daemon/slugnode/node.go
+++ b/internal/daemon/slugnode/node.go
@@ -58,6 +58,9 @@
 	Metrics *expvar.Map
 	// PeerRowChanged is called with each new or changed row of a peer.
 	PeerRowChanged func(slugpeer.Row)
+	// Evidence merges the evidence of a peer against crashing requests, and returns that of
+	// this process if the peer asks to compare; it may be nil.
+	Evidence func(list []slugpeer.Evidence, compare bool) []slugpeer.Evidence
 }
 
 // Node is a process's connection to the cluster.
@@ -148,6 +151,7 @@
 			return lastConfirmed
 		},
 		RowChanged:        n.cfg.PeerRowChanged,
+		Evidence:          n.cfg.Evidence,
 		RevisionConfirmed: n.Follower.ObservePeer,
 		Bundle:            n.encodeBundle,
 	})
--- a/internal/membership/slugevidence/exchange.go
+++ b/internal/membership/slugevidence/exchange.go
@@ -10,7 +10,7 @@
 //
 // # Usage
 //
-//	x := slugevidence.New(slugevidence.Config{Tracker: tracker, Peers: peers, Call: transport.Call, Store: store})
+//	x := slugevidence.New(slugevidence.Config{Trackers: trackers, Peers: peers, Call: transport.Call, Store: store})
 //	go store.Watch(ctx, slugstore.Watcher{Prefix: slugevidence.Prefix, OnChange: x.Apply})
 //	go x.Run(ctx)
 package slugevidence
@@ -58,9 +58,7 @@
 
 // Config configures an Exchange.
 type Config struct {
-	// Trackers returns the trackers of all services, and Tracker that of one.
-	Trackers func() map[slugname.Service]*slugquarantine.Tracker
-	Tracker  func(slugname.Service) *slugquarantine.Tracker
+	Trackers *slugquarantine.Set
 	// Peers returns up to n live peers to send to.
 	Peers func(n int) []slugmember.Record
 	// Call sends a message to a peer and returns the answer.
@@ -131,7 +129,7 @@
 
 // decide quarantines what has to be, and logs each verdict.
 func (x *Exchange) decide(now time.Time) {
-	for service, t := range x.cfg.Trackers() {
+	for service, t := range x.cfg.Trackers.All() {
 		for _, v := range t.Decide(now) {
 			x.cfg.Log.Emit(slugevent.RequestQuarantined, verdictFields(service, v))
 			x.markAnnounced(name(service, v.Trait))
@@ -162,7 +160,7 @@
 func (x *Exchange) spread(ctx context.Context, wg *sync.WaitGroup) {
 	now := time.Now()
 	var list []slugpeer.Evidence
-	for service, t := range x.cfg.Trackers() {
+	for service, t := range x.cfg.Trackers.All() {
 		if entries := t.Changed(now); len(entries) > 0 {
 			list = append(list, slugpeer.Evidence{Service: service, Entries: entries})
 		}
@@ -192,7 +190,7 @@
 func (x *Exchange) all() []slugpeer.Evidence {
 	now := time.Now()
 	var out []slugpeer.Evidence
-	for service, t := range x.cfg.Trackers() {
+	for service, t := range x.cfg.Trackers.All() {
 		if entries := t.All(now); len(entries) > 0 {
 			out = append(out, slugpeer.Evidence{Service: service, Entries: entries})
 		}
@@ -229,7 +227,7 @@
 func (x *Exchange) merge(list []slugpeer.Evidence) {
 	now := time.Now()
 	for _, e := range list {
-		x.cfg.Tracker(e.Service).Merge(e.Entries, now)
+		x.cfg.Trackers.Of(e.Service).Merge(e.Entries, now)
 	}
 }
 
@@ -254,7 +252,7 @@
 	x.mu.Unlock()
 	if o.Body == nil {
 		if known {
-			x.cfg.Tracker(old.Service).Adopt(old.trait(), 0, now)
+			x.cfg.Trackers.Of(old.Service).Adopt(old.trait(), 0, now)
 		}
 		return nil
 	}
@@ -266,7 +264,7 @@
 	x.stored[o.Name] = storedObject{v, o.Version}
 	x.mu.Unlock()
 	if left := time.UnixMilli(v.UntilMs).Sub(now); left > 0 {
-		x.cfg.Tracker(v.Service).Adopt(v.trait(), left, now)
+		x.cfg.Trackers.Of(v.Service).Adopt(v.trait(), left, now)
 		if x.markAnnounced(o.Name) {
 			x.cfg.Log.Emit(slugevent.QuarantineAdopted, slugevent.Fields{"service": v.Service, "scope": v.Scope.String(), "trait": fmt.Sprintf("%016x", v.Hash), "forMs": left.Milliseconds(), "version": o.Version})
 		}
@@ -280,7 +278,7 @@
 func (x *Exchange) updateStore(ctx context.Context, wg *sync.WaitGroup) {
 	now := time.Now()
 	open := map[string]bool{}
-	for service, t := range x.cfg.Trackers() {
+	for service, t := range x.cfg.Trackers.All() {
 		for _, v := range t.Unstored(now) {
 			n := name(service, v.Trait)
 			open[n] = true
@@ -310,7 +308,7 @@
 	defer x.mu.Unlock()
 	out := map[string]storedObject{}
 	for n, o := range x.stored {
-		if !x.cfg.Tracker(o.Service).Quarantined(o.trait(), now) {
+		if !x.cfg.Trackers.Of(o.Service).Quarantined(o.trait(), now) {
 			out[n] = o
 			if x.announced[n] {
 				delete(x.announced, n)
--- a/internal/operate/slugcaller/caller.go
+++ b/internal/operate/slugcaller/caller.go
@@ -82,7 +82,9 @@
 
 // ChatRequest is a chat completion request.
 type ChatRequest struct {
-	Model     string
+	Model string
+	// System is the first message of the chat, unless it is empty.
+	System    string
 	Prompt    string
 	MaxTokens int
 	Stream    bool
@@ -104,10 +106,11 @@
 
 // Body returns the request as JSON.
 func (r ChatRequest) Body() []byte {
-	b, _ := json.Marshal(map[string]any{
-		"model": r.Model, "max_tokens": r.MaxTokens, "stream": r.Stream,
-		"messages": []map[string]string{{"role": "user", "content": r.Prompt}},
-	})
+	messages := []map[string]string{{"role": "user", "content": r.Prompt}}
+	if r.System != "" {
+		messages = append([]map[string]string{{"role": "system", "content": r.System}}, messages...)
+	}
+	b, _ := json.Marshal(map[string]any{"model": r.Model, "max_tokens": r.MaxTokens, "stream": r.Stream, "messages": messages})
 	return b
 }
 
--- a/internal/operate/slugsystem/promise_request_test.go
+++ b/internal/operate/slugsystem/promise_request_test.go
@@ -477,6 +477,29 @@
 	})
 }
 
+// Chats that share one message, and nothing else, crash the engines that run them. After a
+// few crashes the message is quarantined at all gates, and chats that share the other message
+// of the workspace are served.
+func TestPromisePoisonMessage(t *testing.T) {
+	withHarness(t, harnessOptions{hosts: 3, engine: slugengine.Config{PoisonMarker: "poison"}}, func(t *testing.T, r *harness) {
+		for n := range 40 {
+			bad := chatRequest(4, fmt.Sprint("question ", n))
+			bad.System = "poison manual"
+			_, err := r.newClient("parents", 1, callersAddress(r.Hosts()[n%3])).Chat(r.ctx, bad)
+			assert.Assert(t, err != nil)
+			time.Sleep(500 * time.Millisecond)
+		}
+		crashes := 0
+		for _, e := range r.Standins.Engines() {
+			crashes += e.Incarnation()
+		}
+		assert.Assert(t, crashes <= 8, "%d crashes", crashes)
+		good := chatRequest(4, "question")
+		good.System = "sound manual"
+		r.mustChat(r.newClient("parents", 1), good)
+	})
+}
+
 // With one engine per data centre, a version roll that drains all data centres at once would
 // leave no engine that accepts requests.
 func TestPromisePlannedChangeOneEngineADataCentre(t *testing.T) {
--- a/internal/request/slugchat/attempt.go
+++ b/internal/request/slugchat/attempt.go
@@ -15,6 +15,7 @@
 	"github.com/sassafraslug/sassafraslug/internal/connection/slugsend"
 	"github.com/sassafraslug/sassafraslug/internal/connection/slugstream"
 	"github.com/sassafraslug/sassafraslug/internal/decision/slugpick"
+	"github.com/sassafraslug/sassafraslug/internal/decision/slugquarantine"
 	"github.com/sassafraslug/sassafraslug/internal/request/slugadmit"
 	"github.com/sassafraslug/sassafraslug/internal/request/slugrefusal"
 	"github.com/sassafraslug/sassafraslug/internal/version/slugmanifest"
@@ -39,9 +40,12 @@
 // whether another endpoint should be tried.
 func (x *exchange) runAttempt(ctx context.Context, assignment slugadmit.Assignment) (retry bool, refusal *slugrefusal.Refusal) {
 	finished := x.cfg.Suspects.Begin(assignment.Endpoint, x.fingerprint, x.work.Suspect)
-	a := &attempt{exchange: x, assignment: assignment}
+	a := &attempt{exchange: x, assignment: assignment, began: time.Now()}
 	outcome, retry, refusal := a.run(ctx)
 	finished(outcome == slugpick.OutcomeComplete)
+	if outcome == slugpick.OutcomeComplete {
+		a.trackedRun().Served(time.Now())
+	}
 	a.assignment.Done(outcome)
 	if retry {
 		x.work.Avoid = append(x.work.Avoid, assignment.Endpoint)
@@ -54,6 +58,8 @@
 type attempt struct {
 	*exchange
 	assignment slugadmit.Assignment
+	// began is when the attempt was assigned to the endpoint.
+	began time.Time
 	// lastSequence is the sequence number of the last event from this endpoint.
 	lastSequence int
 	reconnects   int
@@ -256,12 +262,30 @@
 	if a.reconnects <= maxReconnects {
 		a.cfg.Log.Emit(slugevent.EndpointCrashed, a.fields(cause))
 		a.cfg.Suspects.Crashed(a.assignment.Endpoint, a.failedAt)
+		a.reportCrash()
 		a.suspected = true
 	}
 	a.cfg.Log.Emit(slugevent.StreamLost, a.fields(cause))
 	return slugpick.OutcomeFailed, true, slugrefusal.MayHaveRun(slugrefusal.CodeEndpointFailed, "the endpoint no longer has the request: %s", cause)
 }
 
+// trackedRun returns the run of the request at the endpoint. The endpoints of this interface
+// state no incarnation, so a start is identified by the second of its crash.
+func (a *attempt) trackedRun() *slugquarantine.Run {
+	return a.tracker().Begin(a.start(), a.subject, a.began)
+}
+
+// start identifies the start of the endpoint that failed last.
+func (a *attempt) start() slugquarantine.Start {
+	return slugquarantine.Start{Endpoint: a.assignment.Endpoint, Incarnation: a.failedAt.Unix()}
+}
+
+// reportCrash records that the endpoint has crashed under the request.
+func (a *attempt) reportCrash() {
+	a.trackedRun().Interrupted(a.failedAt)
+	a.tracker().Crashed(a.start(), a.failedAt)
+}
+
 // cancel cancels the request at the endpoint, in the background.
 func (a *attempt) cancel() {
 	go func() {
--- a/internal/request/slugchat/chat.go
+++ b/internal/request/slugchat/chat.go
@@ -22,6 +22,7 @@
 	"github.com/sassafraslug/sassafraslug/internal/connection/slugsend"
 	"github.com/sassafraslug/sassafraslug/internal/decision/slugburn"
 	"github.com/sassafraslug/sassafraslug/internal/decision/slugpick"
+	"github.com/sassafraslug/sassafraslug/internal/decision/slugquarantine"
 	"github.com/sassafraslug/sassafraslug/internal/decision/slugsuspect"
 	"github.com/sassafraslug/sassafraslug/internal/request/slugadmit"
 	"github.com/sassafraslug/sassafraslug/internal/request/slugprefix"
@@ -37,8 +38,11 @@
 	Sender   *slugsend.Sender
 	Ledger   *slugledger.Ledger
 	Burn     *slugburn.Burn
-	Suspects *slugsuspect.Tracker
-	Log      *slugevent.Log
+	// Suspects tracks whole requests that may crash endpoints, Quarantines the messages that
+	// such requests have in common.
+	Suspects    *slugsuspect.Tracker
+	Quarantines *slugquarantine.Set
+	Log         *slugevent.Log
 	// Refused is called for each refusal, to add addresses and to count it; it may be
 	// nil.
 	Refused func(*slugrefusal.Refusal)
@@ -87,6 +91,7 @@
 	isChat      bool
 	path        string
 	fingerprint slugsuspect.Fingerprint
+	subject     slugquarantine.Subject
 	writer      *slugrelay.Writer
 	work        slugpick.Work
 	meter       meter
@@ -182,10 +187,32 @@
 	}
 	x.fingerprint = slugsuspect.NewFingerprint(x.call.Workspace, x.path, x.call.Body)
 	x.work.Affinity = x.fingerprint.Hash
+	x.subject = slugquarantine.NewSubject(x.call.Workspace, x.path, x.call.Body, slugprefix.Messages(d.Messages))
+}
+
+// tracker returns the tracker of crashing requests of the service.
+func (x *exchange) tracker() *slugquarantine.Tracker {
+	return x.cfg.Quarantines.Of(x.call.Service.Name)
+}
+
+// checkMessages refuses a request with a message that is quarantined.
+func (x *exchange) checkMessages() *slugrefusal.Refusal {
+	v, ok := x.tracker().Find(x.subject, time.Now())
+	if !ok {
+		return nil
+	}
+	refusal := slugrefusal.NotRun(slugrefusal.CodeQuarantined, "a message of the request is quarantined because requests with it crashed endpoints (%016x)", v.Trait.Hash).WithRetryAfter(v.For)
+	if x.mayHaveRun {
+		refusal.Ran = slugrefusal.RanUnknown
+	}
+	return refusal
 }
 
 // checkSuspicion refuses a quarantined request and marks a suspected one.
 func (x *exchange) checkSuspicion() *slugrefusal.Refusal {
+	if refusal := x.checkMessages(); refusal != nil {
+		return refusal
+	}
 	switch x.cfg.Suspects.State(x.fingerprint, time.Now()) {
 	case slugsuspect.Quarantined:
 		until := x.cfg.Suspects.SuspectUntil(x.fingerprint)
--- a/internal/request/slugprefix/prefix.go
+++ b/internal/request/slugprefix/prefix.go
@@ -7,7 +7,12 @@
 //	blocks := slugprefix.Hashes("workspace", prompt)
 package slugprefix
 
-import "github.com/cespare/xxhash/v2"
+import (
+	"bytes"
+	"encoding/json"
+
+	"github.com/cespare/xxhash/v2"
+)
 
 // Hash identifies a prefix of a prompt.
 type Hash = uint64
@@ -33,3 +38,20 @@
 	}
 	return hashes
 }
+
+// Messages returns the messages of a chat in compact JSON, or nil if they cannot be decoded.
+func Messages(raw json.RawMessage) []string {
+	var list []json.RawMessage
+	if json.Unmarshal(raw, &list) != nil {
+		return nil // A prompt is not a list.
+	}
+	out := make([]string, len(list))
+	for i, m := range list {
+		var b bytes.Buffer
+		if json.Compact(&b, m) != nil {
+			return nil
+		}
+		out[i] = b.String()
+	}
+	return out
+}
