--- a/internal/decision/slugquarantine/tracker.go
+++ b/internal/decision/slugquarantine/tracker.go
@@ -71,6 +71,9 @@
 	Parts []Trait
 }
 
+// PartTrait returns the trait of a part of prompts with the given ID.
+func PartTrait(id string) Trait { return Trait{Scope: ScopePart, Hash: xxhash.Sum64String(id)} }
+
 // NewSubject returns the traits of a request. parts are the IDs of all parts of its prompt.
 func NewSubject(w slugname.Workspace, path string, body []byte, parts []string) Subject {
 	d := xxhash.New()
@@ -81,7 +84,7 @@
 	}
 	s := Subject{Request: Trait{Scope: ScopeRequest, Hash: d.Sum64()}}
 	for _, p := range parts[:max(0, len(parts)-1)] {
-		t := Trait{Scope: ScopePart, Hash: xxhash.Sum64String(p)}
+		t := PartTrait(p)
 		if !slices.Contains(s.Parts, t) {
 			s.Parts = append(s.Parts, t)
 		}
--- /dev/null
+++ b/internal/membership/slugevidence/exchange_test.go
@@ -0,0 +1,231 @@
+package slugevidence
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugevent"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugname"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugstore"
+	"github.com/sassafraslug/sassafraslug/internal/decision/slugquarantine"
+	"github.com/sassafraslug/sassafraslug/internal/membership/slugmember"
+	"github.com/sassafraslug/sassafraslug/internal/membership/slugpeer"
+	"gotest.tools/v3/assert"
+)
+
+// objects is an in-memory store that all processes of a test watch.
+type objects struct {
+	mu       sync.Mutex
+	values   map[string]slugstore.Value
+	version  slugstore.Version
+	writes   int
+	watchers []*Exchange
+}
+
+// backend returns the backend of the store. While down reports true, writes fail.
+func (o *objects) backend(down func() bool) *slugstore.Backend {
+	return &slugstore.Backend{
+		Get: func(_ context.Context, name string) (slugstore.Value, error) {
+			if down() {
+				return slugstore.Value{}, slugstore.ErrUnavailable
+			}
+			o.mu.Lock()
+			defer o.mu.Unlock()
+			return o.values[name], nil
+		},
+		Write: func(_ context.Context, name string, expected slugstore.Version, value []byte) (slugstore.Version, error) {
+			if down() {
+				return 0, slugstore.ErrUnavailable
+			}
+			o.mu.Lock()
+			if o.values[name].Version != expected {
+				o.mu.Unlock()
+				return 0, slugstore.ErrConflict
+			}
+			o.version++
+			o.writes++
+			v := slugstore.Value{Name: name, Version: o.version, Bytes: value}
+			o.values[name] = v
+			if value == nil {
+				delete(o.values, name)
+			}
+			o.mu.Unlock()
+			o.notify(v)
+			return v.Version, nil
+		},
+	}
+}
+
+// notify passes a changed object to all processes.
+func (o *objects) notify(v slugstore.Value) {
+	object := slugstore.Object{Name: v.Name, Version: v.Version}
+	if v.Bytes != nil {
+		// Values are stored as {"change":ID,"body":VALUE}.
+		body := v.Bytes[len(`{"change":"`):]
+		for i := range body {
+			if string(body[i:min(len(body), i+8)]) == `"body":{` {
+				object.Body = body[i+7 : len(body)-1]
+				break
+			}
+		}
+	}
+	for _, x := range o.watchers {
+		x.Apply([]slugstore.Object{object})
+	}
+}
+
+// process is a process of a test.
+type process struct {
+	*Exchange
+	set *slugquarantine.Set
+	// down makes the process unable to write to the store, deaf to receive messages.
+	down, deaf bool
+}
+
+// withProcesses runs test on n processes.
+func withProcesses(t *testing.T, n int, test func(store *objects, all []*process)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		store := &objects{values: map[string]slugstore.Value{}}
+		all := make([]*process, n)
+		for i := range all {
+			p := &process{set: slugquarantine.NewSet()}
+			p.Exchange = New(Config{
+				Trackers: p.set, Rank: func(string) int { return i }, Log: slugevent.Discard(),
+				Store: slugstore.New(slugstore.Config{Backend: store.backend(func() bool { return p.down })}),
+				Peers: func(k int) (out []slugmember.Record) {
+					for j := range min(k, n-1) {
+						out = append(out, slugmember.Record{Process: slugname.Process(fmt.Sprint((i + j + 1) % n))})
+					}
+					return out
+				},
+				Call: func(_ context.Context, to slugmember.Record, m slugpeer.Message) (slugpeer.Message, error) {
+					var j int
+					_, _ = fmt.Sscan(string(to.Process), &j)
+					if all[j].deaf || p.deaf {
+						return slugpeer.Message{}, errors.New("silent")
+					}
+					return slugpeer.Message{Evidence: all[j].Serve(m.Evidence, m.CompareEvidence)}, nil
+				},
+			})
+			all[i] = p
+			store.watchers = append(store.watchers, p.Exchange)
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		var wg sync.WaitGroup
+		for _, p := range all {
+			wg.Go(func() { _ = p.Run(ctx) })
+		}
+		test(store, all)
+		cancel()
+		wg.Wait()
+	})
+}
+
+// part is the trait of the part that crashes endpoints.
+var part = slugquarantine.PartTrait("bad")
+
+// crash lets a process see the n-th crash.
+func (p *process) crash(n int) {
+	start := slugquarantine.Start{Endpoint: "i", Incarnation: int64(n)}
+	t := p.set.Of("llm")
+	s := slugquarantine.NewSubject("hub", "/x", fmt.Append(nil, n), []string{"bad", fmt.Sprint(n)})
+	t.Begin(start, s, time.Now().Add(-time.Millisecond)).Interrupted(time.Now())
+	t.Crashed(start, time.Now())
+	time.Sleep(300 * time.Millisecond)
+}
+
+// quarantined returns the number of processes that refuse the part.
+func quarantined(all []*process) (n int) {
+	for _, p := range all {
+		if p.set.Of("llm").Quarantined(part, time.Now()) {
+			n++
+		}
+	}
+	return n
+}
+
+// Guards against evidence that does not add up over processes, and against verdicts that
+// reach only some of them or that each of them writes.
+func TestVerdictReachesAllProcesses(t *testing.T) {
+	withProcesses(t, 20, func(store *objects, all []*process) {
+		for n := range 4 {
+			all[n*5].crash(n)
+		}
+		time.Sleep(time.Second)
+		assert.Equal(t, quarantined(all), 20)
+		time.Sleep(5 * time.Second)
+		assert.Equal(t, len(store.values), 1)
+		assert.Equal(t, store.writes, 1)
+	})
+}
+
+// Guards against a process that never learns what it missed, from its peers or, if these
+// cannot reach it, from the store.
+func TestProcessThatMissedTheEvidence(t *testing.T) {
+	for _, back := range []bool{true, false} {
+		withProcesses(t, 5, func(store *objects, all []*process) {
+			all[4].deaf = true
+			if back {
+				// It does not read the store.
+				store.watchers = store.watchers[:4]
+			}
+			for n := range 4 {
+				all[n%4].crash(n)
+			}
+			time.Sleep(time.Second)
+			if back {
+				assert.Equal(t, quarantined(all), 4)
+				all[4].deaf = false
+				time.Sleep(3 * time.Second)
+			}
+			assert.Equal(t, quarantined(all), 5)
+		})
+	}
+}
+
+// Guards against a verdict that is not kept because the process that has to write it cannot.
+func TestNextProcessWritesVerdict(t *testing.T) {
+	withProcesses(t, 5, func(store *objects, all []*process) {
+		all[0].down, all[1].down = true, true
+		for n := range 4 {
+			all[0].crash(n)
+		}
+		time.Sleep(3 * time.Second)
+		assert.Equal(t, len(store.values), 1)
+	})
+}
+
+// Guards against a verdict that outlasts a response to a request with the part, or that one
+// process ends for itself only.
+func TestResponseEndsVerdict(t *testing.T) {
+	withProcesses(t, 5, func(store *objects, all []*process) {
+		for n := range 4 {
+			all[0].crash(n)
+		}
+		time.Sleep(2 * time.Second)
+		assert.Equal(t, quarantined(all), 5)
+		s := slugquarantine.NewSubject("hub", "/x", nil, []string{"bad", "own"})
+		all[3].set.Of("llm").Begin(slugquarantine.Start{Endpoint: "j"}, s, time.Now()).Served(time.Now())
+		time.Sleep(5 * time.Second)
+		assert.Equal(t, quarantined(all), 0)
+		assert.Equal(t, len(store.values), 0)
+	})
+}
+
+// Guards against an object that cannot be decoded and takes others with it.
+func TestUnreadableVerdict(t *testing.T) {
+	withProcesses(t, 1, func(_ *objects, all []*process) {
+		until := time.Now().Add(time.Minute).UnixMilli()
+		all[0].Apply([]slugstore.Object{
+			{Name: Prefix + "a", Version: 1, Body: []byte(`{"hash":"x"}`)},
+			{Name: Prefix + "b", Version: 2, Body: fmt.Appendf(nil, `{"service":"llm","scope":1,"hash":%d,"untilMs":%d}`, part.Hash, until)},
+		})
+		assert.Equal(t, quarantined(all), 1)
+	})
+}
--- a/internal/request/slugdispatch/dispatcher.go
+++ b/internal/request/slugdispatch/dispatcher.go
@@ -242,11 +242,21 @@
 		return nil
 	}
 	if v.Trait.Scope == slugquarantine.ScopePart {
-		return slugrefusal.NotRun(slugrefusal.CodeQuarantinedUnrun, "a part of the prompt is quarantined because requests with it crashed endpoints (%016x)", v.Trait.Hash)
+		return slugrefusal.NotRun(slugrefusal.CodeQuarantinedUnrun, "part %s of the prompt is quarantined because requests with it crashed endpoints (%016x)", d.partID(v.Trait), v.Trait.Hash)
 	}
 	return slugrefusal.NotRun(slugrefusal.CodeQuarantinedUnrun, "the request is quarantined because it crashed endpoints (%016x)", v.Trait.Hash)
 }
 
+// partID returns the ID of the part of the prompt that a trait stands for.
+func (d *dispatch) partID(t slugquarantine.Trait) string {
+	for _, id := range d.call.Prompt.PartIDs() {
+		if slugquarantine.PartTrait(id) == t {
+			return id
+		}
+	}
+	return ""
+}
+
 // stopQuarantined ends a request that was quarantined while it was in progress. Such a
 // request is not sent again, even if it may have run.
 func (d *dispatch) stopQuarantined() error {
