Do not take the planned end of an endpoint for a crash; split the exchange of evidence

Some endpoints leave without saying so: their entry disappears and they serve on for seconds. Such an end was recorded like a crash, and an attempt that such an endpoint broke off later counted against its request. Now the end of an entry is a crash only if the endpoint had broken off attempts shortly before. TestDecide, 'attempts broken off after planned ends', quarantined the part before.

--- a/internal/daemon/slughost/crashes.go
+++ b/internal/daemon/slughost/crashes.go
@@ -59,12 +59,12 @@
 	return true
 }
 
-// endpointBroke handles an endpoint that broke off an attempt, or that refused the
+// endpointFailed handles an endpoint that broke off an attempt, or that refused the
 // connection. The first is a crash only if it does the second as well.
-func (h *Host) endpointBroke(s slugname.Service, e slugplacement.Endpoint, refused bool) {
+func (h *Host) endpointFailed(s slugname.Service, e slugplacement.Endpoint, refused bool) {
 	start := slugquarantine.Start{Endpoint: e.Name, Incarnation: e.Incarnation}
 	if refused {
-		h.endpointCrashed(s, start, e.Address, "connection refused")
+		h.connectionRefused(s, start, e.Address)
 		return
 	}
 	if h.probes.due(start, time.Now()) {
@@ -81,23 +81,30 @@
 	case err == nil:
 		_ = conn.Close()
 	case errors.Is(err, syscall.ECONNREFUSED):
-		h.endpointCrashed(s, start, address, "connection refused")
+		h.connectionRefused(s, start, address)
 	default:
 		h.log.Error(slugevent.ConnectionSilent, err, slugevent.Fields{"endpoint": start.Endpoint, "step": "probe"})
 	}
 }
 
+// connectionRefused handles an endpoint at whose address nothing listens.
+func (h *Host) connectionRefused(s slugname.Service, start slugquarantine.Start, address string) {
+	now := time.Now()
+	h.placer(s).RecordDown(start.Endpoint, start.Incarnation, now)
+	interrupted, isNew := h.quarantines.Of(s).Crashed(start, now)
+	h.reportCrash(s, start, address, "connection refused", interrupted, isNew)
+}
+
 // endpointEnded handles an endpoint that restarted, or whose entry disappeared, without
-// leaving first. If it had broken off attempts shortly before, it has crashed.
+// leaving first.
 func (h *Host) endpointEnded(e slugregistry.Endpoint) {
-	h.endpointCrashed(e.Service, slugquarantine.Start{Endpoint: e.Name, Incarnation: int64(e.Incarnation)}, e.Address, "entry ended")
+	start := slugquarantine.Start{Endpoint: e.Name, Incarnation: int64(e.Incarnation)}
+	interrupted, isNew := h.quarantines.Of(e.Service).Ended(start, time.Now())
+	h.reportCrash(e.Service, start, e.Address, "entry ended", interrupted, isNew)
 }
 
-// endpointCrashed records the crash of an endpoint.
-func (h *Host) endpointCrashed(s slugname.Service, start slugquarantine.Start, address, evidence string) {
-	now := time.Now()
-	h.placer(s).RecordDown(start.Endpoint, start.Incarnation, now)
-	interrupted, isNew := h.quarantines.Of(s).Crashed(start, now)
+// reportCrash logs and counts a crash that interrupted requests of this host.
+func (h *Host) reportCrash(s slugname.Service, start slugquarantine.Start, address, evidence string, interrupted int, isNew bool) {
 	if !isNew || interrupted == 0 {
 		return
 	}
--- a/internal/daemon/slughost/host.go
+++ b/internal/daemon/slughost/host.go
@@ -199,7 +199,7 @@
 	h.dispatcher = slugdispatch.New(slugdispatch.Config{
 		Table: h.follower.Table, Fresh: h.configFresh,
 		ConfigurationAge: func() time.Duration { return slugclock.Since(h.follower.LastConfirmed()) },
-		Placer:           h.placer, Budget: h.retryBudget, Quarantine: h.quarantines.Of, EndpointBroke: h.endpointBroke, Codec: h.adapter.Codec, Open: h.sender.Open, Announce: h.announce, WithdrawAnnouncement: h.withdrawAnnouncement,
+		Placer:           h.placer, Budget: h.retryBudget, Quarantine: h.quarantines.Of, EndpointFailed: h.endpointFailed, Codec: h.adapter.Codec, Open: h.sender.Open, Announce: h.announce, WithdrawAnnouncement: h.withdrawAnnouncement,
 		Started: h.usageCounter.Count, Ended: h.counters.Record, Log: h.log,
 	})
 	return nil
--- a/internal/decision/slugpermit/permits.go
+++ b/internal/decision/slugpermit/permits.go
@@ -12,8 +12,8 @@
 //
 // # Usage
 //
-//	p := slugpermit.New(7.8, now)
-//	if p.Take(slugpermit.Share{Rank: 3, Hosts: 295}, now) { send }
+//	p := slugpermit.New(5, now) // 5 requests per second
+//	if p.Take(slugpermit.Share{Rank: 3, Hosts: 40}, now) { send }
 package slugpermit
 
 import (
--- a/internal/decision/slugquarantine/tracker.go
+++ b/internal/decision/slugquarantine/tracker.go
@@ -206,6 +206,23 @@
 func (t *Tracker) Crashed(e Start, now time.Time) (interrupted int, isNew bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	return t.recordCrash(e, now)
+}
+
+// Ended records that an endpoint has ended, possibly as planned. This is a crash only if the
+// endpoint broke off requests shortly before; otherwise the result is as for a known crash.
+func (t *Tracker) Ended(e Start, now time.Time) (interrupted int, isNew bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	list := t.interruptions[e]
+	if len(list) == 0 || now.Sub(list[len(list)-1].at) > interruptionWindow {
+		return 0, false
+	}
+	return t.recordCrash(e, now)
+}
+
+// recordCrash implements Crashed. The caller must hold t.mu.
+func (t *Tracker) recordCrash(e Start, now time.Time) (interrupted int, isNew bool) {
 	if _, ok := t.crashed[e]; ok {
 		return 0, false
 	}
--- a/internal/decision/slugquarantine/tracker_test.go
+++ b/internal/decision/slugquarantine/tracker_test.go
@@ -104,6 +104,20 @@
 				tr.Begin(start(i+1), subject(i, "bad"), now).Interrupted(now)
 			}
 		}, nil},
+		{"attempts broken off after planned ends", func(tr *Tracker, now time.Time) {
+			for i := range 20 {
+				at := now.Add(time.Duration(i) * crashSpacing)
+				tr.Ended(start(i+1), at)
+				tr.Begin(start(i+1), subject(i, "bad"), at.Add(-time.Second)).Interrupted(at)
+			}
+		}, nil},
+		{"entries that end after broken attempts", func(tr *Tracker, now time.Time) {
+			for i := range partCrashes {
+				at := now.Add(time.Duration(i) * crashSpacing)
+				tr.Begin(start(i+1), subject(i, "bad"), at.Add(-time.Second)).Interrupted(at)
+				tr.Ended(start(i+1), at.Add(time.Second))
+			}
+		}, subject(0, "bad").Parts},
 		{"a crash long after the broken attempt", func(tr *Tracker, now time.Time) {
 			for i := range 20 {
 				tr.Begin(start(i+1), subject(i, "bad"), now).Interrupted(now.Add(-interruptionWindow - time.Second))
--- a/internal/request/slugdispatch/dispatcher.go
+++ b/internal/request/slugdispatch/dispatcher.go
@@ -70,9 +70,9 @@
 	Budget func(slugname.Service) *slugbudget.Budget
 	// Quarantine returns the tracker of crashing requests of a service.
 	Quarantine func(slugname.Service) *slugquarantine.Tracker
-	// EndpointBroke is called when an endpoint broke off an attempt, or, with refused set,
+	// EndpointFailed is called when an endpoint broke off an attempt, or, with refused set,
 	// when it refused the connection.
-	EndpointBroke func(s slugname.Service, e slugplacement.Endpoint, refused bool)
+	EndpointFailed func(s slugname.Service, e slugplacement.Endpoint, refused bool)
 	// Codec encodes requests to endpoints and decodes their responses.
 	Codec Codec
 	// Announce announces a prompt to the owner of the chosen endpoint, and returns the
--- a/internal/request/slugdispatch/plain.go
+++ b/internal/request/slugdispatch/plain.go
@@ -133,12 +133,12 @@
 		return false
 	case !sent:
 		if errors.Is(err, syscall.ECONNREFUSED) {
-			d.cfg.EndpointBroke(d.service.Name, c.Endpoint, true)
+			d.cfg.EndpointFailed(d.service.Name, c.Endpoint, true)
 		}
 		return false
 	}
 	run.Interrupted(time.Now())
-	d.cfg.EndpointBroke(d.service.Name, c.Endpoint, false)
+	d.cfg.EndpointFailed(d.service.Name, c.Endpoint, false)
 	return true
 }
 
