--- a/internal/membership/slugevidence/exchange_test.go
+++ b/internal/membership/slugevidence/exchange_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -61,6 +63,13 @@
 	}
 }
 
+// count returns the number of objects and of writes.
+func (o *objects) count() (values, writes int) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return len(o.values), o.writes
+}
+
 // notify passes a changed object to all processes.
 func (o *objects) notify(v slugstore.Value) {
 	object := slugstore.Object{Name: v.Name, Version: v.Version}
@@ -74,7 +83,10 @@
 			}
 		}
 	}
-	for _, x := range o.watchers {
+	o.mu.Lock()
+	watchers := slices.Clone(o.watchers)
+	o.mu.Unlock()
+	for _, x := range watchers {
 		x.Apply([]slugstore.Object{object})
 	}
 }
@@ -83,8 +95,8 @@
 type process struct {
 	*Exchange
 	set *slugquarantine.Set
-	// down makes the process unable to write to the store, deaf to receive messages.
-	down, deaf bool
+	// down makes the process unable to write to the store, deaf unable to exchange messages.
+	down, deaf atomic.Bool
 }
 
 // withProcesses runs test on n processes.
@@ -97,7 +109,7 @@
 			p := &process{set: slugquarantine.NewSet()}
 			p.Exchange = New(Config{
 				Trackers: p.set, Rank: func(string) int { return i }, Log: slugevent.Discard(),
-				Store: slugstore.New(slugstore.Config{Backend: store.backend(func() bool { return p.down })}),
+				Store: slugstore.New(slugstore.Config{Backend: store.backend(func() bool { return p.down.Load() })}),
 				Peers: func(k int) (out []slugmember.Record) {
 					for j := range min(k, n-1) {
 						out = append(out, slugmember.Record{Process: slugname.Process(fmt.Sprint((i + j + 1) % n))})
@@ -107,7 +119,7 @@
 				Call: func(_ context.Context, to slugmember.Record, m slugpeer.Message) (slugpeer.Message, error) {
 					var j int
 					_, _ = fmt.Sscan(string(to.Process), &j)
-					if all[j].deaf || p.deaf {
+					if all[j].deaf.Load() || p.deaf.Load() {
 						return slugpeer.Message{}, errors.New("silent")
 					}
 					return slugpeer.Message{Evidence: all[j].Serve(m.Evidence, m.CompareEvidence)}, nil
@@ -160,8 +172,9 @@
 		time.Sleep(time.Second)
 		assert.Equal(t, quarantined(all), 20)
 		time.Sleep(5 * time.Second)
-		assert.Equal(t, len(store.values), 1)
-		assert.Equal(t, store.writes, 1)
+		values, writes := store.count()
+		assert.Equal(t, values, 1)
+		assert.Equal(t, writes, 1)
 	})
 }
 
@@ -170,10 +183,12 @@
 func TestProcessThatMissedTheEvidence(t *testing.T) {
 	for _, back := range []bool{true, false} {
 		withProcesses(t, 5, func(store *objects, all []*process) {
-			all[4].deaf = true
+			all[4].deaf.Store(true)
 			if back {
 				// It does not read the store.
+				store.mu.Lock()
 				store.watchers = store.watchers[:4]
+				store.mu.Unlock()
 			}
 			for n := range 4 {
 				all[n%4].crash(n)
@@ -181,7 +196,7 @@
 			time.Sleep(time.Second)
 			if back {
 				assert.Equal(t, quarantined(all), 4)
-				all[4].deaf = false
+				all[4].deaf.Store(false)
 				time.Sleep(3 * time.Second)
 			}
 			assert.Equal(t, quarantined(all), 5)
@@ -192,12 +207,14 @@
 // Guards against a verdict that is not kept because the process that has to write it cannot.
 func TestNextProcessWritesVerdict(t *testing.T) {
 	withProcesses(t, 5, func(store *objects, all []*process) {
-		all[0].down, all[1].down = true, true
+		all[0].down.Store(true)
+		all[1].down.Store(true)
 		for n := range 4 {
 			all[0].crash(n)
 		}
 		time.Sleep(3 * time.Second)
-		assert.Equal(t, len(store.values), 1)
+		values, _ := store.count()
+		assert.Equal(t, values, 1)
 	})
 }
 
@@ -214,7 +231,8 @@
 		all[3].set.Of("llm").Begin(slugquarantine.Start{Endpoint: "j"}, s, time.Now()).Served(time.Now())
 		time.Sleep(5 * time.Second)
 		assert.Equal(t, quarantined(all), 0)
-		assert.Equal(t, len(store.values), 0)
+		values, _ := store.count()
+		assert.Equal(t, values, 0)
 	})
 }
 
