Do not renew an expired quarantine for crashes that peers still report

A part that was served lately is quarantined for 20 s, and crashes are remembered for 60 s. The host that ended such a quarantine first took the old crashes over again from a peer, and one crash is enough to renew it, for 10 min. Found by reading; TestQuarantineEnds, 'old crashes that a peer reports afterwards', failed before. Now crashes from before the end of a quarantine are ignored.

--- a/internal/decision/slugquarantine/record.go
+++ b/internal/decision/slugquarantine/record.go
@@ -58,8 +58,10 @@
 	dueAt time.Time
 	// until is the end of the quarantine.
 	until time.Time
-	// probation is set after a quarantine has expired. The next crash renews it.
+	// probation is set after a quarantine has expired, which was at expiredAt. The next crash
+	// after that renews it.
 	probation bool
+	expiredAt time.Time
 	// stored is set if the quarantine was read from the store.
 	stored bool
 	// reported is set if a peer sent an entry of the trait.
@@ -70,9 +72,10 @@
 
 func newRecord(t Trait) *record { return &record{trait: t, crashes: map[Start]crash{}} }
 
-// addCrash adds a crash unless it is known.
+// addCrash adds a crash unless it is known, or led to a quarantine that has expired: peers
+// still report such crashes.
 func (r *record) addCrash(e Start, c crash) {
-	if _, known := r.crashes[e]; known || len(r.crashes) >= maxCrashes {
+	if _, known := r.crashes[e]; known || len(r.crashes) >= maxCrashes || !c.at.After(r.expiredAt) {
 		return
 	}
 	r.crashes[e] = c
@@ -115,7 +118,7 @@
 	if r.until.IsZero() || r.quarantined(now) {
 		return
 	}
-	r.until, r.dueAt, r.stored, r.probation = time.Time{}, time.Time{}, false, true
+	r.until, r.dueAt, r.stored, r.probation, r.expiredAt = time.Time{}, time.Time{}, false, true, now
 	clear(r.crashes)
 }
 
--- a/internal/decision/slugquarantine/tracker_test.go
+++ b/internal/decision/slugquarantine/tracker_test.go
@@ -182,6 +182,21 @@
 		assert.Assert(t, !tr.Quarantined(trait, now))
 		assert.Equal(t, len(settle(tr, now)), 0)
 	})
+	t.Run("old crashes that a peer reports afterwards", func(t *testing.T) {
+		tr, peer, now := New(), New(), time.Now()
+		for i := range servedPartCrashes {
+			crashWith(tr, i+1, now, subject(i, "p"))
+		}
+		serve(tr, now, subject(50, "p"))
+		now = now.Add(settleTime)
+		assert.Equal(t, len(settle(tr, now)), 1)
+		peer.Merge(tr.All(now), now)
+		now = now.Add(servedQuarantine + time.Second)
+		assert.Equal(t, len(settle(tr, now)), 0)
+		tr.Merge(peer.All(now), now)
+		assert.Equal(t, len(settle(tr, now)), 0)
+		assert.Assert(t, !tr.Quarantined(subject(0, "p").Parts[0], now))
+	})
 	t.Run("time", func(t *testing.T) {
 		tr, now, trait := quarantine()
 		now = now.Add(newQuarantine)
