Log requests on connections that the host has closed

A request that starts on a closed connection was logged as if its caller had left (413 caller disconnected), and one that net/http drops in its shutdown was not logged at all. Events 113 and 114 tell these apart from callers that leave: 113 when a request is handled on a connection that this process has closed, 114 when a connection is closed while a request on it was read and not answered, unless the peer left first. No change of the logic.

--- a/internal/daemon/slugserve/server.go
+++ b/internal/daemon/slugserve/server.go
@@ -87,6 +87,7 @@
 	if cfg.MaxConnections > 0 {
 		s.listener = netutil.LimitListener(s.listener, cfg.MaxConnections)
 	}
+	s.listener = &listener{s.listener, cfg.Log}
 	s.server = s.newHTTPServer()
 	return s, nil
 }
@@ -97,7 +98,8 @@
 	protocols.SetHTTP2(true)
 	protocols.SetUnencryptedHTTP2(true)
 	return &http.Server{
-		Handler:           s.cfg.Handler,
+		Handler:           http.HandlerFunc(s.serveHTTP),
+		ConnContext:       withConnection,
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    s.cfg.MaxHeaderBytes,
