Do not close a connection whose next request is being read

Callers saw whole requests on kept connections end without a response or a refusal while a host was stopped (LOST); a request that is not idempotent could run for nobody.

Cause: http.Server takes a connection for idle until the whole header of the next request was read. SetKeepAlivesEnabled(false) closed such connections, and the handler then started on a closed connection and passed the request on; Shutdown dropped requests whose header it had just read. The idle timeout likewise closed a connection on which the first bytes of a request had arrived.

TestPartlyReadRequestIsAnsweredAtShutdown, TestIdleTimeoutSparesPartlyReadRequest, TestNewConnectionIsAnsweredAtShutdown, one case of TestSlowRequestsDoNotKeepConnections (one byte on a kept connection) and TestRequestReadAsHostStopsIsAnswered failed on the code before.

Change: slugserve tracks its connections and closes the idle ones itself. Reading bytes and closing as idle exclude each other under the lock of the connection: bytes that come later are dropped, so that the request is never handled, and a connection with bytes since its last response is not idle; its request is answered with Connection: close. Shutdown, the idle timeout and new connections (1 s for the first request) follow this rule, for hosts, gates and control alike. http.Server.Shutdown is not used anymore; HTTP/2 connections are told to close (GOAWAY) as before, through golang.org/x/net/http2. DisableKeepAlives is part of Shutdown.

--- a/internal/daemon/sluggate/gate.go
+++ b/internal/daemon/sluggate/gate.go
@@ -468,7 +468,6 @@
 	g.Table.Update(func(r *slugpeer.Row) { r.Leaving = true })
 	g.Table.Push(ctx)
 	_ = slugbackoff.Sleep(ctx, g.settings.AnswerAge+leavePropagationTime)
-	g.callers.DisableKeepAlives()
 	if err := g.callers.Shutdown(ctx); err != nil {
 		return err
 	}
--- a/internal/daemon/slughost/serve.go
+++ b/internal/daemon/slughost/serve.go
@@ -129,7 +129,6 @@
 	h.table.Push(pushCtx)
 	cancel()
 	_ = slugbackoff.Sleep(ctx, drainDelay-time.Since(begun))
-	h.requests.DisableKeepAlives()
 	finishCtx, cancel := context.WithDeadline(ctx, begun.Add(h.settings.Grace-shutdownMargin))
 	defer cancel()
 	err := h.requests.Shutdown(finishCtx)
--- a/internal/daemon/slugserve/server.go
+++ b/internal/daemon/slugserve/server.go
@@ -1,6 +1,11 @@
 // Package slugserve implements an HTTP server with size, time and connection limits,
 // certificate reloading and graceful shutdown.
 //
+// It closes idle connections itself. http.Server takes a connection for idle until the
+// whole header of the next request was read, so that its Shutdown and SetKeepAlivesEnabled
+// close connections whose next request is arriving; that request would be handled without
+// a response, or dropped after it was read.
+//
 // # Usage
 //
 //	s, err := slugserve.New(slugserve.Config{Address: "127.0.0.1:8080", Handler: mux})
@@ -14,9 +19,12 @@
 	"crypto/tls"
 	"io"
 	stdlog "log"
+	"maps"
 	"net"
 	"net/http"
 	"os"
+	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -32,6 +40,12 @@
 	headerTimeout = 10 * time.Second
 	// idleTimeout is how long an idle connection stays open.
 	idleTimeout = 2 * time.Minute
+	// newConnectionTimeout is how long a shutdown waits for the first request on a new
+	// connection. Callers connect only when they have a request to send.
+	newConnectionTimeout = time.Second
+	// idleCheckInterval is the time between attempts of a shutdown to close connections
+	// that were new.
+	idleCheckInterval = 100 * time.Millisecond
 	// certificateCheckInterval is the time between checks whether the certificate file has
 	// changed.
 	certificateCheckInterval = 10 * time.Second
@@ -64,6 +78,16 @@
 	server             *http.Server
 	certificate        atomic.Pointer[tls.Certificate]
 	certificateModTime time.Time
+
+	// http2 only holds the HTTP/2 connections of server, so that they can be told to close
+	// without the shutdown of server.
+	http2 *http.Server
+
+	shuttingDown atomic.Bool
+	mu           sync.Mutex
+	connections  map[*connection]struct{}
+	// drained is closed when the server shuts down and has no connection.
+	drained chan struct{}
 }
 
 // New loads the certificate, if there is one, and opens the listener.
@@ -74,7 +98,7 @@
 	if cfg.Listen == nil {
 		cfg.Listen = net.Listen
 	}
-	s := &Server{cfg: cfg}
+	s := &Server{cfg: cfg, connections: map[*connection]struct{}{}, drained: make(chan struct{})}
 	if cfg.Certificate != "" {
 		if err := s.loadCertificate(); err != nil {
 			return nil, slugfault.Wrap(err, "load certificate", cfg.Certificate)
@@ -87,8 +111,11 @@
 	if cfg.MaxConnections > 0 {
 		s.listener = netutil.LimitListener(s.listener, cfg.MaxConnections)
 	}
-	s.listener = &listener{s.listener, cfg.Log}
+	s.listener = &listener{Listener: s.listener, server: s}
 	s.server = s.newHTTPServer()
+	if s.http2, err = configureHTTP2(s.server); err != nil {
+		return nil, errors.CombineErrors(slugfault.Wrap(err, "configure HTTP/2", cfg.Address), s.listener.Close())
+	}
 	return s, nil
 }
 
@@ -100,12 +127,13 @@
 	return &http.Server{
 		Handler:           http.HandlerFunc(s.serveHTTP),
 		ConnContext:       withConnection,
+		ConnState:         connStateChanged,
 		ReadHeaderTimeout: headerTimeout,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    s.cfg.MaxHeaderBytes,
-		Protocols:         protocols,
-		HTTP2:             &http.HTTP2Config{MaxConcurrentStreams: maxStreamsPerConnection},
-		ErrorLog:          stdlog.New(io.Discard, "", 0),
+		// Idle connections are closed by their own timer before this.
+		IdleTimeout:    idleTimeout + headerTimeout,
+		MaxHeaderBytes: s.cfg.MaxHeaderBytes,
+		Protocols:      protocols,
+		ErrorLog:       stdlog.New(io.Discard, "", 0),
 		TLSConfig: &tls.Config{
 			MinVersion: tls.VersionTLS12,
 			GetCertificate: func(*tls.ClientHelloInfo) (*tls.Certificate, error) {
@@ -128,23 +156,96 @@
 	} else {
 		err = s.server.Serve(s.listener)
 	}
-	if errors.Is(err, http.ErrServerClosed) {
+	if errors.Is(err, http.ErrServerClosed) || s.shuttingDown.Load() {
 		return nil
 	}
 	return slugfault.Wrap(err, "serve", s.Address())
 }
 
-// DisableKeepAlives makes clients open new connections for further requests.
-func (s *Server) DisableKeepAlives() { s.server.SetKeepAlivesEnabled(false) }
+// serveHTTP passes a request to the handler, unless its connection is closed.
+func (s *Server) serveHTTP(w http.ResponseWriter, r *http.Request) {
+	c := connectionOf(r.Context())
+	if !c.beginHandling() {
+		s.cfg.Log.Emit(slugevent.RequestAfterClose, slugevent.Fields{"caller": r.RemoteAddr, "path": r.URL.Path, "closedMs": c.closedFor().Milliseconds()})
+		panic(http.ErrAbortHandler)
+	}
+	if r.ProtoMajor == 1 {
+		w = &responseWriter{ResponseWriter: w, shuttingDown: s.shuttingDown.Load}
+	}
+	s.cfg.Handler.ServeHTTP(w, r)
+}
 
-// Shutdown closes the listener and waits until all running requests have finished or ctx
-// is cancelled.
+// Shutdown closes the listener and all idle connections, and waits until the requests on the
+// other ones are answered or ctx is cancelled. A request of which any part was read is
+// answered.
 func (s *Server) Shutdown(ctx context.Context) error {
-	return slugfault.Wrap(s.server.Shutdown(ctx), "shut down server", s.Address())
+	err := s.beginShutdown()
+	ticker := time.NewTicker(idleCheckInterval)
+	defer ticker.Stop()
+	for {
+		for _, c := range s.openConnections() {
+			c.closeIdle(0)
+		}
+		select {
+		case <-s.drained:
+			return errors.CombineErrors(err, slugfault.Wrap(s.server.Close(), "shut down server", s.Address()))
+		case <-ctx.Done():
+			return slugfault.Wrap(ctx.Err(), "shut down server", s.Address())
+		case <-ticker.C:
+		}
+	}
+}
+
+// beginShutdown closes the listener and tells HTTP/2 callers to open no more streams.
+func (s *Server) beginShutdown() error {
+	s.mu.Lock()
+	begun := s.shuttingDown.Swap(true)
+	if !begun && len(s.connections) == 0 {
+		close(s.drained)
+	}
+	s.mu.Unlock()
+	if begun {
+		return nil
+	}
+	err := s.listener.Close()
+	// The server holds no listener and no connection, so this only sends GOAWAY.
+	return errors.CombineErrors(err, s.http2.Shutdown(context.Background()))
 }
 
 // Close closes the listener and all connections immediately.
-func (s *Server) Close() error { return s.server.Close() }
+func (s *Server) Close() error {
+	return errors.CombineErrors(s.beginShutdown(), s.server.Close())
+}
+
+// track registers an accepted connection. It returns false if the server is shutting down.
+func (s *Server) track(c *connection) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.shuttingDown.Load() {
+		return false
+	}
+	s.connections[c] = struct{}{}
+	return true
+}
+
+// forget removes a closed connection.
+func (s *Server) forget(c *connection) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, ok := s.connections[c]; !ok {
+		return
+	}
+	delete(s.connections, c)
+	if s.shuttingDown.Load() && len(s.connections) == 0 {
+		close(s.drained)
+	}
+}
+
+func (s *Server) openConnections() []*connection {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Collect(maps.Keys(s.connections))
+}
 
 func (s *Server) loadCertificate() error {
 	info, err := os.Stat(s.cfg.Certificate)
