Answer lookups that a stopping host has begun to read

Callers whose lookup was arriving when a host ended got no response: the servers for lookups, readiness and metrics were closed without a graceful shutdown, with whatever they were reading. They now get 200 ms, within the margin that is reserved for closing the servers; what is left then is closed as before. TestLookupReadAsHostStopsIsAnswered failed before (the connection was closed without a response).

--- a/internal/daemon/slughost/host.go
+++ b/internal/daemon/slughost/host.go
@@ -70,6 +70,9 @@
 	// shutdownMargin is the part of the grace period reserved for the last writes and for
 	// closing the servers.
 	shutdownMargin = 400 * time.Millisecond
+	// serversShutdownTimeout limits the time to answer the last lookups and checks. It is
+	// part of shutdownMargin.
+	serversShutdownTimeout = 200 * time.Millisecond
 	// lookupMaxAge is how long callers may cache the answer to a lookup.
 	lookupMaxAge = 2 * time.Second
 	// publishRetryInterval is the time between attempts to publish the membership record.
--- a/internal/daemon/slughost/serve.go
+++ b/internal/daemon/slughost/serve.go
@@ -134,6 +134,7 @@
 	err := h.requests.Shutdown(finishCtx)
 	h.sendUsage(ctx)
 	h.withdraw(ctx)
+	err = errors.CombineErrors(err, h.shutDownServers(ctx))
 	h.log.Emit(slugevent.ShutdownDone, slugevent.Fields{"requests": h.dispatcher.Running()})
 	h.abort()
 	for _, s := range h.servers() {
@@ -142,6 +143,15 @@
 	return err
 }
 
+// shutDownServers answers the calls that are in progress at the servers for the platform.
+func (h *Host) shutDownServers(ctx context.Context) error {
+	var g errgroup.Group
+	for _, s := range []*slugserve.Server{h.lookups, h.readiness, h.metricsServer} {
+		g.Go(func() error { return s.ShutdownWithin(ctx, serversShutdownTimeout) })
+	}
+	return g.Wait()
+}
+
 // withdraw removes the membership record of this process.
 func (h *Host) withdraw(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
--- a/internal/daemon/slugserve/server.go
+++ b/internal/daemon/slugserve/server.go
@@ -196,6 +196,17 @@
 	}
 }
 
+// ShutdownWithin shuts the server down like Shutdown, and closes what is left after d.
+func (s *Server) ShutdownWithin(ctx context.Context, d time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, d)
+	defer cancel()
+	err := s.Shutdown(ctx)
+	if errors.Is(err, context.DeadlineExceeded) {
+		return s.Close()
+	}
+	return err
+}
+
 // beginShutdown closes the listener and tells HTTP/2 callers to open no more streams.
 func (s *Server) beginShutdown() error {
 	s.mu.Lock()
