Answer the last calls of operators at a stopping gate

Operators whose call was arriving when a gate ended got no response: the server for operators was closed without a graceful shutdown, and the error of that was dropped. It now gets 200 ms after the last writes. TestRequestReadAsHostStopsIsAnswered (slugsystem) failed before, for the call to the gate's operators' address; its calls to the callers' address and to control passed.

--- a/internal/daemon/sluggate/gate.go
+++ b/internal/daemon/sluggate/gate.go
@@ -17,6 +17,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/sassafraslug/sassafraslug/internal/authority/slugclaim"
 	"github.com/sassafraslug/sassafraslug/internal/authority/slugledger"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugbackoff"
@@ -50,6 +51,8 @@
 	// leavePropagationTime is how long it takes until all peers know that a process is
 	// leaving. It also limits the time of a push of suspicions.
 	leavePropagationTime = 2 * time.Second
+	// operatorsShutdownTimeout limits the time to answer the last calls of operators.
+	operatorsShutdownTimeout = 200 * time.Millisecond
 	// writeTimeout limits the time of one write of the usage record, and of the last
 	// writes during a shutdown.
 	writeTimeout = 10 * time.Second
@@ -472,9 +475,9 @@
 		return err
 	}
 	err := g.finalWrites(ctx)
+	err = errors.CombineErrors(err, g.operators.ShutdownWithin(ctx, operatorsShutdownTimeout))
 	g.stop()
 	g.sender.CloseIdle()
-	_ = g.operators.Close()
 	g.log.Emit(slugevent.ShutdownDone, nil)
 	return err
 }
