Remove the record of a control process despite a slow operator

A control process that was stopped while a call of an operator arrived slowly waited for it until the whole time of the shutdown was used up; the removal of its membership record then failed with an expired context, and the process stayed in the list. The calls now get half of that time. TestSlowOperatorDoesNotKeepControlRegistered failed before ("write processes/host-3-control: context deadline exceeded").

--- a/internal/daemon/slugcontrol/control.go
+++ b/internal/daemon/slugcontrol/control.go
@@ -44,6 +44,8 @@
 	callTimeout = 3 * time.Second
 	// shutdownTimeout limits the time for the last requests and writes during a shutdown.
 	shutdownTimeout = 10 * time.Second
+	// operatorsShutdownTimeout is the part of shutdownTimeout for the calls of operators.
+	operatorsShutdownTimeout = 5 * time.Second
 	// removalDelay is how long an ended process keeps its membership record.
 	removalDelay = time.Minute
 )
@@ -306,7 +308,7 @@
 	ctx, cancel := context.WithTimeout(work, shutdownTimeout)
 	defer cancel()
 	c.Table.Push(ctx)
-	err := c.operators.Shutdown(ctx)
+	err := c.operators.ShutdownWithin(ctx, operatorsShutdownTimeout)
 	if leaveErr := c.Leave(ctx); err == nil {
 		err = leaveErr
 	}
--- a/internal/operate/slugsystem/shutdown_test.go
+++ b/internal/operate/slugsystem/shutdown_test.go
@@ -64,3 +64,14 @@
 		assert.NilError(t, <-removed)
 	})
 }
+
+// TestSlowOperatorDoesNotKeepControlRegistered guards against a control process that cannot
+// remove its membership record, because a slow call used up the time of its shutdown.
+func TestSlowOperatorDoesNotKeepControlRegistered(t *testing.T) {
+	withHarness(t, harnessOptions{}, func(t *testing.T, r *harness) {
+		leaving := r.Hosts()[2]
+		half := r.sendHalf(leaving.Control.Address())
+		defer func() { _ = half.Close() }()
+		assert.NilError(t, r.Remove(leaving))
+	})
+}
