Log requests that cross the close of their connection

After the fix a request that arrives as its idle connection is closed is dropped while it is read, before any handler sees it, so that nothing told it from a request that this process never read. Event 113 now says so; it is no fault anymore, since such a request is never handled.

--- a/internal/base/slugevent/event.go
+++ b/internal/base/slugevent/event.go
@@ -114,7 +114,7 @@
 	SettingsReloaded:        {logrus.InfoLevel, "settings reloaded", "none"},
 	SettingsUnusable:        {logrus.ErrorLevel, "settings cannot be used", "fix the settings named in the error; the previous ones stay in use"},
 	LinesDropped:            {logrus.WarnLevel, "log lines dropped", "none; the fields give the number of lines dropped per event by the rate limit, and in unread those dropped because the log output was blocked"},
-	RequestAfterClose:       {logrus.WarnLevel, "request read on a connection that this process had closed", "report it as a fault: the caller gets no response"},
+	RequestAfterClose:       {logrus.InfoLevel, "request dropped because its connection was being closed", "none: the request was not handled"},
 	ConnectionUnanswered:    {logrus.WarnLevel, "connection closed before the request on it was answered", "report it as a fault, unless it occurs at the end of a process's grace period or the caller was too slow"},
 	ConfigurationInForce:    {logrus.InfoLevel, "configuration is in effect", "none"},
 	ConfigurationUnreadable: {logrus.ErrorLevel, "configuration cannot be read", "apply a corrected manifest; the previous revision stays in effect"},
--- a/internal/daemon/slugserve/connection.go
+++ b/internal/daemon/slugserve/connection.go
@@ -85,6 +85,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.closedAt.IsZero() {
+		if n > 0 {
+			c.server.cfg.Log.Emit(slugevent.RequestAfterClose, slugevent.Fields{"caller": c.RemoteAddr().String(), "bytes": n, "closedMs": time.Since(c.closedAt).Milliseconds()})
+		}
 		return 0, net.ErrClosed
 	}
 	if err != nil {
--- a/internal/daemon/slugserve/server_test.go
+++ b/internal/daemon/slugserve/server_test.go
@@ -230,6 +230,7 @@
 				done := closeIdle(s)
 				assert.NilError(t, <-done)
 				assert.Equal(t, s.handled.Load(), int32(1), "a request was handled on a closed connection")
+				assert.Assert(t, strings.Contains(s.log.String(), fmt.Sprintf(`"event":%d`, slugevent.RequestAfterClose)))
 				c.requireClosed(time.Second)
 			})
 		})
