Do not lose the objects beside one that cannot be read

One object of another writer that could not be decoded made a list call fail as a whole. In a watch the position moved on although no object of the response was passed on, so that the others were lost for good: hosts went on with records, plans and verdicts that no longer held.

An object that cannot be read is now passed on as such: it has a body, and Decode returns the error. Each user of a watch already handles objects that it cannot decode. An envelope without a body counts as unreadable too; it used to look like a removal.

--- a/internal/base/slugstore/store.go
+++ b/internal/base/slugstore/store.go
@@ -38,12 +38,18 @@
 	Version Version
 	// Change identifies the write that created this version.
 	Change ChangeID
-	// Body is the value in JSON, or nil if the object does not exist.
+	// Body is the value in JSON, or nil if the object does not exist. If the stored bytes
+	// cannot be read, Body holds them as they are, and Decode returns the error.
 	Body json.RawMessage
+	// unreadable is the error of decoding the stored bytes.
+	unreadable error
 }
 
 // Decode unmarshals the body into v.
 func (o Object) Decode(v any) error {
+	if o.unreadable != nil {
+		return o.unreadable
+	}
 	return slugfault.Wrap(json.Unmarshal(o.Body, v), "decode object "+o.Name, "")
 }
 
@@ -186,7 +192,11 @@
 
 func decode(name string, v Version, body []byte) (Object, error) {
 	var e envelope
-	if err := json.Unmarshal(body, &e); err != nil {
+	err := json.Unmarshal(body, &e)
+	if err == nil && e.Body == nil {
+		err = errors.New("body is missing")
+	}
+	if err != nil {
 		return Object{}, slugfault.Wrap(err, "decode object "+name, "")
 	}
 	return Object{Name: name, Version: v, Change: e.Change, Body: e.Body}, nil
--- a/internal/base/slugstore/watch.go
+++ b/internal/base/slugstore/watch.go
@@ -23,7 +23,7 @@
 	if err != nil {
 		return nil, slugfault.Wrap(err, "list "+prefix, s.cfg.BaseURL)
 	}
-	return s.decodeAll(l.Values, decode)
+	return s.decodeAll(l.Values, decode), nil
 }
 
 func (s *Store) list(ctx context.Context, prefix string) (Listing, error) {
@@ -44,8 +44,9 @@
 	return Object{Name: name, Version: v, Body: value}, nil
 }
 
-// decodeAll decodes the values. It skips those that are older than a version seen before.
-func (s *Store) decodeAll(values []Value, decodeOne decoder) ([]Object, error) {
+// decodeAll decodes the values. It skips those that are older than a version seen before. An
+// object that cannot be read is passed on as such, so that the others are not lost with it.
+func (s *Store) decodeAll(values []Value, decodeOne decoder) []Object {
 	objects := make([]Object, 0, len(values))
 	for _, x := range values {
 		if !s.advanceVersion(x.Name, x.Version) {
@@ -57,11 +58,11 @@
 		}
 		o, err := decodeOne(x.Name, x.Version, x.Bytes)
 		if err != nil {
-			return nil, err
+			o = Object{Name: x.Name, Version: x.Version, Body: x.Bytes, unreadable: err}
 		}
 		objects = append(objects, o)
 	}
-	return objects, nil
+	return objects
 }
 
 // Watcher selects the objects to watch and holds the callbacks for changes.
@@ -195,7 +196,7 @@
 	if x.NoEnvelope {
 		f = decodeWithoutEnvelope
 	}
-	objects, err = s.decodeAll(changes.Values, f)
+	objects = s.decodeAll(changes.Values, f)
 	x.revision, x.lastCurrent = changes.Revision, changes.CurrentAt
 	if changes.Complete {
 		x.synced = true
@@ -206,7 +207,7 @@
 	if x.OnUpdate != nil {
 		x.OnUpdate(changes)
 	}
-	return objects, changes.CurrentAt, err
+	return objects, changes.CurrentAt, nil
 }
 
 // fetchUpdate calls the store, or the source that is used instead.
