--- a/internal/fleet/slugregistry/registry.go
+++ b/internal/fleet/slugregistry/registry.go
@@ -93,6 +93,8 @@
 	synced bool
 	// ended holds the endpoints to be passed to Config.Ended.
 	ended []Endpoint
+	// unreadable maps the entries that cannot be read to the error that was logged.
+	unreadable map[slugname.Endpoint]string
 }
 
 // New returns an empty Registry.
@@ -108,7 +110,7 @@
 	}
 	return &Registry{
 		cfg: cfg, endpoints: map[slugname.Endpoint]Endpoint{}, services: map[slugname.Service][]Endpoint{},
-		missing: map[slugname.Endpoint]time.Time{},
+		missing: map[slugname.Endpoint]time.Time{}, unreadable: map[slugname.Endpoint]string{},
 	}
 }
 
@@ -223,14 +225,20 @@
 	name := nameOf(o)
 	old, known := r.endpoints[name]
 	if o.Body == nil {
+		delete(r.unreadable, name)
 		if known {
 			r.entryRemoved(name, old, now, changed)
 		}
 		return
 	}
 	e, err := r.cfg.Decode(o)
-	if err != nil {
-		r.cfg.Log.Error(slugevent.EndpointUnreadable, err, slugevent.Fields{"endpoint": name, "version": o.Version})
+	if err == nil {
+		delete(r.unreadable, name)
+	} else {
+		if r.unreadable[name] != err.Error() {
+			r.unreadable[name] = err.Error()
+			r.cfg.Log.Error(slugevent.EndpointUnreadable, err, slugevent.Fields{"endpoint": name, "version": o.Version})
+		}
 		if known {
 			r.remove(name, old, "its entry cannot be read", changed)
 		}
--- a/internal/fleet/slugregistry/registry_test.go
+++ b/internal/fleet/slugregistry/registry_test.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/json"
 	"errors"
+	"fmt"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -10,6 +12,8 @@
 	"github.com/sassafraslug/sassafraslug/internal/base/slugevent"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugname"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugstore"
+	"github.com/sassafraslug/sassafraslug/internal/standin/slugbuffer"
+	"github.com/sirupsen/logrus"
 	"gotest.tools/v3/assert"
 )
 
@@ -81,6 +85,27 @@
 	}
 }
 
+// TestUnreadableEntryIsLoggedOnce guards against a log that an entry of another writer fills
+// each time it is listed or written again.
+func TestUnreadableEntryIsLoggedOnce(t *testing.T) {
+	var log slugbuffer.Buffer
+	r := New(Config{Decode: decode, Log: slugevent.New(&log, logrus.InfoLevel, "")})
+	lines := func() int {
+		return strings.Count(log.String(), fmt.Sprintf(`"event":%d`, slugevent.EndpointUnreadable))
+	}
+	for range 5 {
+		r.Apply([]slugstore.Object{entry("a", `{}`), entry("b", `{"service":"x"}`)})
+	}
+	assert.Equal(t, lines(), 1)
+	r.Apply([]slugstore.Object{entry("a", `{"service":"x"}`)})
+	assert.Equal(t, names(r, "x"), "a b ")
+	r.Apply([]slugstore.Object{entry("a", `{}`)})
+	assert.Equal(t, lines(), 2, "an entry that became unreadable again is logged again")
+	r.Apply([]slugstore.Object{entry("a", "")})
+	r.Apply([]slugstore.Object{entry("a", `{}`)})
+	assert.Equal(t, lines(), 3, "a new entry under the same name is logged")
+}
+
 // TestOutageGivesGraceToMissingEntries guards against dropping healthy endpoints whose
 // entries expired during an outage of the store. Endpoints that were leaving get no grace
 // period, and neither do entries that disappear later.
