Do not take an endpoint whose entry cannot be read for a crashed one

When another writer replaced the entry of an endpoint by one that cannot be read, the requests in progress there were counted as interrupted by a crash, and could be quarantined although the endpoint was well.

Such an endpoint is removed, but not reported as ended. TestUnreadableEntryIsNoCrash failed before (both endpoints reported).

--- a/internal/fleet/slugregistry/registry.go
+++ b/internal/fleet/slugregistry/registry.go
@@ -270,16 +270,21 @@
 		r.missing[name] = r.recovered.Add(reregistrationGrace)
 		return
 	}
-	r.remove(name, old, "its entry is gone", changed)
+	r.removeEnded(name, old, "its entry is gone", changed)
+}
+
+// removeEnded removes an endpoint that has ended; r.mu must be held.
+func (r *Registry) removeEnded(name slugname.Endpoint, old Endpoint, reason string, changed map[slugname.Service]bool) {
+	if !old.Leaving {
+		r.ended = append(r.ended, old)
+	}
+	r.remove(name, old, reason, changed)
 }
 
 // remove deletes an endpoint and logs the reason; r.mu must be held.
 func (r *Registry) remove(name slugname.Endpoint, old Endpoint, reason string, changed map[slugname.Service]bool) {
 	delete(r.endpoints, name)
 	delete(r.missing, name)
-	if !old.Leaving {
-		r.ended = append(r.ended, old)
-	}
 	changed[old.Service] = true
 	r.cfg.Log.Emit(slugevent.EndpointGone, slugevent.Fields{"endpoint": name, "service": old.Service, "reason": reason})
 }
@@ -290,7 +295,7 @@
 		if now.Before(deadline) {
 			continue
 		}
-		r.remove(name, r.endpoints[name], "its entry did not come back", changed)
+		r.removeEnded(name, r.endpoints[name], "its entry did not come back", changed)
 	}
 }
 
--- a/internal/fleet/slugregistry/registry_test.go
+++ b/internal/fleet/slugregistry/registry_test.go
@@ -106,6 +106,16 @@
 	assert.Equal(t, lines(), 3, "a new entry under the same name is logged")
 }
 
+// TestUnreadableEntryIsNoCrash guards against requests that are suspected of having crashed
+// an endpoint whose entry another writer replaced.
+func TestUnreadableEntryIsNoCrash(t *testing.T) {
+	var ended []slugname.Endpoint
+	r := New(Config{Decode: decode, Log: slugevent.Discard(), Ended: func(e Endpoint) { ended = append(ended, e.Name) }})
+	r.Apply([]slugstore.Object{entry("a", `{"service":"x"}`), entry("b", `{"service":"x"}`)})
+	r.Apply([]slugstore.Object{entry("a", `{}`), entry("b", "")})
+	assert.DeepEqual(t, ended, []slugname.Endpoint{"b"})
+}
+
 // TestOutageGivesGraceToMissingEntries guards against dropping healthy endpoints whose
 // entries expired during an outage of the store. Endpoints that were leaving get no grace
 // period, and neither do entries that disappear later.
