Believe a response only with the ID of its request

A refusal without an ID, or with two, was taken for the answer to the request that had just been sent. A faulty endpoint that wrote an earlier refusal once more made hosts say 'not run, try again' of requests that the endpoint was running, and send requests that may run once at most to a second endpoint. In the same way the answer to a prefill without an ID made the cache of another prompt the source of the response.

The ID must be that of the request, and the only one; otherwise the request may have run.

TestOldRefusalIsTakenForAnswer failed before in 4 of 10 cases (503 for a request that was run) and TestHandleOfAnotherRequest for a response without an ID. TestBytesBeforeRequest and TestRefusedConnectionIsNotKept passed before; the second fails if the connection of a refusal is not closed.

--- a/internal/request/slugdispatch/call.go
+++ b/internal/request/slugdispatch/call.go
@@ -60,7 +60,7 @@
 // ResponseHead holds what the status and headers of an endpoint's response say.
 type ResponseHead struct {
 	Status int
-	// ID is the request to which the response belongs.
+	// ID is the request to which the response belongs, empty if it does not name exactly one.
 	ID RequestID
 	// NotRun is set if the endpoint states that it did not run the request.
 	NotRun bool
--- a/internal/request/slugdispatch/plain.go
+++ b/internal/request/slugdispatch/plain.go
@@ -161,17 +161,18 @@
 var errWrongEndpoint = errors.New("a different endpoint responded at the address")
 
 // checkResponse checks that a response is the requested one, and that the endpoint ran
-// the request.
+// the request. A response without the ID of the request may have been sent before it, or
+// for another one, so that it does not even show that the request was not run.
 func (d *dispatch) checkResponse(e *slugsend.Exchange) error {
 	h := d.cfg.Codec.DecodeHead(e.Response)
 	switch {
-	case h.ID != "" && h.ID != d.call.ID:
-		return errWrongRequest
+	case h.ID != d.call.ID:
+		return errors.Wrapf(errWrongRequest, "status %d", h.Status)
 	case h.WrongEndpoint:
 		return errors.Mark(errWrongEndpoint, errNotRun)
 	case h.NotRun:
 		return errors.Wrapf(errNotRun, "status %d", h.Status)
-	case h.ID == "" || !h.Signed:
+	case !h.Signed:
 		return errors.Wrapf(errUnsigned, "status %d", h.Status)
 	}
 	return nil
--- a/internal/request/slugdispatch/stream.go
+++ b/internal/request/slugdispatch/stream.go
@@ -279,8 +279,8 @@
 func (d *dispatch) readHandle(e *slugsend.Exchange) (Handle, error) {
 	head := d.cfg.Codec.DecodeHead(e.Response)
 	switch {
-	case head.ID != "" && head.ID != d.call.ID:
-		return Handle{}, errWrongRequest
+	case head.ID != d.call.ID:
+		return Handle{}, errors.Wrapf(errWrongRequest, "status %d", head.Status)
 	case head.WrongEndpoint:
 		return Handle{}, errors.Mark(errWrongEndpoint, errNotRun)
 	case head.NotRun:
