Continue a stream only with events that show their place in it

A stream that had broken off was continued with whatever the next endpoint sent under status 200. Callers found the text of an error, or a whole head, in the middle of their stream, which then looked complete; a run that began again at the first event was joined to the first one; and a stream without event numbers was sent once more from its start.

After the first events, a response must have the media type of the first one, and each of its events the next number; comments pass. A line that is neither a field nor a comment never passes in a stream of events. Otherwise the next endpoint is tried, or the connection of the caller is aborted. A line longer than the read buffer is taken as one line.

--- a/internal/request/slugdispatch/events.go
+++ b/internal/request/slugdispatch/events.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -21,6 +22,26 @@
 	raw []byte
 	// id is empty if the event has none.
 	id string
+	// comment reports that the event has no fields.
+	comment bool
+	// malformed reports that a line is neither a field nor a comment.
+	malformed bool
+}
+
+// addLine takes over what a line of the event says.
+func (e *event) addLine(line []byte) {
+	name, value, _ := bytes.Cut(line, []byte(":"))
+	switch {
+	case len(name) == 0:
+		return
+	case string(name) == "id":
+		e.id = string(bytes.TrimSpace(value))
+	case bytes.ContainsFunc(name, func(r rune) bool { return r != '-' && (r < 'a' || r > 'z') && (r < '0' || r > '9') }):
+		e.malformed = true
+	case len(name) == len(line) && !bytes.Equal(name, []byte("data")):
+		e.malformed = true
+	}
+	e.comment = false
 }
 
 // eventReader splits a stream into server-sent events.
@@ -33,10 +54,12 @@
 // next returns the next complete event. It returns io.EOF at the end of the stream, and
 // io.ErrUnexpectedEOF if the stream ends inside an event.
 func (r *eventReader) next() (event, error) {
-	var e event
+	e := event{comment: true}
+	var line []byte
 	for {
-		line, err := r.buf.ReadSlice('\n')
-		e.raw = append(e.raw, line...)
+		part, err := r.buf.ReadSlice('\n')
+		e.raw = append(e.raw, part...)
+		line = append(line, part...)
 		if errors.Is(err, bufio.ErrBufferFull) && len(e.raw) <= maxEventBytes {
 			continue
 		}
@@ -52,9 +75,8 @@
 		if len(line) == 0 {
 			return e, nil
 		}
-		if id, ok := bytes.CutPrefix(line, []byte("id:")); ok {
-			e.id = string(bytes.TrimSpace(id))
-		}
+		e.addLine(line)
+		line = line[:0]
 	}
 }
 
@@ -67,6 +89,10 @@
 	if e.Response.StatusCode != http.StatusOK {
 		return d.relayErrorResponse(e)
 	}
+	if d.headerWritten && !sameFormat(e.Response.Header, d.w.Header()) {
+		return errors.Wrapf(errForeignEvent, "content type %q", e.Response.Header.Get("Content-Type"))
+	}
+	from := resumption{d.headerWritten, d.lastEvent, mediaType(e.Response.Header) == eventStream}
 	events := eventReader{bufio.NewReader(e.Response.Body)}
 	for {
 		ev, err := events.next()
@@ -79,12 +105,26 @@
 		w.Event()
 		c.Event(time.Now())
 		d.countStart()
-		if err := d.relayEvent(e, ev); err != nil {
+		if err := d.relayEvent(e, ev, from); err != nil {
 			return err
 		}
 	}
 }
 
+// eventStream is the media type of a stream of server-sent events.
+const eventStream = "text/event-stream"
+
+// sameFormat reports whether two responses have the same media type and encoding.
+func sameFormat(a, b http.Header) bool {
+	return mediaType(a) == mediaType(b) && a.Get("Content-Encoding") == b.Get("Content-Encoding")
+}
+
+// mediaType returns the media type of a response without its parameters.
+func mediaType(h http.Header) string {
+	name, _, _ := strings.Cut(h.Get("Content-Type"), ";")
+	return strings.ToLower(strings.TrimSpace(name))
+}
+
 // finishStream completes a response. If there was no event, it still writes the header,
 // unless the response ended with its connection: then nothing shows that it is complete.
 func (d *dispatch) finishStream(e *slugsend.Exchange) error {
@@ -107,8 +147,43 @@
 // a gap.
 var errMissingEvents = errors.New("gap in the event numbers")
 
+// errForeignEvent means that a response contains something other than events of the stream,
+// which the caller must not find in it.
+var errForeignEvent = errors.New("response is not part of the stream")
+
+// resumption says where a response takes up a stream.
+type resumption struct {
+	// within is set if another response has begun the stream.
+	within bool
+	// after is the ID of the last event before the response.
+	after string
+	// declared is set if the response is declared to be a stream of events.
+	declared bool
+}
+
+// check rejects an event that does not belong to the stream. Within a stream each event must
+// show its place, since an error text could be joined to it otherwise.
+func (r resumption) check(ev event) error {
+	id, hasID := eventNumber(ev.id)
+	after, _ := eventNumber(r.after)
+	switch {
+	case ev.malformed && (r.within || r.declared):
+		return errors.Wrap(errForeignEvent, "malformed event")
+	case !r.within || ev.comment:
+		return nil
+	case !hasID:
+		return errors.Wrapf(errForeignEvent, "event with ID %q", ev.id)
+	case id <= after:
+		return errors.Wrapf(errForeignEvent, "event %d after %d, of another run", id, after)
+	}
+	return nil
+}
+
 // relayEvent sends one event to the caller, unless the caller already has it.
-func (d *dispatch) relayEvent(e *slugsend.Exchange, ev event) error {
+func (d *dispatch) relayEvent(e *slugsend.Exchange, ev event, from resumption) error {
+	if err := from.check(ev); err != nil {
+		return err
+	}
 	last, hadLast := eventNumber(d.lastEvent)
 	id, hasID := eventNumber(ev.id)
 	switch {
--- a/internal/request/slugdispatch/stream.go
+++ b/internal/request/slugdispatch/stream.go
@@ -392,13 +392,20 @@
 	}
 	d.possibleRuns++
 	d.exclude(c.Name)
-	if !d.route.Idempotent() || d.possibleRuns >= d.route.MaxAttempts {
+	if !d.route.Idempotent() || d.possibleRuns >= d.route.MaxAttempts || !d.resumable() {
 		return noRetry(err)
 	}
 	d.cfg.Log.Emit(slugevent.StreamContinued, slugevent.Fields{"request": d.call.ID, "after": d.lastEvent, "endpoint": c.Name, "reason": context.Cause(ctx)})
 	return err
 }
 
+// resumable reports whether the next response can go on where the last one ended: nothing
+// was relayed yet, or the last event has a number.
+func (d *dispatch) resumable() bool {
+	_, numbered := eventNumber(d.lastEvent)
+	return !d.headerWritten || numbered
+}
+
 // releaseCache deletes, in the background, a KV cache that will not be used.
 func (d *dispatch) releaseCache(prefilled *prefillResult) {
 	if prefilled == nil {
