Keep events without an id out of the next event

On the product's own interface the data of an event without an id became part of the next event, and several data lines were joined without a newline: an error event of an engine ended up inside a token of its caller.

Events without an id are skipped; data lines are joined by newlines, and written to the caller as several lines of one event.

--- a/internal/connection/slugstream/reader.go
+++ b/internal/connection/slugstream/reader.go
@@ -105,10 +105,10 @@
 	}
 }
 
-// readEvent reads one event into r.data and returns its sequence number. A block
-// without an id doesn't end the event; its data becomes part of the next one.
+// readEvent reads one event into r.data and returns its sequence number. It skips events
+// without an id, which cannot be ascribed to the request.
 func (r *Reader) readEvent() (int, error) {
-	sequence := 0
+	sequence, lines := 0, 0
 	r.data = r.data[:0]
 	for {
 		line, err := r.readLine()
@@ -120,6 +120,7 @@
 			if sequence > 0 {
 				return sequence, nil
 			}
+			lines, r.data = 0, r.data[:0]
 		case bytes.HasPrefix(line, idField):
 			if sequence, err = r.parseID(line[len(idField):]); err != nil {
 				return 0, err
@@ -128,6 +129,9 @@
 			if len(r.data)+len(line) > MaxEventBytes {
 				return 0, ErrTooLong
 			}
+			if lines++; lines > 1 {
+				r.data = append(r.data, '\n')
+			}
 			r.data = append(r.data, line[len(dataField):]...)
 		}
 	}
--- a/internal/request/slugrelay/writer.go
+++ b/internal/request/slugrelay/writer.go
@@ -57,6 +57,7 @@
 
 var (
 	dataPrefix       = []byte("data: ")
+	lineEnd          = []byte("\n")
 	eventEnd         = []byte("\n\n")
 	keepAliveComment = []byte(": keep-alive\n\n")
 	doneEvent        = []byte("data: [DONE]\n\n")
@@ -78,9 +79,12 @@
 		return nil
 	}
 	rw.start()
-	rw.write(dataPrefix)
-	rw.write(payload)
-	rw.write(eventEnd)
+	for line := range bytes.SplitSeq(payload, lineEnd) {
+		rw.write(dataPrefix)
+		rw.write(line)
+		rw.write(lineEnd)
+	}
+	rw.write(lineEnd)
 	if bytes.Contains(payload, usageField) {
 		rw.lastEvent = append(rw.lastEvent[:0], payload...)
 	}
