--- a/internal/base/slugstore/backend.go
+++ b/internal/base/slugstore/backend.go
@@ -36,16 +36,21 @@
 // concurrent use. They return ErrConflict or ErrCompacted if the store's response says so,
 // and ErrUnavailable if there is no usable response.
 type Backend struct {
-	// Get reads an object. Value.Bytes is nil if it does not exist.
+	// Get reads an object. Value.Bytes is nil if it does not exist; Value.Version then holds
+	// the era, and the revision if the store reports one.
 	Get func(ctx context.Context, name string) (Value, error)
 	// Write creates (expected is 0), replaces or deletes (value is nil) an object if its
-	// current version equals expected.
+	// current version equals expected. It returns the new version, or the era with revision 0
+	// if the store reports no revision.
 	Write func(ctx context.Context, name string, expected Version, value []byte) (Version, error)
 	// List reads all objects whose names start with prefix.
 	List func(ctx context.Context, prefix string) (Listing, error)
 	// Watch waits for changes after a version. A listing without values means that there
 	// was no change within wait.
 	Watch func(ctx context.Context, prefix string, after Version, wait time.Duration) (Listing, error)
+	// Era returns the newest era that any response has shown, and false before the first
+	// one; nil means that the store is never restored from a copy.
+	Era func() (Era, bool)
 }
 
 // maxResponseBytes limits how much of a response is read.
--- a/internal/base/slugstore/store.go
+++ b/internal/base/slugstore/store.go
@@ -5,6 +5,10 @@
 // id, the write has taken effect. Reads that return an older version than an earlier read
 // are rejected.
 //
+// The store may be restored from a copy, which starts a new Era. A version that was read in
+// an older era says nothing about the object in the new one: a write that expects it is a
+// conflict, and the caller has to read the object again.
+//
 // # Usage
 //
 //	s := slugstore.New(slugstore.Config{BaseURL: "http://127.0.0.1:7000", Do: client.Do})
@@ -26,7 +30,8 @@
 	"github.com/sassafraslug/sassafraslug/internal/base/slugfault"
 )
 
-// Version is the version of a stored object; 0 means that it does not exist.
+// Version is the version of a stored object; 0 means that it does not exist. It holds the
+// era of the store and the revision within the era.
 type Version uint64
 
 // ChangeID identifies one write.
@@ -99,6 +104,8 @@
 	NewChangeID func() ChangeID
 	// Counts receives the number of calls by duty and kind of call; it may be nil.
 	Counts *expvar.Map
+	// EraChanged is called once for each new era after the first one; it may be nil.
+	EraChanged func(previous, current Era)
 }
 
 // Store is a client of the object store. It is safe for concurrent use.
@@ -121,6 +128,8 @@
 	// lastResponse is the time of the last usable response, and lastFailure that of the
 	// last call without one.
 	lastResponse, lastFailure time.Time
+	// current is the newest era of the store.
+	current eraState
 }
 
 // New returns a Store.
@@ -171,6 +180,9 @@
 	defer cancel()
 	s.countCall("get")
 	v, err := s.cfg.Backend.Get(ctx, name)
+	if err == nil {
+		err = s.observeEra(v.Version.Era())
+	}
 	s.recordOutcome(err)
 	if err != nil {
 		return Object{}, err
@@ -206,8 +218,8 @@
 
 // Put writes body as the object's value if the object's current version equals expected,
 // which is 0 for a new object. It returns the new version. It returns ErrConflict if
-// another write came first or the store refused the value, and ErrUnknown if ctx ended or
-// the retries were used up before the outcome was known.
+// another write came first, if the store refused the value, or if expected is from an older
+// era, and ErrUnknown if ctx ended or the retries were used up before the outcome was known.
 func (s *Store) Put(ctx context.Context, name string, expected Version, body any) (Version, error) {
 	return s.PutChange(ctx, name, expected, body, s.cfg.NewChangeID())
 }
@@ -237,6 +249,14 @@
 	var version Version
 	sent := false
 	err := s.retry(ctx, func() error {
+		if era := s.Era(); expected != 0 && expected.Era() < era {
+			// The store could have given the revision out again, for another value.
+			err := errors.Wrapf(ErrConflict, "version %d of era %d, store is in era %d", expected.Revision(), expected.Era(), era)
+			if sent {
+				version, err = s.resolveWrite(ctx, name, expected, id, err)
+			}
+			return err
+		}
 		var err error
 		version, err = s.writeOnce(ctx, name, expected, value)
 		if err == nil {
@@ -261,11 +281,17 @@
 	defer cancel()
 	s.countCall("put")
 	v, err := s.cfg.Backend.Write(ctx, name, expected, value)
+	if err == nil {
+		err = s.observeEra(v.Era())
+	}
 	s.recordOutcome(err)
 	if err != nil {
 		return 0, err
 	}
 	s.advanceVersion(name, v)
+	if value == nil {
+		return 0, nil
+	}
 	return v, nil
 }
 
@@ -308,6 +334,7 @@
 
 // recordOutcome records when a call got a usable response or failed.
 func (s *Store) recordOutcome(err error) {
+	s.observeBackend()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if err == nil || errors.Is(err, ErrConflict) || errors.Is(err, ErrCompacted) {
--- a/internal/base/slugstore/watch.go
+++ b/internal/base/slugstore/watch.go
@@ -31,6 +31,9 @@
 	defer cancel()
 	s.countCall("list")
 	l, err := s.cfg.Backend.List(ctx, prefix)
+	if err == nil {
+		err = s.observeEra(l.Revision.Era())
+	}
 	s.recordOutcome(err)
 	return l, err
 }
@@ -188,6 +191,9 @@
 	if err != nil {
 		return nil, changes.CurrentAt, err
 	}
+	if err := s.observeEra(changes.Revision.Era()); err != nil {
+		return nil, changes.CurrentAt, err
+	}
 	if changes.Revision < x.revision {
 		return nil, changes.CurrentAt, errors.Wrapf(ErrStale, "revision %d after %d", changes.Revision, x.revision)
 	}
@@ -227,7 +233,7 @@
 		return source.Follow(ctx, x.Prefix, x.revision, wait)
 	case source != nil:
 		return source.Follow(ctx, x.Prefix, 0, wait)
-	case x.synced:
+	case x.synced && x.revision.Era() == s.Era():
 		return s.watchStore(ctx, x, wait)
 	}
 	changes := Changes{Complete: true, CurrentAt: slugclock.Now()}
@@ -244,6 +250,11 @@
 	s.countCall("watch")
 	var err error
 	changes.Listing, err = s.cfg.Backend.Watch(ctx, x.Prefix, x.revision, wait)
+	if err == nil && changes.Revision.Era() > x.revision.Era() {
+		// The store gives revisions out again: changes since the same revision of an older
+		// era aren't all changes.
+		err = errors.Wrapf(ErrCompacted, "era %d after %d", changes.Revision.Era(), x.revision.Era())
+	}
 	if errors.Is(err, ErrCompacted) {
 		x.synced = false
 	}
