Log restores of the store, and responses that are ignored as older

Event 113 now tells that the store was restored, with both eras and the configuration in effect; event 207, which nothing emitted, tells that a response was ignored as older.

--- a/internal/base/slugevent/event.go
+++ b/internal/base/slugevent/event.go
@@ -30,6 +30,7 @@
 	SettingsReloaded
 	SettingsUnusable
 	LinesDropped
+	StoreRestored
 )
 
 // Events of configuration and membership, 200 to 299.
@@ -112,6 +113,7 @@
 	SettingsReloaded:        {logrus.InfoLevel, "settings reloaded", "none"},
 	SettingsUnusable:        {logrus.ErrorLevel, "settings cannot be used", "fix the settings named in the error; the previous ones stay in use"},
 	LinesDropped:            {logrus.WarnLevel, "log lines dropped", "none; the fields give the number of lines dropped per event by the rate limit, and in unread those dropped because the log output was blocked"},
+	StoreRestored:           {logrus.WarnLevel, "platform store was restored from a copy", "none, if the restore was planned; requests continue with the configuration in effect, and what the copy lacks is written again: check that the newest configuration is in the store"},
 	ConfigurationInForce:    {logrus.InfoLevel, "configuration is in effect", "none"},
 	ConfigurationUnreadable: {logrus.ErrorLevel, "configuration cannot be read", "apply a corrected manifest; the previous revision stays in effect"},
 	ConfigurationApplied:    {logrus.InfoLevel, "configuration applied", "none"},
--- a/internal/daemon/slughost/join.go
+++ b/internal/daemon/slughost/join.go
@@ -86,7 +86,12 @@
 	h.metrics.Set("storeCalls", counts)
 	h.storeClient = &http.Client{Transport: &http.Transport{DialContext: h.network.DialWithin(dialTimeout), MaxIdleConnsPerHost: storeIdleConnections}}
 	address := hostPort(h.settings.PlatformAddress)
-	h.store = slugstore.New(slugstore.Config{BaseURL: address, Backend: h.adapter.Store(address, h.storeClient.Do), Counts: counts})
+	h.store = slugstore.New(slugstore.Config{
+		BaseURL: address, Backend: h.adapter.Store(address, h.storeClient.Do), Counts: counts,
+		EraChanged: func(previous, current slugstore.Era) {
+			h.log.Emit(slugevent.StoreRestored, slugevent.Fields{"previousEra": previous, "era": current, "configuration": h.follower.Version()})
+		},
+	})
 }
 
 // newRecord returns the membership record of this process.
--- a/internal/fleet/slugregistry/registry.go
+++ b/internal/fleet/slugregistry/registry.go
@@ -18,6 +18,7 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugevent"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugname"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugstore"
@@ -151,7 +152,10 @@
 }
 
 // WatchFailed records a failed call to the store.
-func (r *Registry) WatchFailed(error) {
+func (r *Registry) WatchFailed(err error) {
+	if errors.Is(err, slugstore.ErrStale) {
+		r.cfg.Log.Error(slugevent.StaleReadIgnored, err, nil)
+	}
 	othersAnswered := r.cfg.StoreAnswersOthers()
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/membership/slugconfigfollower/follower.go
+++ b/internal/membership/slugconfigfollower/follower.go
@@ -129,6 +129,9 @@
 // watchFailed handles a failed watch call. Failures of a peer that shares its watch say
 // nothing about the store.
 func (f *Follower) watchFailed(err error) {
+	if errors.Is(err, slugstore.ErrStale) {
+		f.cfg.Log.Error(slugevent.StaleReadIgnored, err, slugevent.Fields{"inForce": f.Version(), "era": f.cfg.Store.Era()})
+	}
 	if !errors.Is(err, slugstore.ErrSourceUnavailable) {
 		f.setStoreAnswers(false, err)
 	}
