--- a/internal/base/slugstore/watch.go
+++ b/internal/base/slugstore/watch.go
@@ -194,8 +194,8 @@
 	if err := s.observeEra(changes.Revision.Era()); err != nil {
 		return nil, changes.CurrentAt, err
 	}
-	if changes.Revision < x.revision {
-		return nil, changes.CurrentAt, errors.Wrapf(ErrStale, "revision %d after %d", changes.Revision, x.revision)
+	if err := x.checkRevision(changes); err != nil {
+		return nil, changes.CurrentAt, err
 	}
 	f := decode
 	if x.NoEnvelope {
@@ -215,6 +215,14 @@
 	return objects, changes.CurrentAt, err
 }
 
+// checkRevision returns ErrStale if a response is older than an earlier one.
+func (x *watch) checkRevision(changes Changes) error {
+	if changes.Revision < x.revision {
+		return errors.Wrapf(ErrStale, "revision %d after %d", changes.Revision, x.revision)
+	}
+	return nil
+}
+
 // fetchUpdate calls the store, or the source that is used instead.
 func (s *Store) fetchUpdate(ctx context.Context, x *watch) (Changes, error) {
 	wait := x.wait()
@@ -239,6 +247,11 @@
 	changes := Changes{Complete: true, CurrentAt: slugclock.Now()}
 	var err error
 	changes.Listing, err = s.list(ctx, x.Prefix)
+	if err == nil {
+		if err = x.checkRevision(changes); err != nil {
+			s.recordOutcome(err)
+		}
+	}
 	return changes, err
 }
 
@@ -255,6 +268,9 @@
 		// era aren't all changes.
 		err = errors.Wrapf(ErrCompacted, "era %d after %d", changes.Revision.Era(), x.revision.Era())
 	}
+	if err == nil {
+		err = x.checkRevision(changes)
+	}
 	if errors.Is(err, ErrCompacted) {
 		x.synced = false
 	}
