Keep what is known of endpoints when the store is restored from a copy

The registry took the entries of the copy for news. An incarnation that was seen leaving now stays so, and one that was gone takes requests only after it writes another entry, or if the store keeps the entry although it removes those of silent endpoints. Entries that the copy lacks, or has in an older incarnation, get the grace period that follows an outage.

--- a/internal/daemon/slughost/join.go
+++ b/internal/daemon/slughost/join.go
@@ -50,7 +50,7 @@
 		InForce:  h.configChanged, Log: h.log, Wait: h.configWait(),
 		SharedWatch: h.sharedWatches.SharedWatch(h.adapter.ConfigName, h.configWait()),
 	})
-	h.registry = slugregistry.New(slugregistry.Config{Decode: h.adapter.DecodeEntry, Changed: h.updatePlacers, StoreAnswersOthers: h.storeReachable, Ended: h.endpointEnded, Log: h.log})
+	h.registry = slugregistry.New(slugregistry.Config{Decode: h.adapter.DecodeEntry, Changed: h.updatePlacers, StoreAnswersOthers: h.storeReachable, Era: h.store.Era, Ended: h.endpointEnded, Log: h.log})
 	h.clock = slugpeerclock.New()
 	h.table = slugpeer.New(slugpeer.Config{
 		Clock: h.clock.OwnTime, ClockReported: h.clock.AddSample,
--- a/internal/fleet/slugregistry/registry.go
+++ b/internal/fleet/slugregistry/registry.go
@@ -2,7 +2,8 @@
 //
 // An endpoint is removed as soon as its entry disappears, except shortly after an outage
 // of the store. Entries that expired during the outage are usually written again, so their
-// endpoints are kept for a grace period.
+// endpoints are kept for a grace period. The same holds after the store was restored from a
+// copy. An endpoint that was seen leaving or gone doesn't come back with the copy.
 //
 // # Usage
 //
@@ -60,7 +61,9 @@
 	// failed call only means that this process is cut off from the store, and entries that
 	// disappear did not expire in an outage. A nil function reports false.
 	StoreAnswersOthers func() bool
-	Log                *slugevent.Log
+	// Era returns the era of the store; nil means that it is never restored from a copy.
+	Era func() slugstore.Era
+	Log *slugevent.Log
 }
 
 const (
@@ -94,6 +97,12 @@
 	synced bool
 	// ended holds the endpoints to be passed to Config.Ended.
 	ended []Endpoint
+	// era is the era of the last response.
+	era slugstore.Era
+	// departures holds the endpoints that were seen leaving or gone, and copied the entries
+	// of those that were gone and came back with a copy.
+	departures map[slugname.Endpoint]departure
+	copied     map[slugname.Endpoint]copiedEntry
 }
 
 // New returns an empty Registry.
@@ -107,9 +116,12 @@
 	if cfg.StoreAnswersOthers == nil {
 		cfg.StoreAnswersOthers = func() bool { return false }
 	}
+	if cfg.Era == nil {
+		cfg.Era = func() slugstore.Era { return 0 }
+	}
 	return &Registry{
 		cfg: cfg, endpoints: map[slugname.Endpoint]Endpoint{}, services: map[slugname.Service][]Endpoint{},
-		missing: map[slugname.Endpoint]time.Time{},
+		missing: map[slugname.Endpoint]time.Time{}, departures: map[slugname.Endpoint]departure{}, copied: map[slugname.Endpoint]copiedEntry{},
 	}
 }
 
@@ -170,12 +182,13 @@
 	now := time.Now()
 	changed := map[slugname.Service]bool{}
 	r.mu.Lock()
+	restored := r.observeEra(objects, now)
 	r.synced = true
 	if r.failing {
 		r.failing, r.recovered = false, now
 	}
 	for _, o := range objects {
-		r.applyEntry(o, now, changed)
+		r.applyEntry(o, restored, now, changed)
 	}
 	r.finish(now, changed)
 }
@@ -184,6 +197,7 @@
 // and notifies. It unlocks r.mu, which must be held.
 func (r *Registry) finish(now time.Time, changed map[slugname.Service]bool) {
 	r.removeExpired(now, changed)
+	r.expireDepartures(now, changed)
 	r.rebuildIndex(changed)
 	ended := r.ended
 	r.ended = nil
@@ -222,8 +236,9 @@
 	return slugname.Endpoint(name)
 }
 
-// applyEntry applies one entry; r.mu must be held.
-func (r *Registry) applyEntry(o slugstore.Object, now time.Time, changed map[slugname.Service]bool) {
+// applyEntry applies one entry. restored reports that it may be from the copy from which the
+// store was restored; r.mu must be held.
+func (r *Registry) applyEntry(o slugstore.Object, restored bool, now time.Time, changed map[slugname.Service]bool) {
 	name := nameOf(o)
 	old, known := r.endpoints[name]
 	if o.Body == nil {
@@ -236,10 +251,16 @@
 	if err != nil {
 		r.cfg.Log.Error(slugevent.EndpointUnreadable, err, slugevent.Fields{"endpoint": name, "version": o.Version})
 		if known {
-			r.remove(name, old, "its entry cannot be read", changed)
+			r.remove(name, old, "its entry cannot be read", now, changed)
 		}
 		return
 	}
+	if restored && known && e.Incarnation < old.Incarnation {
+		// The endpoint has started again since the copy was made.
+		r.entryRemoved(name, old, now, changed)
+		return
+	}
+	e = r.applyDeparture(e, o.Version, restored, now)
 	delete(r.missing, name)
 	if known && old == e {
 		return
@@ -249,15 +270,20 @@
 	if known && old.Service != e.Service {
 		changed[old.Service] = true
 	}
-	r.cfg.Log.Emit(slugevent.EndpointChanged, slugevent.Fields{
-		"endpoint": name, "service": e.Service, "dataCentre": e.DataCentre, "address": e.Address, "role": e.Role,
-		"leaving": e.Leaving, "cheap": e.Cheap, "incarnation": e.Incarnation, "version": o.Version,
-	})
+	r.logChange(e, o.Version)
 	if known && !old.Leaving && old.Incarnation != e.Incarnation {
 		r.ended = append(r.ended, old)
 	}
 }
 
+// logChange logs the new registration of an endpoint.
+func (r *Registry) logChange(e Endpoint, version slugstore.Version) {
+	r.cfg.Log.Emit(slugevent.EndpointChanged, slugevent.Fields{
+		"endpoint": e.Name, "service": e.Service, "dataCentre": e.DataCentre, "address": e.Address, "role": e.Role,
+		"leaving": e.Leaving, "cheap": e.Cheap, "incarnation": e.Incarnation, "version": version,
+	})
+}
+
 // entryRemoved removes an endpoint whose entry disappeared, or starts its grace period if
 // the entry may have expired in an outage; r.mu must be held.
 func (r *Registry) entryRemoved(name slugname.Endpoint, old Endpoint, now time.Time, changed map[slugname.Service]bool) {
@@ -266,11 +292,12 @@
 		r.missing[name] = r.recovered.Add(reregistrationGrace)
 		return
 	}
-	r.remove(name, old, "its entry is gone", changed)
+	r.remove(name, old, "its entry is gone", now, changed)
 }
 
 // remove deletes an endpoint and logs the reason; r.mu must be held.
-func (r *Registry) remove(name slugname.Endpoint, old Endpoint, reason string, changed map[slugname.Service]bool) {
+func (r *Registry) remove(name slugname.Endpoint, old Endpoint, reason string, now time.Time, changed map[slugname.Service]bool) {
+	r.recordRemoval(old, now)
 	delete(r.endpoints, name)
 	delete(r.missing, name)
 	if !old.Leaving {
@@ -286,7 +313,7 @@
 		if now.Before(deadline) {
 			continue
 		}
-		r.remove(name, r.endpoints[name], "its entry did not come back", changed)
+		r.remove(name, r.endpoints[name], "its entry did not come back", now, changed)
 	}
 }
 
