Keep processes known that the copy of the store lacks

Hosts started after the copy was made fell out of the lookups and of the peers of all others when the store was restored, and stayed unknown for good: the membership record is written once, at the start.

A process now writes its record again when the store has lost it, also when another process removed it, and replaces one that exists under its name. The others keep a process that the copy lacks for 15 s.

--- a/internal/daemon/slughost/join.go
+++ b/internal/daemon/slughost/join.go
@@ -151,16 +151,19 @@
 	return nil
 }
 
-// publish writes the membership record, retrying until the store accepts it or ctx is
-// cancelled.
+// publish keeps the membership record in the store until ctx is cancelled: it writes it at
+// the start, and again after the store has lost it.
 func (h *Host) publish(ctx context.Context) error {
-	for {
-		err := h.member.Publish(ctx)
-		if err == nil || ctx.Err() != nil {
-			break
+	for ctx.Err() == nil {
+		if err := h.member.Publish(ctx); err != nil {
+			h.log.Error(slugevent.StoreUnavailable, err, slugevent.Fields{"step": "publish record"})
+			_ = slugbackoff.Sleep(ctx, publishRetryInterval)
+			continue
+		}
+		select {
+		case <-h.member.Lost():
+		case <-ctx.Done():
 		}
-		h.log.Error(slugevent.StoreUnavailable, err, nil)
-		_ = slugbackoff.Sleep(ctx, publishRetryInterval)
 	}
 	return nil
 }
--- a/internal/membership/slugmember/record.go
+++ b/internal/membership/slugmember/record.go
@@ -1,5 +1,7 @@
 // Package slugmember keeps the list of the processes of the system. Each process publishes
 // a record in the platform's store when it starts, and follows the records of the others.
+// After the store was restored from a copy, each process whose record is missing writes it
+// again, and the others keep it meanwhile.
 //
 // # Usage
 //
@@ -90,23 +92,50 @@
 	mu       sync.Mutex
 	records  map[slugname.Process]Record
 	versions map[slugname.Process]slugstore.Version
+	// missing maps processes that the copy lacks to the time until which they are kept.
+	missing map[slugname.Process]time.Time
+	// era is the era of the last response.
+	era slugstore.Era
+	// withdrawn reports that the record of this process has been withdrawn.
+	withdrawn bool
+	// lost holds at most one value.
+	lost chan struct{}
 }
 
+// missingGrace is how long a process is kept whose record the store lacks after it was
+// restored from a copy, so that the process can write it again.
+const missingGrace = 15 * time.Second
+
 // New returns a Member that knows only this process.
 func New(cfg Config) *Member {
 	return &Member{
 		cfg:      cfg,
 		records:  map[slugname.Process]Record{cfg.Self.Process: cfg.Self},
 		versions: map[slugname.Process]slugstore.Version{},
+		missing:  map[slugname.Process]time.Time{},
+		lost:     make(chan struct{}, 1),
 	}
 }
 
 // Self returns the record of this process.
 func (m *Member) Self() Record { return m.cfg.Self }
 
-// Publish writes the record of this process to the store.
+// Publish writes the record of this process to the store, unless it has been withdrawn.
 func (m *Member) Publish(ctx context.Context) error {
-	version, err := m.cfg.Store.Put(ctx, Prefix+string(m.cfg.Self.Process), 0, m.cfg.Self)
+	m.mu.Lock()
+	withdrawn := m.withdrawn
+	m.mu.Unlock()
+	if withdrawn {
+		return nil
+	}
+	name := Prefix + string(m.cfg.Self.Process)
+	version, err := m.cfg.Store.Put(ctx, name, 0, m.cfg.Self)
+	if errors.Is(err, slugstore.ErrConflict) {
+		var o slugstore.Object
+		if o, err = m.cfg.Store.Get(ctx, name); err == nil {
+			version, err = m.cfg.Store.Put(ctx, name, o.Version, m.cfg.Self)
+		}
+	}
 	if err != nil {
 		return err
 	}
@@ -116,8 +145,15 @@
 	return nil
 }
 
+// Lost returns a channel that receives a value after the store has lost the record of this
+// process, which must then be published again.
+func (m *Member) Lost() <-chan struct{} { return m.lost }
+
 // Withdraw removes the record of this process from the store.
 func (m *Member) Withdraw(ctx context.Context) error {
+	m.mu.Lock()
+	m.withdrawn = true
+	m.mu.Unlock()
 	return m.Remove(ctx, m.cfg.Self.Process)
 }
 
@@ -145,32 +181,90 @@
 
 // changed applies changed and removed records.
 func (m *Member) changed(objects []slugstore.Object) {
-	for _, o := range objects {
-		m.applyRecord(o)
-	}
-	if len(objects) > 0 && m.cfg.Changed != nil {
+	if m.apply(objects, time.Now()) && m.cfg.Changed != nil {
 		m.cfg.Changed()
 	}
 }
 
-// applyRecord applies one changed or removed record. The record of this process is never
-// removed, and unreadable records are ignored.
-func (m *Member) applyRecord(o slugstore.Object) {
-	p := slugname.Process(strings.TrimPrefix(o.Name, Prefix))
+// apply applies a response of the store, and reports whether it may have changed a record.
+func (m *Member) apply(objects []slugstore.Object, now time.Time) (changed bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if o.Body == nil {
-		if p != m.cfg.Self.Process {
-			delete(m.records, p)
-			delete(m.versions, p)
+	era := m.eraOf(objects)
+	restored := era > m.era
+	m.era = max(m.era, era)
+	for _, o := range objects {
+		m.applyRecord(o, restored, now)
+	}
+	if v, published := m.versions[m.cfg.Self.Process]; published && restored && v.Era() < era {
+		m.reportLost()
+	}
+	return m.expireMissing(now) || len(objects) > 0
+}
+
+// eraOf returns the era of a response; m.mu must be held. Records that a list lacks have no
+// version, so a list without any record is taken to be of the newest era.
+func (m *Member) eraOf(objects []slugstore.Object) slugstore.Era {
+	for _, o := range objects {
+		if o.Version != 0 {
+			return o.Version.Era()
 		}
+	}
+	if len(objects) > 0 {
+		return m.cfg.Store.Era()
+	}
+	return m.era
+}
+
+// applyRecord applies one changed or removed record; m.mu must be held. Unreadable records
+// are ignored. restored reports that the response is the first one since the store was
+// restored from a copy, in which records of live processes may be missing.
+func (m *Member) applyRecord(o slugstore.Object, restored bool, now time.Time) {
+	p := slugname.Process(strings.TrimPrefix(o.Name, Prefix))
+	switch {
+	case o.Body != nil:
+		var r Record
+		if o.Decode(&r) == nil {
+			m.records[p], m.versions[p] = r, o.Version
+			delete(m.missing, p)
+		}
+	case p == m.cfg.Self.Process:
+		m.reportLost()
+	case restored:
+		m.missing[p] = now.Add(missingGrace)
+	default:
+		m.remove(p)
+	}
+}
+
+// remove removes the record of another process; m.mu must be held.
+func (m *Member) remove(p slugname.Process) {
+	delete(m.records, p)
+	delete(m.versions, p)
+	delete(m.missing, p)
+}
+
+// reportLost reports that the store has lost the record of this process; m.mu must be held.
+func (m *Member) reportLost() {
+	if m.withdrawn {
 		return
 	}
-	var r Record
-	if o.Decode(&r) == nil {
-		m.records[p] = r
-		m.versions[p] = o.Version
+	select {
+	case m.lost <- struct{}{}:
+	default:
+	}
+}
+
+// expireMissing removes the processes that have not written their records again, and reports
+// whether there were any; m.mu must be held.
+func (m *Member) expireMissing(now time.Time) (expired bool) {
+	for p, until := range m.missing {
+		if !now.Before(until) {
+			m.remove(p)
+			expired = true
+		}
 	}
+	return expired
 }
 
 // Records returns the records of all known processes, ordered by process name. This
