--- a/internal/base/slugstore/era.go
+++ b/internal/base/slugstore/era.go
@@ -83,3 +83,31 @@
 		_ = s.observeEra(e)
 	}
 }
+
+// EraTracker finds out for a watcher whether the store was restored between two responses.
+// Its zero value is ready for use. It is not safe for concurrent use.
+type EraTracker struct {
+	era   Era
+	known bool
+}
+
+// Restored reports whether the store was restored from a copy since the last call, so that
+// objects are those of the copy, together with all removals that it has caused. newest is
+// the newest era of the store.
+func (t *EraTracker) Restored(objects []Object, newest Era) bool {
+	if len(objects) == 0 {
+		return false
+	}
+	era := newest
+	// An object that a list lacks has no version. A list without any object is taken to be
+	// of the newest era.
+	for _, o := range objects {
+		if o.Version != 0 {
+			era = o.Version.Era()
+			break
+		}
+	}
+	restored := t.known && era > t.era
+	t.era, t.known = max(t.era, era), true
+	return restored
+}
--- a/internal/fleet/slugregistry/departure.go
+++ b/internal/fleet/slugregistry/departure.go
@@ -31,32 +31,6 @@
 	until   time.Time
 }
 
-// observeEra starts the grace period if the store was restored since the last response, and
-// reports whether the entries of this response are those of the copy; r.mu must be held.
-func (r *Registry) observeEra(objects []slugstore.Object, now time.Time) (restored bool) {
-	era := r.eraOf(objects)
-	restored = r.synced && era > r.era
-	r.era = max(r.era, era)
-	if restored {
-		r.lastOutage, r.recovered = now, now
-	}
-	return restored
-}
-
-// eraOf returns the era of a response. Objects that a list lacks have no version, so a list
-// without any object is taken to be of the newest era.
-func (r *Registry) eraOf(objects []slugstore.Object) slugstore.Era {
-	for _, o := range objects {
-		if o.Version != 0 {
-			return o.Version.Era()
-		}
-	}
-	if len(objects) > 0 {
-		return r.cfg.Era()
-	}
-	return r.era
-}
-
 // applyDeparture makes an entry leaving if its endpoint was seen leaving or gone, unless the
 // endpoint has started or registered again since; r.mu must be held.
 func (r *Registry) applyDeparture(e Endpoint, version slugstore.Version, restored bool, now time.Time) Endpoint {
--- a/internal/fleet/slugregistry/registry.go
+++ b/internal/fleet/slugregistry/registry.go
@@ -97,8 +97,7 @@
 	synced bool
 	// ended holds the endpoints to be passed to Config.Ended.
 	ended []Endpoint
-	// era is the era of the last response.
-	era slugstore.Era
+	era   slugstore.EraTracker
 	// departures holds the endpoints that were seen leaving or gone, and copied the entries
 	// of those that were gone and came back with a copy.
 	departures map[slugname.Endpoint]departure
@@ -182,9 +181,12 @@
 	now := time.Now()
 	changed := map[slugname.Service]bool{}
 	r.mu.Lock()
-	restored := r.observeEra(objects, now)
+	restored := r.era.Restored(objects, r.cfg.Era())
 	r.synced = true
-	if r.failing {
+	if restored {
+		r.lastOutage = now
+	}
+	if r.failing || restored {
 		r.failing, r.recovered = false, now
 	}
 	for _, o := range objects {
--- a/internal/membership/slugmember/record.go
+++ b/internal/membership/slugmember/record.go
@@ -94,8 +94,7 @@
 	versions map[slugname.Process]slugstore.Version
 	// missing maps processes that the copy lacks to the time until which they are kept.
 	missing map[slugname.Process]time.Time
-	// era is the era of the last response.
-	era slugstore.Era
+	era     slugstore.EraTracker
 	// withdrawn reports that the record of this process has been withdrawn.
 	withdrawn bool
 	// lost holds at most one value.
@@ -190,9 +189,8 @@
 func (m *Member) apply(objects []slugstore.Object, now time.Time) (changed bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	era := m.eraOf(objects)
-	restored := era > m.era
-	m.era = max(m.era, era)
+	era := m.cfg.Store.Era()
+	restored := m.era.Restored(objects, era)
 	for _, o := range objects {
 		m.applyRecord(o, restored, now)
 	}
@@ -202,20 +200,6 @@
 	return m.expireMissing(now) || len(objects) > 0
 }
 
-// eraOf returns the era of a response; m.mu must be held. Records that a list lacks have no
-// version, so a list without any record is taken to be of the newest era.
-func (m *Member) eraOf(objects []slugstore.Object) slugstore.Era {
-	for _, o := range objects {
-		if o.Version != 0 {
-			return o.Version.Era()
-		}
-	}
-	if len(objects) > 0 {
-		return m.cfg.Store.Era()
-	}
-	return m.era
-}
-
 // applyRecord applies one changed or removed record; m.mu must be held. Unreadable records
 // are ignored. restored reports that the response is the first one since the store was
 // restored from a copy, in which records of live processes may be missing.
