Keep verdicts on crashing requests when the store is restored

The copy lacks verdicts that were written after it was made. All processes took that for their end, so requests that crash endpoints were let through again. A verdict that had ended since came back with the copy, and requests that are sound again were refused until peers repaired it.

A verdict that the copy lacks now stays in force and is written again; one that is known to have ended isn't taken over.

--- a/internal/decision/slugquarantine/entry.go
+++ b/internal/decision/slugquarantine/entry.go
@@ -180,6 +180,23 @@
 	}
 }
 
+// SetUnstored records that the store has lost the verdict on a trait.
+func (t *Tracker) SetUnstored(trait Trait) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if rec := t.records[trait]; rec != nil {
+		rec.stored = false
+	}
+}
+
+// Lifted reports whether the quarantine of a trait is known to have ended.
+func (t *Tracker) Lifted(trait Trait, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	rec := t.records[trait]
+	return rec != nil && !rec.quarantined(now) && (!rec.servedAt.IsZero() || !rec.expiredAt.IsZero())
+}
+
 // Unstored returns the verdicts that were not read from the store yet.
 func (t *Tracker) Unstored(now time.Time) []Verdict {
 	t.mu.Lock()
--- a/internal/membership/slugevidence/exchange.go
+++ b/internal/membership/slugevidence/exchange.go
@@ -67,6 +67,7 @@
 	writeAt map[string]time.Time
 	// announced holds the verdicts that were logged, by name.
 	announced map[string]bool
+	era       slugstore.EraTracker
 }
 
 // New returns an Exchange.
--- a/internal/membership/slugevidence/exchange_test.go
+++ b/internal/membership/slugevidence/exchange_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -72,6 +73,17 @@
 
 // notify passes a changed object to all processes.
 func (o *objects) notify(v slugstore.Value) {
+	object := decode(v)
+	o.mu.Lock()
+	watchers := slices.Clone(o.watchers)
+	o.mu.Unlock()
+	for _, x := range watchers {
+		x.Apply([]slugstore.Object{object})
+	}
+}
+
+// decode decodes a stored value.
+func decode(v slugstore.Value) slugstore.Object {
 	object := slugstore.Object{Name: v.Name, Version: v.Version}
 	if v.Bytes != nil {
 		// Values are stored as {"change":ID,"body":VALUE}.
@@ -83,12 +95,7 @@
 			}
 		}
 	}
-	o.mu.Lock()
-	watchers := slices.Clone(o.watchers)
-	o.mu.Unlock()
-	for _, x := range watchers {
-		x.Apply([]slugstore.Object{object})
-	}
+	return object
 }
 
 // process is a process of a test.
@@ -247,3 +254,67 @@
 		assert.Equal(t, quarantined(all), 1)
 	})
 }
+
+// restore brings the store back from a copy with the given values, in era 1, and passes all
+// of them to the processes, with the removal of the others.
+func (o *objects) restore(c map[string]slugstore.Value) {
+	o.mu.Lock()
+	// An object of another kind shows the era.
+	list := []slugstore.Object{{Name: "other", Version: slugstore.NewVersion(1, 1)}}
+	for name := range o.values {
+		if _, kept := c[name]; !kept {
+			list = append(list, slugstore.Object{Name: name})
+		}
+	}
+	o.version, o.values = slugstore.NewVersion(1, 1), map[string]slugstore.Value{}
+	for name, v := range c {
+		v.Version = slugstore.NewVersion(1, uint64(v.Version))
+		o.version = max(o.version, v.Version)
+		o.values[name] = v
+		list = append(list, decode(v))
+	}
+	watchers := slices.Clone(o.watchers)
+	o.mu.Unlock()
+	for _, x := range watchers {
+		x.Apply(list)
+	}
+}
+
+// Guards against verdicts that processes unlearn because the copy from which the store was
+// restored lacks them, and that nobody writes again.
+func TestVerdictIsMissingInTheCopy(t *testing.T) {
+	withProcesses(t, 5, func(store *objects, all []*process) {
+		for n := range 4 {
+			all[0].crash(n)
+		}
+		time.Sleep(2 * time.Second)
+		store.restore(nil)
+		time.Sleep(3 * time.Second)
+		assert.Equal(t, quarantined(all), 5)
+		values, writes := store.count()
+		assert.Equal(t, values, 1)
+		assert.Equal(t, writes, 2)
+	})
+}
+
+// Guards against a verdict that has ended and comes back with the copy.
+func TestVerdictHasEndedSinceTheCopy(t *testing.T) {
+	withProcesses(t, 5, func(store *objects, all []*process) {
+		for n := range 4 {
+			all[0].crash(n)
+		}
+		time.Sleep(2 * time.Second)
+		c := maps.Clone(store.values)
+		assert.Equal(t, len(c), 1)
+		s := slugquarantine.NewSubject("hub", "/x", nil, []string{"bad", "own"})
+		all[3].set.Of("llm").Begin(slugquarantine.Start{Endpoint: "j"}, s, time.Now()).Served(time.Now())
+		time.Sleep(5 * time.Second)
+		assert.Equal(t, quarantined(all), 0)
+		store.restore(c)
+		assert.Equal(t, quarantined(all), 0)
+		time.Sleep(3 * time.Second)
+		assert.Equal(t, quarantined(all), 0)
+		values, _ := store.count()
+		assert.Equal(t, values, 0)
+	})
+}
--- a/internal/membership/slugevidence/verdicts.go
+++ b/internal/membership/slugevidence/verdicts.go
@@ -56,24 +56,32 @@
 // Apply takes over verdicts that appeared in the store or disappeared from it.
 func (x *Exchange) Apply(objects []slugstore.Object) {
 	now := time.Now()
+	x.mu.Lock()
+	restored := x.era.Restored(objects, x.cfg.Store.Era())
+	x.mu.Unlock()
 	for _, o := range objects {
 		if !strings.HasPrefix(o.Name, Prefix) {
 			continue
 		}
-		if err := x.apply(o, now); err != nil {
+		if err := x.apply(o, restored, now); err != nil {
 			x.cfg.Log.Error(slugevent.QuarantineUnreadable, err, slugevent.Fields{"object": o.Name, "version": o.Version})
 		}
 	}
 }
 
-// apply takes over one object.
-func (x *Exchange) apply(o slugstore.Object, now time.Time) error {
+// apply takes over one object. restored reports that the response is the first one since the
+// store was restored from a copy: a verdict that the copy lacks still holds, and has to be
+// written again, and one that has ended since the copy was made isn't taken over again.
+func (x *Exchange) apply(o slugstore.Object, restored bool, now time.Time) error {
 	x.mu.Lock()
 	old, known := x.stored[o.Name]
 	delete(x.stored, o.Name)
 	x.mu.Unlock()
 	if o.Body == nil {
-		if known {
+		switch {
+		case known && restored:
+			x.cfg.Trackers.Of(old.Service).SetUnstored(old.trait())
+		case known:
 			x.cfg.Trackers.Of(old.Service).Adopt(old.trait(), 0, now)
 		}
 		return nil
@@ -85,6 +93,9 @@
 	x.mu.Lock()
 	x.stored[o.Name] = storedObject{v, o.Version}
 	x.mu.Unlock()
+	if restored && x.cfg.Trackers.Of(v.Service).Lifted(v.trait(), now) {
+		return nil
+	}
 	if left := time.UnixMilli(v.UntilMs).Sub(now); left > 0 {
 		x.cfg.Trackers.Of(v.Service).Adopt(v.trait(), left, now)
 		if x.markAnnounced(o.Name) {
