Ask peers for the configuration before that of a restored store takes effect

A host that started after the store was restored served the configuration of the copy, until the first exchange with a peer told it that there is a newer one: it ran requests on routes that had been removed.

The membership record now tells the era in which its process started. A new process that finds records of an older era asks some of these processes for their configuration, and puts the newest one into effect first.

--- a/internal/daemon/slughost/join.go
+++ b/internal/daemon/slughost/join.go
@@ -47,7 +47,7 @@
 	h.follower = slugconfigfollower.New(slugconfigfollower.Config{
 		Name: h.adapter.ConfigName, Store: h.store.For("config"), Decode: h.adapter.DecodeConfig,
 		FromPeer: func(ctx context.Context, r revision) ([]byte, error) { return h.table.FetchBundle(ctx, r) },
-		InForce:  h.configChanged, Log: h.log, Wait: h.configWait(),
+		AskPeers: h.configsOfPeers, InForce: h.configChanged, Log: h.log, Wait: h.configWait(),
 		SharedWatch: h.sharedWatches.SharedWatch(h.adapter.ConfigName, h.configWait()),
 	})
 	h.registry = slugregistry.New(slugregistry.Config{Decode: h.adapter.DecodeEntry, Changed: h.updatePlacers, StoreAnswersOthers: h.storeReachable, Era: h.store.Era, Ended: h.endpointEnded, Log: h.log})
@@ -154,6 +154,12 @@
 // publish keeps the membership record in the store until ctx is cancelled: it writes it at
 // the start, and again after the store has lost it.
 func (h *Host) publish(ctx context.Context) error {
+	for h.store.EraSeenAt().IsZero() {
+		// The record tells the era in which this process has started.
+		if slugbackoff.Sleep(ctx, eraPollInterval) != nil {
+			return nil
+		}
+	}
 	for ctx.Err() == nil {
 		if err := h.member.Publish(ctx); err != nil {
 			h.log.Error(slugevent.StoreUnavailable, err, slugevent.Fields{"step": "publish record"})
--- a/internal/membership/slugconfigfollower/follower.go
+++ b/internal/membership/slugconfigfollower/follower.go
@@ -38,6 +38,10 @@
 	// FromPeer fetches the encoded configuration of a version, or of a later one, from a
 	// peer; nil means that there are no peers.
 	FromPeer func(context.Context, slugconfig.Revision) ([]byte, error)
+	// AskPeers returns the encoded configurations of peers that may have a newer one than the
+	// store. It is called before the first one of the store takes effect, because the store
+	// may have been restored from a copy; nil means that there are no such peers.
+	AskPeers func(context.Context) [][]byte
 	// InForce is called after each change of the version in effect; it may be nil.
 	InForce func(*slugrouting.Table)
 	// Wait is how long one watch call waits for a change. It bounds the age of the last
@@ -66,8 +70,10 @@
 	mu sync.Mutex
 	// encoded is the encoded configuration in effect.
 	encoded []byte
+	// askPeers returns the configurations of peers; it is nil after its call. Only the watch
+	// uses it and responseCurrentAt.
+	askPeers func() [][]byte
 	// responseCurrentAt is the instant at which the response being processed was current.
-	// Only the watch uses it.
 	responseCurrentAt slugclock.Instant
 }
 
@@ -110,6 +116,9 @@
 
 // Run follows the configuration until ctx ends.
 func (f *Follower) Run(ctx context.Context) error {
+	if f.cfg.AskPeers != nil {
+		f.askPeers = func() [][]byte { return f.cfg.AskPeers(ctx) }
+	}
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
@@ -157,6 +166,7 @@
 		if o.Name != f.cfg.Name || o.Body == nil {
 			continue
 		}
+		f.applyFromPeers()
 		if !f.apply(o.Body) {
 			return
 		}
@@ -166,6 +176,25 @@
 	}
 }
 
+// applyFromPeers puts the newest configuration of the peers into effect, the first time that it
+// is called.
+func (f *Follower) applyFromPeers() {
+	if f.askPeers == nil {
+		return
+	}
+	var newest []byte
+	var version slugconfig.Revision
+	for _, encoded := range f.askPeers() {
+		if t, err := f.cfg.Decode(encoded); err == nil && t.Version > version {
+			newest, version = encoded, t.Version
+		}
+	}
+	f.askPeers = nil
+	if newest != nil {
+		f.apply(newest)
+	}
+}
+
 // apply puts a configuration into effect unless its version is already in effect or older,
 // and reports whether it could be read.
 func (f *Follower) apply(encoded []byte) bool {
--- a/internal/membership/slugmember/record.go
+++ b/internal/membership/slugmember/record.go
@@ -69,6 +69,8 @@
 	CertificateHash  CertificateHash `json:"certificateHash"`
 	// StartedAtMs is the start time in milliseconds since the Unix epoch.
 	StartedAtMs int64 `json:"startedAtMs"`
+	// StartEra is the era of the store when the process started.
+	StartEra slugstore.Era `json:"startEra"`
 }
 
 // Config configures a Member.
@@ -95,6 +97,10 @@
 	// missing maps processes that the copy lacks to the time until which they are kept.
 	missing map[slugname.Process]time.Time
 	era     slugstore.EraTracker
+	// listed reports that the records have been read at least once.
+	listed bool
+	// startEra is the era of the first attempt to publish.
+	startEra *slugstore.Era
 	// withdrawn reports that the record of this process has been withdrawn.
 	withdrawn bool
 	// lost holds at most one value.
@@ -121,18 +127,16 @@
 
 // Publish writes the record of this process to the store, unless it has been withdrawn.
 func (m *Member) Publish(ctx context.Context) error {
-	m.mu.Lock()
-	withdrawn := m.withdrawn
-	m.mu.Unlock()
+	self, withdrawn := m.ownRecord()
 	if withdrawn {
 		return nil
 	}
-	name := Prefix + string(m.cfg.Self.Process)
-	version, err := m.cfg.Store.Put(ctx, name, 0, m.cfg.Self)
+	name := Prefix + string(self.Process)
+	version, err := m.cfg.Store.Put(ctx, name, 0, self)
 	if errors.Is(err, slugstore.ErrConflict) {
 		var o slugstore.Object
 		if o, err = m.cfg.Store.Get(ctx, name); err == nil {
-			version, err = m.cfg.Store.Put(ctx, name, o.Version, m.cfg.Self)
+			version, err = m.cfg.Store.Put(ctx, name, o.Version, self)
 		}
 	}
 	if err != nil {
@@ -144,6 +148,26 @@
 	return nil
 }
 
+// ownRecord returns the record to publish, and whether it has been withdrawn.
+func (m *Member) ownRecord() (Record, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.startEra == nil {
+		era := m.cfg.Store.Era()
+		m.startEra = &era
+	}
+	self := m.cfg.Self
+	self.StartEra = *m.startEra
+	return self, m.withdrawn
+}
+
+// Listed reports whether the records have been read from the store at least once.
+func (m *Member) Listed() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.listed
+}
+
 // Lost returns a channel that receives a value after the store has lost the record of this
 // process, which must then be published again.
 func (m *Member) Lost() <-chan struct{} { return m.lost }
@@ -190,6 +214,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	era := m.cfg.Store.Era()
+	m.listed = true
 	restored := m.era.Restored(objects, era)
 	for _, o := range objects {
 		m.applyRecord(o, restored, now)
