--- a/internal/membership/slugmirror/mirror_test.go
+++ b/internal/membership/slugmirror/mirror_test.go
@@ -132,3 +132,26 @@
 		}
 	})
 }
+
+// TestFollowAcrossRestore guards against followers that keep objects, or miss changes,
+// because the store was restored from a copy and has given revisions out again: a follower
+// of an older era gets all objects, and a mirror never returns to an older era.
+func TestFollowAcrossRestore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := New()
+		m.Apply(storeChanges(slugstore.NewVersion(1, 90), true, "lost", "1"))
+		m.Apply(storeChanges(slugstore.NewVersion(2, 40), true, "a", "1"))
+		m.Apply(storeChanges(slugstore.NewVersion(2, 95), false, "b", "1"))
+		for _, after := range []slugstore.Version{slugstore.NewVersion(1, 10), slugstore.NewVersion(1, 92), slugstore.NewVersion(1, 900)} {
+			all := m.Follow(after, time.Minute)
+			assert.Assert(t, all.Complete, "after %d of era 1", after.Revision())
+			assert.Equal(t, all.Revision, slugstore.NewVersion(2, 95))
+			assert.Equal(t, len(all.Values), 2)
+		}
+		since := m.Follow(slugstore.NewVersion(2, 40), time.Minute)
+		assert.Assert(t, !since.Complete)
+		assert.Equal(t, len(since.Values), 1)
+		m.Apply(storeChanges(slugstore.NewVersion(1, 99), true, "late", "1"))
+		assert.Equal(t, len(m.Follow(0, time.Minute).Values), 2)
+	})
+}
