--- a/internal/base/slugevent/event.go
+++ b/internal/base/slugevent/event.go
@@ -32,6 +32,7 @@
 	LinesDropped
 	RequestAfterClose
 	ConnectionUnanswered
+	StoreRestored
 )
 
 // Events of configuration and membership, 200 to 299.
@@ -116,6 +117,7 @@
 	LinesDropped:            {logrus.WarnLevel, "log lines dropped", "none; the fields give the number of lines dropped per event by the rate limit, and in unread those dropped because the log output was blocked"},
 	RequestAfterClose:       {logrus.InfoLevel, "request dropped because its connection was being closed", "none: the request was not handled"},
 	ConnectionUnanswered:    {logrus.WarnLevel, "connection closed before the request on it was answered", "report it as a fault, unless it occurs at the end of a process's grace period or the caller was too slow"},
+	StoreRestored:           {logrus.WarnLevel, "platform store was restored from a copy", "none, if the restore was planned; requests continue with the configuration in effect, and what the copy lacks is written again: check that the newest configuration is in the store"},
 	ConfigurationInForce:    {logrus.InfoLevel, "configuration is in effect", "none"},
 	ConfigurationUnreadable: {logrus.ErrorLevel, "configuration cannot be read", "apply a corrected manifest; the previous revision stays in effect"},
 	ConfigurationApplied:    {logrus.InfoLevel, "configuration applied", "none"},
--- a/internal/daemon/slughost/join.go
+++ b/internal/daemon/slughost/join.go
@@ -47,10 +47,10 @@
 	h.follower = slugconfigfollower.New(slugconfigfollower.Config{
 		Name: h.adapter.ConfigName, Store: h.store.For("config"), Decode: h.adapter.DecodeConfig,
 		FromPeer: func(ctx context.Context, r revision) ([]byte, error) { return h.table.FetchBundle(ctx, r) },
-		InForce:  h.configChanged, Log: h.log, Wait: h.configWait(),
+		AskPeers: h.configsOfPeers, InForce: h.configChanged, Log: h.log, Wait: h.configWait(),
 		SharedWatch: h.sharedWatches.SharedWatch(h.adapter.ConfigName, h.configWait()),
 	})
-	h.registry = slugregistry.New(slugregistry.Config{Decode: h.adapter.DecodeEntry, Changed: h.updatePlacers, StoreAnswersOthers: h.storeReachable, Ended: h.endpointEnded, Log: h.log})
+	h.registry = slugregistry.New(slugregistry.Config{Decode: h.adapter.DecodeEntry, Changed: h.updatePlacers, StoreAnswersOthers: h.storeReachable, Era: h.store.Era, Ended: h.endpointEnded, Log: h.log})
 	h.clock = slugpeerclock.New()
 	h.table = slugpeer.New(slugpeer.Config{
 		Clock: h.clock.OwnTime, ClockReported: h.clock.AddSample,
@@ -86,7 +86,12 @@
 	h.metrics.Set("storeCalls", counts)
 	h.storeClient = &http.Client{Transport: &http.Transport{DialContext: h.network.DialWithin(dialTimeout), MaxIdleConnsPerHost: storeIdleConnections}}
 	address := hostPort(h.settings.PlatformAddress)
-	h.store = slugstore.New(slugstore.Config{BaseURL: address, Backend: h.adapter.Store(address, h.storeClient.Do), Counts: counts})
+	h.store = slugstore.New(slugstore.Config{
+		BaseURL: address, Backend: h.adapter.Store(address, h.storeClient.Do), Counts: counts,
+		EraChanged: func(previous, current slugstore.Era) {
+			h.log.Emit(slugevent.StoreRestored, slugevent.Fields{"previousEra": previous, "era": current, "configuration": h.follower.Version()})
+		},
+	})
 }
 
 // newRecord returns the membership record of this process.
@@ -146,16 +151,25 @@
 	return nil
 }
 
-// publish writes the membership record, retrying until the store accepts it or ctx is
-// cancelled.
+// publish keeps the membership record in the store until ctx is cancelled: it writes it at
+// the start, and again after the store has lost it.
 func (h *Host) publish(ctx context.Context) error {
-	for {
-		err := h.member.Publish(ctx)
-		if err == nil || ctx.Err() != nil {
-			break
+	for h.store.EraSeenAt().IsZero() {
+		// The record tells the era in which this process has started.
+		if slugbackoff.Sleep(ctx, eraPollInterval) != nil {
+			return nil
+		}
+	}
+	for ctx.Err() == nil {
+		if err := h.member.Publish(ctx); err != nil {
+			h.log.Error(slugevent.StoreUnavailable, err, slugevent.Fields{"step": "publish record"})
+			_ = slugbackoff.Sleep(ctx, publishRetryInterval)
+			continue
+		}
+		select {
+		case <-h.member.Lost():
+		case <-ctx.Done():
 		}
-		h.log.Error(slugevent.StoreUnavailable, err, nil)
-		_ = slugbackoff.Sleep(ctx, publishRetryInterval)
 	}
 	return nil
 }
