Compete for a duty again after the restored store lacks its lease

Callers saw no usage reports and no orders after a restore of the store: a holder whose lease had expired meanwhile tried to acknowledge the loss, could not decode the lease that no longer existed, and repeated that for ever. The process never competed for the duties again.

update now changes nothing if there is no record. Without this the new TestHolderReturnsAfterItsLeaseIsGone fails: one claim instead of two.

--- a/internal/authority/sluglease/lease.go
+++ b/internal/authority/sluglease/lease.go
@@ -408,13 +408,16 @@
 const maxUpdateAttempts = 5
 
 // update applies mutate to the stored record, no matter who holds the lease, and writes
-// the result unless mutate reports that no change is needed.
+// the result unless mutate reports that no change is needed or there is no record.
 func (l *Lease) update(ctx context.Context, mutate func(Record) (Record, bool)) error {
 	for range maxUpdateAttempts {
 		o, err := l.cfg.Store.Get(ctx, l.name())
 		if err != nil {
 			return err
 		}
+		if o.Body == nil {
+			return nil
+		}
 		var r Record
 		if err := o.Decode(&r); err != nil {
 			return err
