Keep fences and leases apart across restores of the store

After a restore the copy holds an older fence, so the next claim gave out a fence that an earlier holder had used; and a lease that the copy shows as released, or lacks, was claimed at once while its holder still acted.

The fence now holds the era of the store in which the claim was stored, and a claim that was stored in another era than its fence was made for is not used. The record names the era in which its holder last claimed or renewed it. A record of an older era, or none, is claimed only once any lease of the lost time must have expired; a valid holder whose claim was lost claims at once under a new fence, since nobody else can have. The first start of the system doesn't wait (setting duties.firstStart).

--- a/internal/authority/sluglease/grant.go
+++ b/internal/authority/sluglease/grant.go
@@ -16,7 +16,10 @@
 type Grant struct {
 	// Fence is the fencing token of the claim.
 	Fence Fence
-	lease *Lease
+	// Previous is the fence of this process's grant that was still valid at the claim, or 0.
+	// No other process held the duty in between.
+	Previous Fence
+	lease    *Lease
 
 	mu sync.Mutex
 	// sentAt is when the last successful claim or renewal was sent.
--- a/internal/authority/sluglease/lease.go
+++ b/internal/authority/sluglease/lease.go
@@ -6,6 +6,11 @@
 // lease for the TTL plus the margin by both the wall clock and the monotonic clock, or after
 // the holder released the duty.
 //
+// If the store is restored from a copy, claims, renewals and releases may be lost. A lease
+// whose holder has not claimed or renewed it in the present era of the store therefore
+// counts as held until the lease of any holder must have expired, even if the copy shows it
+// as released or does not contain it.
+//
 // # Usage
 //
 //	l := sluglease.New(sluglease.Config{Duty: "usage/north", Self: process, Store: store, TTL: 9 * time.Second, Rank: rank})
@@ -59,6 +64,9 @@
 	TTL   time.Duration
 	// Rank returns the rank of this process among the candidates, starting at 0.
 	Rank func() int
+	// FirstStart reports that the system starts for the first time, so that a lease that does
+	// not exist was never held.
+	FirstStart bool
 	// Eligible reports whether this process may hold duties; nil means that it may.
 	Eligible func() bool
 	// Now returns the current time; nil means time.Now.
@@ -78,7 +86,14 @@
 	version slugstore.Version
 	// versionSeenAt is when the current version was first seen.
 	versionSeenAt time.Time
-	held          bool
+	// firstEra is the era of the first successful read.
+	firstEra slugstore.Era
+	// highestFence is the highest fence that this process has seen. A write from an older
+	// era that takes effect late may replace a claim that has a higher one.
+	highestFence Fence
+	// displaced is the last grant of this process if the restored store lacks its claim.
+	displaced *Grant
+	held      bool
 	// abandoned makes Run end the lease without a release.
 	abandoned bool
 }
@@ -197,10 +212,13 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.versionSeenAt.IsZero() {
+		l.firstEra = l.cfg.Store.Era()
+	}
 	if o.Version != l.version || l.versionSeenAt.IsZero() {
 		l.version, l.versionSeenAt = o.Version, l.cfg.Now()
 	}
-	l.record = r
+	l.record, l.highestFence = r, max(l.highestFence, r.Fence)
 	return r, o.Version, nil
 }
 
@@ -209,29 +227,61 @@
 // before waits for the expiry even after a release.
 func (l *Lease) mayClaim(r Record, version slugstore.Version, rank int) bool {
 	delay := time.Duration(rank) * claimDelayPerRank
+	era := l.cfg.Store.Era()
 	l.mu.Lock()
+	defer l.mu.Unlock()
 	seen, _ := elapsed(l.versionSeenAt, l.cfg.Now())
-	l.mu.Unlock()
-	if version == 0 || r.Released && !r.heldBefore(l.cfg.Host) {
+	sinceRestore, _ := elapsed(l.eraSeenAt(), l.cfg.Now())
+	expired := max(r.TTL(), l.cfg.TTL) + l.margin() + delay
+	switch {
+	case version == 0 && (era == 0 || l.cfg.FirstStart && era == l.firstEra):
+		return seen >= delay
+	case r.Era < era && l.displaced != nil && l.displaced.Remaining() > 0:
+		// No other process can have claimed the duty yet.
+		return true
+	case version == 0 || r.Era < era && r.Released:
+		return sinceRestore >= expired
+	case r.Released && !r.heldBefore(l.cfg.Host):
 		return seen >= delay
 	}
-	return seen >= max(r.TTL(), l.cfg.TTL)+l.margin()+delay
+	return seen >= expired
+}
+
+// eraSeenAt returns the time by the clock of the lease at which this process first saw the
+// present era of the store.
+func (l *Lease) eraSeenAt() time.Time {
+	return l.cfg.Now().Add(-time.Since(l.cfg.Store.EraSeenAt()))
 }
 
 // claim writes the record of the next claim. The validity of the lease is counted from
 // before the write is sent.
 func (l *Lease) claim(ctx context.Context, r Record, version slugstore.Version) (*Grant, error) {
 	sent := l.timestamp()
+	era := version.Era()
+	if version == 0 {
+		era = l.cfg.Store.Era()
+	}
 	next := r.nextClaim(l.cfg.Duty, l.cfg.Self, l.cfg.Host, l.cfg.TTL)
+	l.mu.Lock()
+	next.Fence, next.Era = max(next.Fence, l.highestFence+1, Fence(era)*fencesPerEra+1), era
+	l.mu.Unlock()
 	version, err := l.cfg.Store.Put(ctx, l.name(), version, next)
 	if err != nil {
 		return nil, err
 	}
+	if version.Era() != era {
+		// The fence may have been used by a claim that the store lost.
+		return nil, errors.Newf("store was restored while duty %s was claimed", l.cfg.Duty)
+	}
+	grant := &Grant{lease: l, Fence: next.Fence, sentAt: sent}
 	l.mu.Lock()
-	l.record, l.version, l.versionSeenAt, l.held = next, version, l.cfg.Now(), true
+	if l.displaced != nil && l.displaced.Remaining() > 0 {
+		grant.Previous = l.displaced.Fence
+	}
+	l.record, l.version, l.versionSeenAt, l.held, l.displaced = next, version, l.cfg.Now(), true, nil
+	l.highestFence = next.Fence
 	l.mu.Unlock()
-	grant := &Grant{lease: l, Fence: next.Fence, sentAt: sent}
-	l.cfg.Log.Emit(slugevent.DutyTaken, slugevent.Fields{"duty": l.cfg.Duty, "fence": next.Fence, "unconfirmed": len(next.Unconfirmed)})
+	l.cfg.Log.Emit(slugevent.DutyTaken, slugevent.Fields{"duty": l.cfg.Duty, "fence": next.Fence, "era": era, "unconfirmed": len(next.Unconfirmed)})
 	return grant, nil
 }
 
@@ -245,6 +295,10 @@
 		l.runWork(workCtx, g, work)
 	}()
 	released := l.renewLoop(ctx, g)
+	reason := "lease expired"
+	if !released && g.Remaining() > 0 {
+		reason = l.displace(g)
+	}
 	cancel()
 	<-done
 	l.mu.Lock()
@@ -258,7 +312,7 @@
 		l.release(context.WithoutCancel(ctx), g)
 		return
 	}
-	l.cfg.Log.Emit(slugevent.DutyLost, slugevent.Fields{"duty": l.cfg.Duty, "fence": g.Fence})
+	l.cfg.Log.Emit(slugevent.DutyLost, slugevent.Fields{"duty": l.cfg.Duty, "fence": g.Fence, "reason": reason})
 	l.acknowledge(ctx, g)
 }
 
@@ -309,27 +363,56 @@
 	return true
 }
 
-// renew attempts one renewal and reports whether the duty is still held.
-func (l *Lease) renew(ctx context.Context, g *Grant) bool {
+// displace records that the claim of a valid grant is not in the store, and returns the
+// reason.
+func (l *Lease) displace(g *Grant) string {
+	era := l.cfg.Store.Era()
 	l.mu.Lock()
-	next, version := l.record, l.version
-	l.mu.Unlock()
-	next.Renewals++
-	sent := l.timestamp()
+	defer l.mu.Unlock()
+	if l.version.Era() == era {
+		return "claimed by another process"
+	}
+	l.displaced = g
+	l.Wake()
+	return "claim is not in the restored store"
+}
+
+// renew attempts one renewal and reports whether the duty is still held. If the store was
+// restored and still has the claim, the renewal is attempted again in the new era.
+func (l *Lease) renew(ctx context.Context, g *Grant) bool {
 	ctx, cancel := context.WithTimeout(ctx, min(l.cfg.TTL/renewalDivisor, g.Remaining()))
 	defer cancel()
-	version, err := l.cfg.Store.Put(ctx, l.name(), version, next)
-	if err == nil {
+	for {
 		l.mu.Lock()
-		l.record, l.version = next, version
+		next, version := l.record, l.version
 		l.mu.Unlock()
-		g.extend(sent)
-		return true
-	}
-	if errors.Is(err, slugstore.ErrConflict) {
-		return l.reloadHeld(ctx, g)
+		next.Renewals++
+		next.Era = version.Era()
+		sent := l.timestamp()
+		written, err := l.cfg.Store.Put(ctx, l.name(), version, next)
+		if err == nil && written.Era() == next.Era {
+			l.mu.Lock()
+			l.record, l.version = next, written
+			l.mu.Unlock()
+			g.extend(sent)
+			return true
+		}
+		if err != nil && !errors.Is(err, context.Canceled) {
+			l.cfg.Log.Error(slugevent.RenewalFailed, err, slugevent.Fields{"duty": l.cfg.Duty, "fence": g.Fence, "remainingMs": g.Remaining().Milliseconds()})
+		}
+		if err != nil && !errors.Is(err, slugstore.ErrConflict) {
+			return true
+		}
+		if !l.reloadHeld(ctx, g) {
+			return false
+		}
+		l.mu.Lock()
+		restored := l.version.Era() > version.Era()
+		l.mu.Unlock()
+		if !restored || g.Remaining() <= 0 {
+			return true
+		}
 	}
-	return true
 }
 
 // reloadHeld reads the lease after a conflict and reports whether this process still
--- a/internal/authority/sluglease/record.go
+++ b/internal/authority/sluglease/record.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/sassafraslug/sassafraslug/internal/base/slugname"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugstore"
 )
 
 // Duty names a task that at most one process performs at a time.
@@ -13,16 +14,23 @@
 // Prefix is the prefix of the names of lease objects.
 const Prefix = "leases/"
 
-// Fence is the fencing token of a duty. Each claim increments it; renewals do not change
-// it.
+// Fence is the fencing token of a duty. Each claim increases it; renewals do not change it.
+// The fences of claims in one era of the store are above those of all older eras, even if
+// the store lost the older claims: claim 3 in era 2 has the fence 2000003.
 type Fence uint64
 
+// fencesPerEra is the distance between the first fences of successive eras. Platforms
+// that encode fences as JSON numbers keep them exact up to the last era of slugstore.
+const fencesPerEra = 1_000_000
+
 // Record is the stored content of a lease.
 type Record struct {
 	Duty   Duty             `json:"duty"`
 	Holder slugname.Process `json:"holder"`
 	Host   slugname.Host    `json:"host"`
 	Fence  Fence            `json:"fence"`
+	// Era is the era of the store in which the holder last claimed or renewed the lease.
+	Era slugstore.Era `json:"era,omitempty"`
 	// TTLMs is the validity of the lease after a renewal, in milliseconds.
 	TTLMs int64 `json:"ttlMs"`
 	// Renewals counts the renewals of this claim; it makes every renewal change the
--- a/internal/base/slugevent/event.go
+++ b/internal/base/slugevent/event.go
@@ -70,6 +70,9 @@
 	CapacityPlanned
 	UsageFrozen
 	CallFailed
+	RenewalFailed
+	UsageSkipped
+	RecordReloaded
 )
 
 // Events of requests, 400 to 499.
@@ -144,6 +147,9 @@
 	CapacityPlanned:         {logrus.InfoLevel, "capacity planned", "none"},
 	UsageFrozen:             {logrus.InfoLevel, "usage of a window finalized", "none"},
 	CallFailed:              {logrus.WarnLevel, "call to the platform failed", "check the platform's interface; the call is retried"},
+	RenewalFailed:           {logrus.WarnLevel, "renewal of a lease failed", "check the store; the duty is held until the time in remainingMs is over"},
+	UsageSkipped:            {logrus.WarnLevel, "usage windows not reported", "none; the store was restored, and an earlier holder of the duty may have reported these windows with other counts"},
+	RecordReloaded:          {logrus.WarnLevel, "record of a duty read again after a restore of the store", "none"},
 	RequestRefused:          {logrus.InfoLevel, "request refused", "the field code gives the reason"},
 	StreamResumed:           {logrus.InfoLevel, "response stream resumed at the same endpoint", "none"},
 	StreamContinued:         {logrus.InfoLevel, "response stream continued at another endpoint", "none"},
--- a/internal/base/slugsettings/settings.go
+++ b/internal/base/slugsettings/settings.go
@@ -52,7 +52,9 @@
 
 	UsageWindow time.Duration
 	LeaseTime   time.Duration
-	LogLevel    string
+	// FirstStart reports that the whole system starts for the first time.
+	FirstStart bool
+	LogLevel   string
 
 	ReadyListen     string
 	DirectoryListen string
--- a/internal/base/slugsettings/table.go
+++ b/internal/base/slugsettings/table.go
@@ -38,6 +38,7 @@
 		addressSetting("peers", "advertise", "", "Address announced to other processes; empty means peers.listen", allDaemons, true, func(s *Settings) *string { return &s.PeersAdvertise }),
 		durationSetting("usage", "window", "1m0s", "Length of a usage accounting window, in whole seconds; must be equal on all hosts", allDaemons, func(s *Settings) *time.Duration { return &s.UsageWindow }),
 		durationSetting("duties", "leaseTime", "9s", "How long a duty is held without renewal of its lease; must be equal on all hosts", Control|Host, func(s *Settings) *time.Duration { return &s.LeaseTime }),
+		boolSetting("duties", "firstStart", "Whether the whole system starts for the first time, so that no duty was ever held", Host, func(s *Settings) *bool { return &s.FirstStart }),
 		{"log", "level", "info", "error, warn, info or debug", "Lowest severity of log lines", allDaemons, setLogLevel},
 		addressSetting("ready", "listen", "127.0.0.1:8083", "Address of the readiness check for the platform", Host, false, func(s *Settings) *string { return &s.ReadyListen }),
 		addressSetting("directory", "listen", "127.0.0.1:8084", "Address for callers' look-ups", Host, false, func(s *Settings) *string { return &s.DirectoryListen }),
@@ -131,6 +132,14 @@
 	}}
 }
 
+// boolSetting returns a setting that is false by default.
+func boolSetting(section, key, purpose string, d Daemon, field func(*Settings) *bool) Setting {
+	return Setting{section, key, "false", "true or false", purpose, d, func(s *Settings, v string) error {
+		*field(s) = v == "true"
+		return errorUnless(v == "true" || v == "false")
+	}}
+}
+
 // floatSetting returns a floating-point setting in the section bounds.
 func floatSetting(key, defaultValue string, minimum, maximum float64, purpose string, field func(*Settings) *float64) Setting {
 	allowed := strconv.FormatFloat(minimum, 'g', -1, 64) + " to " + strconv.FormatFloat(maximum, 'g', -1, 64)
--- a/internal/daemon/slughost/duties.go
+++ b/internal/daemon/slughost/duties.go
@@ -30,7 +30,7 @@
 func (h *Host) runDuties(ctx context.Context, g *errgroup.Group) error {
 	self := h.member.Self()
 	lease := sluglease.New(sluglease.Config{
-		Duty: dutiesLease, Self: self.Process, Host: self.Host, Store: h.store.For("lease"), TTL: h.settings.LeaseTime,
+		Duty: dutiesLease, Self: self.Process, Host: self.Host, Store: h.store.For("lease"), TTL: h.settings.LeaseTime, FirstStart: h.settings.FirstStart,
 		Rank: h.rank, Eligible: h.ready, Log: h.log,
 	})
 	g.Go(func() error { return lease.Run(ctx, h.doDuties) })
