Report no window twice with other counts after a restore of the store

The platform got two reports of one window with different counts: the copy lacked the frozen report of a window that had been sent, and the holder, or its successor, froze and sent it again with the counts of then. Beside it, every write of a record conflicted after a restore, which restarted all duties.

A record now names the era for which it was written. A holder that held the duty all the while keeps what it knows and writes it again.

--- a/internal/authority/slugcapacityduty/duty.go
+++ b/internal/authority/slugcapacityduty/duty.go
@@ -117,7 +117,7 @@
 
 // record is the stored content of the object.
 type record struct {
-	Fence     sluglease.Fence `json:"fence"`
+	slugrecord.Stamp
 	Locations []orderedCounts `json:"places"`
 }
 
@@ -142,25 +142,52 @@
 }
 
 // New returns a Duty.
-func New(cfg Config) *Duty { return &Duty{cfg: cfg} }
+func New(cfg Config) *Duty {
+	return &Duty{cfg: cfg, record: slugrecord.New[record](cfg.Store, Name)}
+}
 
 // Run plans and orders until the lease ends.
 func (d *Duty) Run(ctx context.Context, grant *sluglease.Grant) error {
+	if !d.record.Continues(grant) {
+		d.reset()
+	}
+	if err := d.load(ctx, grant); err != nil {
+		return err
+	}
+	return d.record.Every(ctx, reviewInterval, func() error { return d.load(ctx, grant) }, func() error { return d.review(ctx, grant) })
+}
+
+// reset forgets what happened when this process last held the duty.
+func (d *Duty) reset() {
 	d.unavailableAt, d.cheapOrderedAt, d.regularOrderedAt = map[location]time.Time{}, map[location]time.Time{}, map[location]time.Time{}
 	d.startedAt = time.Now()
 	d.prefillBusy, d.streams = map[slugname.Service]*slugpeak.Window{}, map[slugname.Service]*slugpeak.Window{}
 	d.roleOrderedAt, d.orderedRole = map[slugname.Endpoint]time.Time{}, map[slugname.Endpoint]slugplan.Role{}
-	var err error
-	if d.record, err = slugrecord.Load[record](ctx, d.cfg.Store, Name); err != nil {
+}
+
+// load reads what earlier holders ordered, or writes the orders of this process again if the
+// store was restored. If orders may be missing, the outcome of the last known ones is unknown.
+func (d *Duty) load(ctx context.Context, grant *sluglease.Grant) error {
+	unsaved, err := d.record.Load(ctx, grant)
+	if err != nil {
 		return err
 	}
-	return slugrecord.Every(ctx, reviewInterval, func() error { return d.review(ctx, grant) })
+	if unsaved {
+		d.cfg.Log.Emit(slugevent.RecordReloaded, slugevent.Fields{"object": Name, "fence": grant.Fence, "locations": len(d.record.Value.Locations)})
+		return d.record.Write(ctx, d.next(d.record.Value.Locations))
+	}
+	if !d.record.Complete {
+		for i := range d.record.Value.Locations {
+			c := &d.record.Value.Locations[i]
+			c.RegularUnanswered, c.CheapUnanswered = c.Regular >= 0, c.Cheap >= 0
+		}
+	}
+	return nil
 }
 
-// write stores a record. It fails if another holder has written.
-func (d *Duty) write(ctx context.Context, next record, fence sluglease.Fence) error {
-	next.Fence = fence
-	return d.record.Write(ctx, next)
+// next returns a record with the given orders for the next write.
+func (d *Duty) next(locations []orderedCounts) record {
+	return record{d.record.NextStamp(), locations}
 }
 
 // review sends the orders that the plan requires for every service that scales.
@@ -284,7 +311,7 @@
 // order records one order and sends it.
 func (d *Duty) order(ctx context.Context, grant *sluglease.Grant, s *slugrouting.Service, o slugcapacity.Order, input slugcapacity.Service) error {
 	loc := location{s.Name, o.DataCentre}
-	previous, err := d.recordOrder(ctx, grant, loc, o, false)
+	previous, err := d.recordOrder(ctx, d.record.Write, loc, o, false)
 	if err != nil {
 		return err
 	}
@@ -304,7 +331,7 @@
 	}
 	d.cfg.Log.Error(slugevent.OrderFailed, err, fields)
 	if !errors.Is(err, slugcommand.ErrNoEndpoints) {
-		_, err = d.recordOrder(ctx, grant, loc, o, true)
+		_, err = d.recordOrder(ctx, d.record.WriteOutcome, loc, o, true)
 		return err
 	}
 	// No endpoints were available: the previous order remains in effect and no engines
@@ -312,21 +339,21 @@
 	d.unavailableAt[loc] = time.Now()
 	delete(d.cheapOrderedAt, loc)
 	o.Count = previous
-	_, err = d.recordOrder(ctx, grant, loc, o, false)
+	_, err = d.recordOrder(ctx, d.record.WriteOutcome, loc, o, false)
 	return err
 }
 
 // recordOrder stores an order and whether its outcome is unknown, and returns the number
 // that was ordered before.
-func (d *Duty) recordOrder(ctx context.Context, grant *sluglease.Grant, loc location, o slugcapacity.Order, unanswered bool) (previous int, err error) {
-	next := record{Locations: slices.Clone(d.record.Value.Locations)}
-	for i := range next.Locations {
-		if next.Locations[i].location == loc {
-			previous = next.Locations[i].count(o.Cheap)
-			next.Locations[i].setCount(o.Cheap, o.Count, unanswered)
+func (d *Duty) recordOrder(ctx context.Context, write func(context.Context, record) error, loc location, o slugcapacity.Order, unanswered bool) (previous int, err error) {
+	locations := slices.Clone(d.record.Value.Locations)
+	for i := range locations {
+		if locations[i].location == loc {
+			previous = locations[i].count(o.Cheap)
+			locations[i].setCount(o.Cheap, o.Count, unanswered)
 		}
 	}
-	return previous, d.write(ctx, next, grant.Fence)
+	return previous, write(ctx, d.next(locations))
 }
 
 // orderRoles sends the role changes that the plan requires.
--- a/internal/authority/slugusageduty/duty.go
+++ b/internal/authority/slugusageduty/duty.go
@@ -4,6 +4,10 @@
 // The counts of a window are summed over all processes and frozen in the store before they
 // are sent. Every retry, by this process or a successor, sends the frozen counts.
 //
+// If the store is restored from a copy, a holder that held the duty all the while writes its
+// frozen counts again. Any other holder cannot know which windows were reported in the lost
+// time. It skips the windows that ended before it learned of the restore.
+//
 // # Usage
 //
 //	d := slugusageduty.New(slugusageduty.Config{...})
@@ -11,6 +15,7 @@
 package slugusageduty
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"time"
@@ -71,8 +76,10 @@
 
 // record is the stored content of the object.
 type record struct {
-	Fence   sluglease.Fence `json:"fence"`
-	Reports []report        `json:"reports"`
+	slugrecord.Stamp
+	Reports []report `json:"reports"`
+	// First is the first window that may still be frozen.
+	First int64 `json:"first,omitempty"`
 }
 
 // Duty freezes and sends usage reports.
@@ -86,23 +93,64 @@
 }
 
 // New returns a Duty.
-func New(cfg Config) *Duty { return &Duty{cfg: cfg} }
+func New(cfg Config) *Duty {
+	return &Duty{cfg: cfg, record: slugrecord.New[record](cfg.Store, Name)}
+}
 
 // Run reports windows until the lease ends.
 func (d *Duty) Run(ctx context.Context, grant *sluglease.Grant) error {
-	var err error
-	if d.record, err = slugrecord.Load[record](ctx, d.cfg.Store, Name); err != nil {
+	if err := d.load(ctx, grant); err != nil {
 		return err
 	}
-	d.firstWindow = slugusagecounter.WindowNumber(d.cfg.Now(), d.cfg.Window)
-	return slugrecord.Every(ctx, reviewInterval, func() error { return d.review(ctx, grant) })
+	d.firstWindow = d.window(d.cfg.Now())
+	return d.record.Every(ctx, reviewInterval, func() error { return d.load(ctx, grant) }, func() error { return d.review(ctx, grant) })
+}
+
+// window returns the number of the window that contains t.
+func (d *Duty) window(t time.Time) int64 { return slugusagecounter.WindowNumber(t, d.cfg.Window) }
+
+// load reads the reports of earlier holders, or writes those of this process again if the
+// store was restored.
+func (d *Duty) load(ctx context.Context, grant *sluglease.Grant) error {
+	known := d.record.Value.Reports
+	unsaved, err := d.record.Load(ctx, grant)
+	if err != nil {
+		return err
+	}
+	if unsaved {
+		d.cfg.Log.Emit(slugevent.RecordReloaded, slugevent.Fields{"object": Name, "fence": grant.Fence, "reports": len(d.record.Value.Reports)})
+		return d.record.Write(ctx, d.next(d.record.Value.Reports))
+	}
+	if d.record.Complete {
+		return nil
+	}
+	v := &d.record.Value
+	v.Reports = mergeReports(v.Reports, known)
+	first := d.window(d.cfg.Now().Add(-time.Since(d.cfg.Store.EraSeenAt())))
+	if n := len(v.Reports); n > 0 && v.Reports[n-1].Window+1 < first {
+		d.cfg.Log.Emit(slugevent.UsageSkipped, slugevent.Fields{"from": max(v.First, v.Reports[n-1].Window+1), "to": first - 1, "fence": grant.Fence, "era": d.cfg.Store.Era()})
+	}
+	v.First = max(v.First, first)
+	return nil
+}
+
+// mergeReports returns the reports in a and those in b for other windows, ordered by window.
+func mergeReports(a, b []report) []report {
+	out := slices.Clone(a)
+	for _, r := range b {
+		if i := slices.IndexFunc(out, func(x report) bool { return x.Window == r.Window }); i < 0 {
+			out = append(out, r)
+		} else {
+			out[i].Sent = out[i].Sent || r.Sent
+		}
+	}
+	slices.SortFunc(out, func(x, y report) int { return cmp.Compare(x.Window, y.Window) })
+	return out
 }
 
-// write stores the reports. It fails if another holder has written them.
-func (d *Duty) write(ctx context.Context, next record, fence sluglease.Fence) error {
-	next.Fence = fence
-	next.Reports = next.Reports[max(0, len(next.Reports)-retainedReports):]
-	return d.record.Write(ctx, next)
+// next returns a record with the given reports for the next write.
+func (d *Duty) next(reports []report) record {
+	return record{Stamp: d.record.NextStamp(), Reports: reports[max(0, len(reports)-retainedReports):], First: d.record.Value.First}
 }
 
 // review freezes the windows that have ended and sends the reports that were not sent
@@ -130,13 +178,14 @@
 // ago and less than Config.MaxReportDelay ago.
 func (d *Duty) dueWindows() []int64 {
 	now := d.cfg.Now()
-	last := slugusagecounter.WindowNumber(now.Add(-collectionDelay), d.cfg.Window) - 1
-	first := max(d.firstWindow, slugusagecounter.WindowNumber(now.Add(-d.cfg.MaxReportDelay), d.cfg.Window))
+	last := d.window(now.Add(-collectionDelay)) - 1
+	first := d.firstWindow
 	if n := len(d.record.Value.Reports); n > 0 {
 		// A successor also reports the windows that ended while no process held the
 		// duty.
-		first = max(d.record.Value.Reports[n-1].Window+1, slugusagecounter.WindowNumber(now.Add(-d.cfg.MaxReportDelay), d.cfg.Window))
+		first = d.record.Value.Reports[n-1].Window + 1
 	}
+	first = max(first, d.record.Value.First, d.window(now.Add(-d.cfg.MaxReportDelay)))
 	var out []int64
 	for k := first; k <= last; k++ {
 		out = append(out, k)
@@ -150,14 +199,14 @@
 	if len(due) == 0 {
 		return nil
 	}
-	next := record{Reports: slices.Clone(d.record.Value.Reports)}
+	reports := slices.Clone(d.record.Value.Reports)
 	counts := d.cfg.Counts()
 	for _, k := range due {
 		r := report{Window: k, Counts: sumCounts(counts, k)}
-		next.Reports = append(next.Reports, r)
+		reports = append(reports, r)
 		d.cfg.Log.Emit(slugevent.UsageFrozen, slugevent.Fields{"window": k, "requests": r.total(), "fence": grant.Fence})
 	}
-	return d.write(ctx, next, grant.Fence)
+	return d.record.Write(ctx, d.next(reports))
 }
 
 // sumCounts returns the counts of a window, summed over all processes.
@@ -191,7 +240,7 @@
 	} else {
 		d.cfg.Log.Emit(slugevent.WindowReported, fields)
 	}
-	next := record{Reports: slices.Clone(d.record.Value.Reports)}
-	next.Reports[i].Sent = true
-	return d.write(ctx, next, grant.Fence)
+	reports := slices.Clone(d.record.Value.Reports)
+	reports[i].Sent = true
+	return d.record.WriteOutcome(ctx, d.next(reports))
 }
--- a/internal/daemon/slughost/duties.go
+++ b/internal/daemon/slughost/duties.go
@@ -33,7 +33,12 @@
 		Duty: dutiesLease, Self: self.Process, Host: self.Host, Store: h.store.For("lease"), TTL: h.settings.LeaseTime, FirstStart: h.settings.FirstStart,
 		Rank: h.rank, Eligible: h.ready, Log: h.log,
 	})
-	g.Go(func() error { return lease.Run(ctx, h.doDuties) })
+	capacity, usage := h.capacityDuty(), h.usageDuty()
+	g.Go(func() error {
+		return lease.Run(ctx, func(ctx context.Context, grant *sluglease.Grant) error {
+			return h.doDuties(ctx, grant, capacity, usage)
+		})
+	})
 	return nil
 }
 
@@ -43,12 +48,12 @@
 }
 
 // doDuties performs all duties while this process holds the lease.
-func (h *Host) doDuties(ctx context.Context, grant *sluglease.Grant) error {
+func (h *Host) doDuties(ctx context.Context, grant *sluglease.Grant, capacity *slugcapacityduty.Duty, usage *slugusageduty.Duty) error {
 	h.table.Update(func(r *slugpeer.Row) { r.HoldsDuties = true })
 	defer h.table.Update(func(r *slugpeer.Row) { r.HoldsDuties = false })
 	g, ctx := errgroup.WithContext(ctx)
-	g.Go(func() error { return h.capacityDuty().Run(ctx, grant) })
-	g.Go(func() error { return h.usageDuty().Run(ctx, grant) })
+	g.Go(func() error { return capacity.Run(ctx, grant) })
+	g.Go(func() error { return usage.Run(ctx, grant) })
 	g.Go(func() error { return h.removeEndedProcesses(ctx) })
 	return g.Wait()
 }
