Keep what endpoints say about themselves in their responses

An endpoint may say in a response that it is leaving, or, as it turns a request away, for how long it wants no others. slugnotice keeps that for each incarnation of an endpoint, so that it outlives the entry: an entry that is late, older or comes back changes nothing, and only a newer start ends it. Nothing records notices yet.

--- a/internal/decision/slugplacement/placer.go
+++ b/internal/decision/slugplacement/placer.go
@@ -33,6 +33,7 @@
 	"github.com/sassafraslug/sassafraslug/internal/base/slugname"
 	"github.com/sassafraslug/sassafraslug/internal/decision/slugbacklog"
 	"github.com/sassafraslug/sassafraslug/internal/decision/slugmedian"
+	"github.com/sassafraslug/sassafraslug/internal/decision/slugnotice"
 	"github.com/sassafraslug/sassafraslug/internal/decision/slugpace"
 	"github.com/sassafraslug/sassafraslug/internal/decision/slugpermit"
 	"github.com/sassafraslug/sassafraslug/internal/decision/slugplan"
@@ -123,6 +124,8 @@
 	// host, and time.Now.
 	Share func() slugpermit.Share
 	Clock func() time.Time
+	// Notices holds what endpoints said about themselves; nil means that no one records any.
+	Notices *slugnotice.Notices
 	// Random returns a number in [0, 1) for breaking ties; nil means math/rand/v2.
 	Random func() float64
 }
@@ -183,6 +186,9 @@
 	if cfg.Clock == nil {
 		cfg.Clock = time.Now
 	}
+	if cfg.Notices == nil {
+		cfg.Notices = slugnotice.New()
+	}
 	if cfg.Random == nil {
 		cfg.Random = rand.Float64
 	}
@@ -343,13 +349,13 @@
 // been sent yet.
 func (c *Choice) StartedAt() time.Time { return c.startedAt }
 
-// candidates returns the endpoints with a role that are not excluded and whose rate limit
-// allows a request. Endpoints to avoid are returned only if there are no others. The caller
-// must hold p.mu.
+// candidates returns the endpoints with a role that are not excluded, that want requests and
+// whose rate limit allows one. Endpoints to avoid are returned only if there are no others.
+// The caller must hold p.mu.
 func (p *Placer) candidates(r slugplan.Role, exclude []slugname.Endpoint, now time.Time) []*endpointState {
 	var preferred, avoided []*endpointState
 	for _, s := range p.list {
-		if s.Role != r || slices.Contains(exclude, s.Name) || !p.hasPermit(s) {
+		if s.Role != r || slices.Contains(exclude, s.Name) || !p.hasPermit(s) || !p.wantsRequests(s, now) {
 			continue
 		}
 		if now.Before(s.avoidUntil) {
