Leave endpoints alone that turn requests away and state for how long

What endpoints saw: one that answers 503 with 'Retry-After: 3' got 15 to 21 requests from a host between half a second after that and the end of the 3 s. Cause: such a refusal made the placer avoid the endpoint for 120 ms, whatever it stated, and endpoints to avoid are used when there are no others.

If no endpoint of a role wants requests, they are refused at once as not run, before the prompt is processed, with the time until the first does as Retry-After.

--- a/internal/base/slugevent/event.go
+++ b/internal/base/slugevent/event.go
@@ -97,6 +97,8 @@
 	EndpointUnlimited
 	LimitUnreadable
 	EndpointSaidLeaving
+	EndpointAskedToWait
+	NoticeUnreadable
 )
 
 var descriptions = map[Event]Description{
@@ -159,6 +161,8 @@
 	EndpointUnlimited:       {logrus.InfoLevel, "endpoint no longer states a rate limit", "none"},
 	LimitUnreadable:         {logrus.WarnLevel, "rate limit of an endpoint cannot be read", "check the endpoint; the limit that it stated before stays in effect"},
 	EndpointSaidLeaving:     {logrus.InfoLevel, "endpoint says in a response that it is leaving", "none; the host sends it nothing more, whatever its entry says, until it starts anew"},
+	EndpointAskedToWait:     {logrus.WarnLevel, "endpoint turned a request away and asks to be left alone", "check the endpoint: it is in need; requests go to others for the time in the field retryAfterMs"},
+	NoticeUnreadable:        {logrus.WarnLevel, "time to wait that an endpoint states cannot be read", "check the endpoint; it is avoided for a moment only, as without a time"},
 	QuarantineUnreadable:    {logrus.ErrorLevel, "quarantine in the store cannot be decoded", "find out who wrote the object named in the fields, and remove it"},
 	ConnectionSilent:        {logrus.WarnLevel, "connection stopped responding", "check the network between the hosts"},
 	UsageWriteFailed:        {logrus.WarnLevel, "usage record could not be written", "check the store; totals are kept and written later"},
--- a/internal/daemon/slughost/notices.go
+++ b/internal/daemon/slughost/notices.go
@@ -17,6 +17,9 @@
 // it. If another endpoint responded than the one to which the request was sent, the notice
 // concerns that one.
 func (h *Host) endpointNoticed(s slugname.Service, e slugplacement.Endpoint, head slugdispatch.ResponseHead) {
+	if head.NoticeUnreadable {
+		h.log.Emit(slugevent.NoticeUnreadable, slugevent.Fields{"endpoint": e.Name, "service": s, "peer": e.Address})
+	}
 	if head.Notice == (slugnotice.Notice{}) {
 		return
 	}
@@ -36,6 +39,10 @@
 func (h *Host) recordNotice(e slugregistry.Endpoint, n slugnotice.Notice) {
 	changed := h.notices.Record(e.Name, int64(e.Incarnation), n, time.Now())
 	fields := slugevent.Fields{"endpoint": e.Name, "incarnation": e.Incarnation, "service": e.Service, "peer": e.Address}
+	if changed.RetryAfter > 0 {
+		fields["retryAfterMs"] = changed.RetryAfter.Milliseconds()
+		h.log.Emit(slugevent.EndpointAskedToWait, fields)
+	}
 	if changed.Leaving {
 		h.log.Emit(slugevent.EndpointSaidLeaving, fields)
 		h.updatePlacers([]slugname.Service{e.Service})
--- a/internal/request/slugdispatch/call.go
+++ b/internal/request/slugdispatch/call.go
@@ -75,8 +75,10 @@
 	LimitUnreadable bool
 	// Responder is the endpoint that responded, empty if the response does not name it.
 	Responder slugname.Endpoint
-	// Notice is what the endpoint says about itself.
-	Notice slugnotice.Notice
+	// Notice is what the endpoint says about itself. NoticeUnreadable is set if it states a
+	// time to wait that cannot be read.
+	Notice           slugnotice.Notice
+	NoticeUnreadable bool
 }
 
 // Handle identifies the KV cache of a processed prompt at its endpoint.
--- a/internal/request/slugdispatch/dispatcher.go
+++ b/internal/request/slugdispatch/dispatcher.go
@@ -26,6 +26,7 @@
 	"github.com/sassafraslug/sassafraslug/internal/connection/slugsend"
 	"github.com/sassafraslug/sassafraslug/internal/decision/slugbudget"
 	"github.com/sassafraslug/sassafraslug/internal/decision/slugplacement"
+	"github.com/sassafraslug/sassafraslug/internal/decision/slugplan"
 	"github.com/sassafraslug/sassafraslug/internal/decision/slugquarantine"
 	"github.com/sassafraslug/sassafraslug/internal/request/slugrefusal"
 	"github.com/sassafraslug/sassafraslug/internal/version/slugconfig"
@@ -350,12 +351,25 @@
 }
 
 // retryAfter returns a random retry delay, so that refused callers do not all return at
-// once.
+// once. If the endpoints asked to be left alone, it is not before the first of them wants
+// requests again, even if the caller does not wait so long.
 func (d *dispatch) retryAfter() time.Duration {
 	spread := time.Duration(rand.Int64N(int64(transientRetryAfter)))
+	if wait := d.untilWanted(); wait > 0 {
+		return wait + spread
+	}
 	return min(transientRetryAfter/2+spread, max(d.remaining()/3, 0))
 }
 
+// untilWanted returns the time until endpoints of each role that the request needs want
+// requests again.
+func (d *dispatch) untilWanted() (longest time.Duration) {
+	for _, r := range []slugplan.Role{"", slugplan.RolePrefill, slugplan.RoleDecode} {
+		longest = max(longest, d.placer.UntilWanted(r, time.Now()))
+	}
+	return longest
+}
+
 // tryRetry reports whether the request may be sent once more, and if so takes the retry
 // from the budget. A request that may have run is not sent again if endpoints crashed
 // repeatedly under requests with something in common with it.
