--- a/internal/daemon/slughost/duties.go
+++ b/internal/daemon/slughost/duties.go
@@ -30,10 +30,15 @@
 func (h *Host) runDuties(ctx context.Context, g *errgroup.Group) error {
 	self := h.member.Self()
 	lease := sluglease.New(sluglease.Config{
-		Duty: dutiesLease, Self: self.Process, Host: self.Host, Store: h.store.For("lease"), TTL: h.settings.LeaseTime,
+		Duty: dutiesLease, Self: self.Process, Host: self.Host, Store: h.store.For("lease"), TTL: h.settings.LeaseTime, FirstStart: h.settings.FirstStart,
 		Rank: h.rank, Eligible: h.ready, Log: h.log,
 	})
-	g.Go(func() error { return lease.Run(ctx, h.doDuties) })
+	capacity, usage := h.capacityDuty(), h.usageDuty()
+	g.Go(func() error {
+		return lease.Run(ctx, func(ctx context.Context, grant *sluglease.Grant) error {
+			return h.doDuties(ctx, grant, capacity, usage)
+		})
+	})
 	return nil
 }
 
@@ -43,12 +48,12 @@
 }
 
 // doDuties performs all duties while this process holds the lease.
-func (h *Host) doDuties(ctx context.Context, grant *sluglease.Grant) error {
+func (h *Host) doDuties(ctx context.Context, grant *sluglease.Grant, capacity *slugcapacityduty.Duty, usage *slugusageduty.Duty) error {
 	h.table.Update(func(r *slugpeer.Row) { r.HoldsDuties = true })
 	defer h.table.Update(func(r *slugpeer.Row) { r.HoldsDuties = false })
 	g, ctx := errgroup.WithContext(ctx)
-	g.Go(func() error { return h.capacityDuty().Run(ctx, grant) })
-	g.Go(func() error { return h.usageDuty().Run(ctx, grant) })
+	g.Go(func() error { return capacity.Run(ctx, grant) })
+	g.Go(func() error { return usage.Run(ctx, grant) })
 	g.Go(func() error { return h.removeEndedProcesses(ctx) })
 	return g.Wait()
 }
@@ -58,7 +63,7 @@
 	return slugcommand.Channel{
 		Host: h.settings.Host, Commands: h.adapter.Commands, Address: hostPort(h.settings.DutiesAddress),
 		Do: func(grant *sluglease.Grant) slugcommand.Do {
-			return slugcommand.Guarded(h.network.DialReset, grant.Check)
+			return h.noticing(slugcommand.Guarded(h.network.DialReset, grant.Check))
 		},
 	}
 }
