Read an object that was removed

The platform's store reports no revision for an object that does not exist. Once a process had seen an object, each later read that did not find it was rejected as older than the earlier one, until the retries were used up; a write with a lost response could not be resolved by reading back. Found while looking at versions across restores of the store.

TestRemovedObjectIsStale failed before (ErrStale).

--- a/internal/base/slugstore/store.go
+++ b/internal/base/slugstore/store.go
@@ -193,7 +193,8 @@
 	if err != nil {
 		return Object{}, err
 	}
-	if !s.advanceVersion(name, v.Version) {
+	// The version of an object that does not exist may hold the era only.
+	if (v.Bytes != nil || v.Version.Revision() != 0) && !s.advanceVersion(name, v.Version) {
 		return Object{}, errors.Wrapf(ErrStale, "version %d", v.Version)
 	}
 	if v.Bytes == nil {
