Do not take the store for unavailable because a peer lags behind

Right after a restore, hosts logged 104 and 207 in turn: the peers that they followed answered from the era before, which counted as a failure of the store. A source that lags behind says nothing about the store; the watch moves on to the next one as it does when a peer is silent. TestLaggingSourceIsNoOutage failed before.

--- a/internal/base/slugstore/era_test.go
+++ b/internal/base/slugstore/era_test.go
@@ -158,3 +158,32 @@
 		synctest.Wait()
 	})
 }
+
+// TestLaggingSourceIsNoOutage guards against a process that takes the store for unavailable
+// because a peer does not know of its restore yet.
+func TestLaggingSourceIsNoOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := slugstore.New(slugstore.Config{Backend: &slugstore.Backend{
+			List: func(context.Context, string) (slugstore.Listing, error) {
+				return slugstore.Listing{Revision: slugstore.NewVersion(2, 40)}, nil
+			},
+		}})
+		lagging := &slugstore.Source{Follow: func(context.Context, string, slugstore.Version, time.Duration) (slugstore.Changes, error) {
+			time.Sleep(100 * time.Millisecond)
+			return slugstore.Changes{Listing: slugstore.Listing{Revision: slugstore.NewVersion(1, 90)}, Complete: true}, nil
+		}}
+		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+		defer cancel()
+		failures := 0
+		_ = s.Watch(ctx, slugstore.Watcher{
+			Prefix: "p/", OnChange: func([]slugstore.Object) {}, SharedWatch: slugstore.SharedWatch{NextSource: func(int) *slugstore.Source { return lagging }},
+			OnError: func(err error) {
+				failures++
+				assert.Assert(t, errors.Is(err, slugstore.ErrSourceUnavailable), "%v", err)
+				assert.Assert(t, errors.Is(err, slugstore.ErrStale), "%v", err)
+			},
+		})
+		assert.Assert(t, failures > 0)
+		assert.Assert(t, !s.Failing(time.Minute))
+	})
+}
--- a/internal/base/slugstore/watch.go
+++ b/internal/base/slugstore/watch.go
@@ -188,14 +188,15 @@
 // watchOnce makes one call and updates x, unless the call fails or its response is stale.
 // at is an instant at which the store had no changes other than those returned so far.
 func (s *Store) watchOnce(ctx context.Context, x *watch) (objects []Object, at slugclock.Instant, err error) {
-	changes, err := s.fetchUpdate(ctx, x)
+	changes, fromSource, err := s.fetchUpdate(ctx, x)
 	if err != nil {
 		return nil, changes.CurrentAt, err
 	}
-	if err := s.observeEra(changes.Revision.Era()); err != nil {
-		return nil, changes.CurrentAt, err
-	}
-	if err := x.checkRevision(changes); err != nil {
+	if err := errors.CombineErrors(s.observeEra(changes.Revision.Era()), x.checkRevision(changes)); err != nil {
+		if fromSource {
+			// A source that lags behind says nothing about the store.
+			err = errors.Mark(err, ErrSourceUnavailable)
+		}
 		return nil, changes.CurrentAt, err
 	}
 	f := decode
@@ -225,7 +226,7 @@
 }
 
 // fetchUpdate calls the store, or the source that is used instead.
-func (s *Store) fetchUpdate(ctx context.Context, x *watch) (Changes, error) {
+func (s *Store) fetchUpdate(ctx context.Context, x *watch) (changes Changes, fromSource bool, err error) {
 	wait := x.wait()
 	if x.failures > 0 {
 		// After a failure, ask without waiting, to get missed changes at once when the
@@ -239,21 +240,23 @@
 	}
 	switch {
 	case source != nil && x.synced:
-		return source.Follow(ctx, x.Prefix, x.revision, wait)
+		changes, err = source.Follow(ctx, x.Prefix, x.revision, wait)
+		return changes, true, err
 	case source != nil:
-		return source.Follow(ctx, x.Prefix, 0, wait)
+		changes, err = source.Follow(ctx, x.Prefix, 0, wait)
+		return changes, true, err
 	case x.synced && x.revision.Era() == s.Era():
-		return s.watchStore(ctx, x, wait)
+		changes, err = s.watchStore(ctx, x, wait)
+		return changes, false, err
 	}
-	changes := Changes{Complete: true, CurrentAt: slugclock.Now()}
-	var err error
+	changes = Changes{Complete: true, CurrentAt: slugclock.Now()}
 	changes.Listing, err = s.list(ctx, x.Prefix)
 	if err == nil {
 		if err = x.checkRevision(changes); err != nil {
 			s.recordOutcome(err)
 		}
 	}
-	return changes, err
+	return changes, false, err
 }
 
 // watchStore waits for changes in the store.
