--- a/internal/base/slugstore/era_test.go
+++ b/internal/base/slugstore/era_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -94,20 +95,22 @@
 // given out the revision again from which the watch continues.
 func TestWatchStartsOverInNewEra(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		era := slugstore.Era(1)
+		var era atomic.Uint64
+		era.Store(1)
+		version := func() slugstore.Version { return slugstore.NewVersion(slugstore.Era(era.Load()), 9) }
 		lists := 0
 		s := slugstore.New(slugstore.Config{Backend: &slugstore.Backend{
 			List: func(context.Context, string) (slugstore.Listing, error) {
 				lists++
-				l := slugstore.Listing{Revision: slugstore.NewVersion(era, 9)}
-				if era == 1 {
+				l := slugstore.Listing{Revision: version()}
+				if era.Load() == 1 {
 					l.Values = append(l.Values, slugstore.Value{Name: "p/lost", Version: slugstore.NewVersion(1, 9), Bytes: []byte("1")})
 				}
 				return l, nil
 			},
 			Watch: func(_ context.Context, _ string, _ slugstore.Version, wait time.Duration) (slugstore.Listing, error) {
 				time.Sleep(wait)
-				return slugstore.Listing{Revision: slugstore.NewVersion(era, 9)}, nil
+				return slugstore.Listing{Revision: version()}, nil
 			},
 		}})
 		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
@@ -115,7 +118,7 @@
 		exists := map[string]bool{}
 		go func() {
 			time.Sleep(3 * time.Second)
-			era = 2
+			era.Store(2)
 		}()
 		_ = s.Watch(ctx, slugstore.Watcher{
 			Prefix: "p/", NoEnvelope: true, Wait: func() time.Duration { return time.Second },
@@ -134,14 +137,15 @@
 // others although it rejects all that the store answers.
 func TestStuckWatchIsFailing(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		revision := uint64(90)
+		var revision atomic.Uint64
+		revision.Store(90)
 		s := slugstore.New(slugstore.Config{Backend: &slugstore.Backend{
 			List: func(context.Context, string) (slugstore.Listing, error) {
-				return slugstore.Listing{Revision: slugstore.NewVersion(1, revision)}, nil
+				return slugstore.Listing{Revision: slugstore.NewVersion(1, revision.Load())}, nil
 			},
 			Watch: func(_ context.Context, _ string, _ slugstore.Version, wait time.Duration) (slugstore.Listing, error) {
 				time.Sleep(wait)
-				return slugstore.Listing{Revision: slugstore.NewVersion(1, revision)}, nil
+				return slugstore.Listing{Revision: slugstore.NewVersion(1, revision.Load())}, nil
 			},
 		}})
 		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
@@ -151,7 +155,7 @@
 		}()
 		time.Sleep(1500 * time.Millisecond)
 		assert.Assert(t, !s.Failing(time.Second))
-		revision = 40
+		revision.Store(40)
 		time.Sleep(2 * time.Second)
 		assert.Assert(t, s.Failing(time.Second))
 		cancel()
