Read notices of endpoints on the product's own interface

What endpoints saw: an engine that would say that it leaves got 10 to 23 more requests in 5 s, one that turned requests away with 'Retry-After: 6' 10 to 50 in 3 s, as gates took nothing from its responses but that the request had not run. The protocol had no header for leaving.

Change: Engine-Leaving in all responses of engines and plain services, and Retry-After of a 503, are read where all responses pass, in slugsend: those to requests, resumed and cancelled streams, load reports and cache events. The fleet keeps them in slugnotice, and the picker takes no such endpoint. Responses on this interface state no incarnation; a response without Engine-Leaving to a later call ends the notice (event 425), as each response says so until the endpoint stops. A waiting endpoint is not polled. If no endpoint that suits a request wants any, the request is refused at once with the time until the first does, also when it is already queued; a started one waits if it can start before its deadline.

The stand-ins of engines and plain services speak both headers.

--- a/internal/base/slugevent/event.go
+++ b/internal/base/slugevent/event.go
@@ -99,6 +99,7 @@
 	EndpointSaidLeaving
 	EndpointAskedToWait
 	NoticeUnreadable
+	EndpointReturned
 )
 
 var descriptions = map[Event]Description{
@@ -163,6 +164,7 @@
 	EndpointSaidLeaving:     {logrus.InfoLevel, "endpoint says in a response that it is leaving", "none; the host sends it nothing more, whatever its entry says, until it starts anew"},
 	EndpointAskedToWait:     {logrus.WarnLevel, "endpoint turned a request away and asks to be left alone", "check the endpoint: it is in need; requests go to others for the time in the field retryAfterMs"},
 	NoticeUnreadable:        {logrus.WarnLevel, "time to wait that an endpoint states cannot be read", "check the endpoint; it is avoided for a moment only, as without a time"},
+	EndpointReturned:        {logrus.InfoLevel, "endpoint that said that it is leaving has started again", "none"},
 	QuarantineUnreadable:    {logrus.ErrorLevel, "quarantine in the store cannot be decoded", "find out who wrote the object named in the fields, and remove it"},
 	ConnectionSilent:        {logrus.WarnLevel, "connection stopped responding", "check the network between the hosts"},
 	UsageWriteFailed:        {logrus.WarnLevel, "usage record could not be written", "check the store; totals are kept and written later"},
--- a/internal/connection/slugsend/sender.go
+++ b/internal/connection/slugsend/sender.go
@@ -44,6 +44,8 @@
 type Config struct {
 	// Dial opens connections; nil means a NewDialer with UserTimeout.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+	// Responded is called with each response, before it is returned; it may be nil.
+	Responded func(Response)
 }
 
 // Sender sends HTTP requests to endpoints. It doesn't follow redirects.
@@ -51,6 +53,8 @@
 	// pooled reuses connections; fresh opens a new one for each request.
 	pooled *http.Client
 	fresh  *http.Client
+	// onResponse is Config.Responded.
+	onResponse func(Response)
 }
 
 // Request is one request to an endpoint.
@@ -74,7 +78,7 @@
 	if cfg.Dial == nil {
 		cfg.Dial = NewDialer(UserTimeout).DialContext
 	}
-	return &Sender{pooled: newClient(cfg, false), fresh: newClient(cfg, true)}
+	return &Sender{pooled: newClient(cfg, false), fresh: newClient(cfg, true), onResponse: cfg.Responded}
 }
 
 func newClient(cfg Config, fresh bool) *http.Client {
@@ -142,7 +146,11 @@
 	if request.Repeatable {
 		c = s.pooled
 	}
+	sentAt := time.Now()
 	resp, err := c.Do(r)
+	if err == nil {
+		s.responded(r.URL.Host, sentAt, resp)
+	}
 	mu.Lock()
 	defer mu.Unlock()
 	// Copy the exchange, because the trace callback may still write to it if a dial
--- a/internal/daemon/sluggate/gate.go
+++ b/internal/daemon/sluggate/gate.go
@@ -171,7 +171,7 @@
 
 // join creates the sender and the connection to the cluster.
 func (g *Gate) join(_ context.Context, _ *errgroup.Group) error {
-	g.sender = slugsend.New(slugsend.Config{Dial: g.network.Dial})
+	g.sender = slugsend.New(slugsend.Config{Dial: g.network.Dial, Responded: func(r slugsend.Response) { g.fleet.Responded(r) }})
 	node, err := slugnode.New(slugnode.Config{
 		Settings: g.settings, Kind: slugmember.KindGate, Log: g.log, Metrics: g.metrics, Network: g.network,
 		CallersAddress:   slugnode.Advertised(g.settings.CallersAdvertise, g.callers.Address()),
@@ -203,7 +203,7 @@
 	g.ledger = slugledger.New(slugledger.Config{Region: s.Region, Process: self.Process, Window: s.UsageWindow, Store: g.Store.For("usage")})
 	g.fleet = slugfleet.New(slugfleet.Config{
 		Host: s.Host, DataCentre: s.DataCentre, Store: g.Store.For("plans"), Get: g.sender.Get,
-		QueueLength: int(s.QueueLength), Changed: g.acknowledgePlans, MaxTokenGap: g.maxTokenGap, GateIndex: g.gateIndex,
+		QueueLength: int(s.QueueLength), Changed: g.acknowledgePlans, MaxTokenGap: g.maxTokenGap, GateIndex: g.gateIndex, Log: g.log,
 	})
 	g.partitionDetector = slugpartition.New(slugpartition.Config{LastConfirmed: g.Follower.LastConfirmed, Statuses: g.Table.Statuses, Records: g.Member.Records, Log: g.log})
 	g.directory = slugdirectory.New(slugdirectory.Config{
--- a/internal/decision/slugnotice/notices.go
+++ b/internal/decision/slugnotice/notices.go
@@ -48,8 +48,9 @@
 // state holds the notices of one endpoint.
 type state struct {
 	incarnation int64
-	leaving     bool
-	waitUntil   time.Time
+	// leavingAt is when the endpoint first said that it is leaving, zero if it did not.
+	leavingAt time.Time
+	waitUntil time.Time
 	// usedAt is when the state was last recorded or asked for.
 	usedAt time.Time
 }
@@ -85,8 +86,8 @@
 		return Notice{}
 	}
 	s.usedAt = now
-	if notice.Leaving && !s.leaving {
-		s.leaving, changed.Leaving = true, true
+	if notice.Leaving && s.leavingAt.IsZero() {
+		s.leavingAt, changed.Leaving = now, true
 	}
 	if until := now.Add(notice.RetryAfter); until.After(s.waitUntil) && notice.RetryAfter > 0 {
 		if !s.waitUntil.After(now) {
@@ -107,7 +108,22 @@
 		return 0, false
 	}
 	s.usedAt = now
-	return max(0, s.waitUntil.Sub(now)), s.leaving
+	return max(0, s.waitUntil.Sub(now)), !s.leavingAt.IsZero()
+}
+
+// RecordReturn records a response that does not say that the endpoint is leaving, to a request
+// that was sent at the given time, and reports whether that ends an earlier notice. It is for
+// endpoints that state no incarnation: all their responses say so until they stop, so that
+// one without it shows that the endpoint has started anew.
+func (n *Notices) RecordReturn(e slugname.Endpoint, sentAt time.Time) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	s := n.states[e]
+	if s == nil || s.leavingAt.IsZero() || !sentAt.After(s.leavingAt) {
+		return false
+	}
+	delete(n.states, e)
+	return true
 }
 
 // prune forgets the notices that have not been used for retention. The caller must hold
--- a/internal/decision/slugnotice/notices_test.go
+++ b/internal/decision/slugnotice/notices_test.go
@@ -64,3 +64,22 @@
 	_, leaving := n.Wait("kept", 1, now)
 	assert.Assert(t, leaving)
 }
+
+// Guards against an endpoint without incarnations that is never used again after a restart,
+// and against one that is used again because of a response from before its notice.
+func TestReturnEndsNotice(t *testing.T) {
+	now := time.Now()
+	n := New()
+	assert.Assert(t, !n.RecordReturn("a", now))
+	n.Record("a", 0, Notice{Leaving: true, RetryAfter: time.Minute}, now)
+	assert.Assert(t, !n.RecordReturn("a", now))
+	_, leaving := n.Wait("a", 0, now)
+	assert.Assert(t, leaving)
+	assert.Assert(t, n.RecordReturn("a", now.Add(time.Millisecond)))
+	wait, leaving := n.Wait("a", 0, now)
+	assert.Assert(t, wait == 0 && !leaving)
+	n.Record("a", 0, Notice{RetryAfter: time.Minute}, now)
+	assert.Assert(t, !n.RecordReturn("a", now.Add(time.Second)))
+	wait, _ = n.Wait("a", 0, now)
+	assert.Equal(t, wait, time.Minute)
+}
--- a/internal/decision/slugpick/picker.go
+++ b/internal/decision/slugpick/picker.go
@@ -24,6 +24,7 @@
 	"time"
 
 	"github.com/sassafraslug/sassafraslug/internal/base/slugname"
+	"github.com/sassafraslug/sassafraslug/internal/decision/slugnotice"
 	"github.com/sassafraslug/sassafraslug/internal/decision/slugplan"
 	"github.com/sassafraslug/sassafraslug/internal/version/slugmanifest"
 )
@@ -54,6 +55,8 @@
 	GateIndex func() (index, gates int)
 	// CrashPause is how long an endpoint gets no work after a crash.
 	CrashPause time.Duration
+	// Notices holds what endpoints said about themselves; nil means that no one records any.
+	Notices *slugnotice.Notices
 }
 
 // Defaults for Config.
@@ -198,6 +201,9 @@
 	if cfg.MaxTokenGap == nil {
 		cfg.MaxTokenGap = func() time.Duration { return 0 }
 	}
+	if cfg.Notices == nil {
+		cfg.Notices = slugnotice.New()
+	}
 	if cfg.CrashPause == 0 {
 		cfg.CrashPause = defaultCrashPause
 	}
@@ -248,7 +254,10 @@
 func (p *Picker) HasEndpoint() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return slices.ContainsFunc(p.candidates, func(c *candidate) bool { return c.State != slugplan.StateLeaving })
+	return slices.ContainsFunc(p.candidates, func(c *candidate) bool {
+		_, leaving := p.cfg.Notices.Wait(c.Name, 0, time.Now())
+		return c.State != slugplan.StateLeaving && !leaving
+	})
 }
 
 // Outstanding returns the number of this process's requests at an endpoint.
@@ -326,13 +335,10 @@
 // eligible reports whether an endpoint can accept the work now. split is set if endpoints
 // are divided by role.
 func (p *Picker) eligible(c *candidate, w *Work, split bool, now time.Time) bool {
-	if c.State != slugplan.StateServing || now.Before(c.pausedUntil) {
-		return false
-	}
-	if c.Cheap && !w.Repeatable {
+	if !c.suits(w, split) || now.Before(c.pausedUntil) {
 		return false
 	}
-	if split && !roleAccepts(c.Role, w, c.Speed) {
+	if wait, leaving := p.cfg.Notices.Wait(c.Name, 0, now); wait > 0 || leaving {
 		return false
 	}
 	if w.Suspect && (c.suspects > 0 || !p.suspectsAllowed() || p.useAssigned && !p.assignedForSuspects(c)) {
--- a/internal/fleet/slugfleet/fleet.go
+++ b/internal/fleet/slugfleet/fleet.go
@@ -20,8 +20,10 @@
 	"time"
 
 	"github.com/sassafraslug/sassafraslug/internal/base/slugbackoff"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugevent"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugname"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugstore"
+	"github.com/sassafraslug/sassafraslug/internal/decision/slugnotice"
 	"github.com/sassafraslug/sassafraslug/internal/decision/slugpick"
 	"github.com/sassafraslug/sassafraslug/internal/decision/slugplan"
 	"github.com/sassafraslug/sassafraslug/internal/decision/slugqueue"
@@ -59,6 +61,7 @@
 	QueueLength int
 	// Changed is called after plans have changed; it may be nil.
 	Changed func()
+	Log     *slugevent.Log
 }
 
 // Service holds the endpoints and the queue of one service.
@@ -77,6 +80,11 @@
 	versions map[string]slugstore.Version
 	// cursors are the numbers of the last cache event read from each engine.
 	cursors map[slugname.Endpoint]int
+	// byAddress maps the addresses of all endpoints in the plans to the endpoints.
+	byAddress map[string]planned
+
+	// notices holds what the endpoints said about themselves.
+	notices *slugnotice.Notices
 }
 
 // New returns a Fleet without endpoints.
@@ -86,7 +94,7 @@
 	}
 	return &Fleet{
 		cfg: cfg, services: map[slugname.Service]*Service{}, plans: map[string]slugplan.Plan{},
-		versions: map[string]slugstore.Version{}, cursors: map[slugname.Endpoint]int{},
+		versions: map[string]slugstore.Version{}, cursors: map[slugname.Endpoint]int{}, notices: slugnotice.New(),
 	}
 }
 
@@ -103,7 +111,7 @@
 	svc := f.services[s]
 	if svc == nil {
 		svc = &Service{
-			Picker: slugpick.New(slugpick.Config{Local: f.cfg.DataCentre, MaxTokenGap: func() time.Duration { return f.cfg.MaxTokenGap(s) }, GateIndex: f.cfg.GateIndex}),
+			Picker: slugpick.New(slugpick.Config{Local: f.cfg.DataCentre, MaxTokenGap: func() time.Duration { return f.cfg.MaxTokenGap(s) }, GateIndex: f.cfg.GateIndex, Notices: f.notices}),
 			Queue:  slugqueue.New(slugqueue.Config{MaxLength: f.cfg.QueueLength}),
 		}
 		f.services[s] = svc
@@ -167,6 +175,9 @@
 	for _, o := range objects {
 		f.applyPlan(o, changed)
 	}
+	if len(changed) > 0 {
+		f.indexAddresses()
+	}
 	var wake []*Service
 	for s := range changed {
 		svc := f.service(s)
@@ -245,6 +256,9 @@
 	var wg sync.WaitGroup
 	for _, s := range f.allServices() {
 		for _, e := range s.Picker.Endpoints() {
+			if !f.wantsReads(e.Name) {
+				continue
+			}
 			slots <- struct{}{}
 			wg.Add(1)
 			go func() {
--- a/internal/request/slugadmit/admitter.go
+++ b/internal/request/slugadmit/admitter.go
@@ -316,14 +316,24 @@
 		work.IgnoreCapacity = !work.Suspect
 		t.Deadline = Later(c.Deadline, time.Now().Add(startedQueueTimeout))
 	}
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
 	t.TryStart = func() (ok bool) {
-		assignment.Ticket, ok = picker.Pick(work, time.Now())
+		if assignment.Ticket, ok = picker.Pick(work, time.Now()); !ok && mustNotWait(picker, work, t) {
+			cancel(errUnwanted)
+		}
 		return ok
 	}
 	if c.Started && t.TryStart() {
 		return assignment, nil
 	}
-	return assignment, waitRefusal(assignment.service.Queue.Wait(ctx, t), c)
+	err := assignment.service.Queue.Wait(ctx, t)
+	if err != nil && errors.Is(context.Cause(ctx), errUnwanted) {
+		// The next request in the queue is refused as well.
+		assignment.service.Queue.Wake()
+		return assignment, unwantedRefusal(picker.UntilWanted(work, time.Now()), c)
+	}
+	return assignment, waitRefusal(err, c)
 }
 
 // latestStart returns the latest time at which work of the given duration can start and
--- a/internal/request/slugplaincall/send.go
+++ b/internal/request/slugplaincall/send.go
@@ -129,6 +129,7 @@
 	for n, values := range slugadmit.ForwardHeader(resp.Header, "") {
 		h[n] = values
 	}
+	h.Del(slugsend.LeavingHeader)
 	h.Set("X-Request-Id", string(x.call.ID))
 	x.w.WriteHeader(resp.StatusCode)
 	if _, err := x.w.Write(buffered); err != nil {
--- a/internal/standin/slugengine/engine.go
+++ b/internal/standin/slugengine/engine.go
@@ -96,6 +96,11 @@
 	// silent is unused.
 	silent   map[string]bool
 	refusing bool
+	leaving  bool
+	// retryAfter is the time to wait that rejections state; empty means none.
+	retryAfter string
+	// requested holds the times at which requests arrived, rejected ones too.
+	requested []time.Time
 	// cachedTokens is the total number of prompt tokens found in the prefix cache.
 	cachedTokens int
 }
@@ -152,6 +157,9 @@
 		if e.isDown() {
 			panic(http.ErrAbortHandler)
 		}
+		if e.isLeaving() {
+			w.Header().Set(LeavingHeader, "1")
+		}
 		mux.ServeHTTP(w, r)
 	})
 }
@@ -265,6 +273,39 @@
 	e.refusing = on
 }
 
+// SetRetryAfter makes rejections state a time to wait, the value of Retry-After; empty means
+// none.
+func (e *Engine) SetRetryAfter(value string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.retryAfter = value
+}
+
+// SetLeaving makes all responses say that the engine is leaving, or stops that.
+func (e *Engine) SetLeaving(on bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.leaving = on
+}
+
+func (e *Engine) isLeaving() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.leaving
+}
+
+// Calls returns the number of requests that arrived after a time, rejected ones too.
+func (e *Engine) Calls(after time.Time) (n int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, at := range e.requested {
+		if at.After(after) {
+			n++
+		}
+	}
+	return n
+}
+
 // Greeting describes the capabilities and the state of the engine.
 type Greeting struct {
 	Endpoint       string `json:"endpoint"`
--- a/internal/standin/slugengine/stream.go
+++ b/internal/standin/slugengine/stream.go
@@ -60,6 +60,8 @@
 	// NotRunHeader marks rejections of requests that were not run and can be retried
 	// safely.
 	NotRunHeader = "Engine-Not-Run"
+	// LeavingHeader marks the responses of an engine that is leaving.
+	LeavingHeader = "Engine-Leaving"
 )
 
 // Prompt returns the prompt of a request's body in the form that Token and Answer take.
@@ -96,6 +98,12 @@
 	}
 	s := newStream(r, c)
 	if reason := e.enqueue(s, c); reason != "" {
+		e.mu.Lock()
+		retryAfter := e.retryAfter
+		e.mu.Unlock()
+		if retryAfter != "" {
+			w.Header().Set("Retry-After", retryAfter)
+		}
 		writeNotRun(w, http.StatusServiceUnavailable, reason)
 		return
 	}
@@ -126,6 +134,7 @@
 func (e *Engine) enqueue(s *stream, c completionRequest) string {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.requested = append(e.requested, time.Now())
 	if c.Model != "" && c.Model != e.cfg.Model {
 		return "model " + c.Model + " is not loaded"
 	}
--- a/internal/standin/slugplain/plain.go
+++ b/internal/standin/slugplain/plain.go
@@ -37,6 +37,11 @@
 	dropNext int
 	delay    time.Duration
 	refusing bool
+	leaving  bool
+	// retryAfter is the time to wait that rejections state; empty means none.
+	retryAfter string
+	// calls are the times of the calls received, rejected ones too.
+	calls []time.Time
 }
 
 // New returns a service with the given name.
@@ -64,6 +69,33 @@
 	s.refusing = on
 }
 
+// SetRetryAfter makes rejections state a time to wait, the value of Retry-After; empty means
+// none.
+func (s *Service) SetRetryAfter(value string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.retryAfter = value
+}
+
+// SetLeaving makes all responses say that the service is leaving, or stops that.
+func (s *Service) SetLeaving(on bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leaving = on
+}
+
+// Calls returns the number of calls received after a time, rejected ones too.
+func (s *Service) Calls(after time.Time) (n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, at := range s.calls {
+		if at.After(after) {
+			n++
+		}
+	}
+	return n
+}
+
 // Executions returns the calls executed so far, in order.
 func (s *Service) Executions() []Execution {
 	s.mu.Lock()
@@ -92,7 +124,15 @@
 		_ = json.NewEncoder(w).Encode(Load{})
 	})
 	mux.HandleFunc("/", s.serveCall)
-	return mux
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.mu.Lock()
+		leaving := s.leaving
+		s.mu.Unlock()
+		if leaving {
+			w.Header().Set("Engine-Leaving", "1")
+		}
+		mux.ServeHTTP(w, r)
+	})
 }
 
 // Answer is the response body of a call.
@@ -112,6 +152,12 @@
 	number, delay, drop, refused := s.execute(r, execution)
 	if refused {
 		w.Header().Set("Engine-Not-Run", "1")
+		s.mu.Lock()
+		retryAfter := s.retryAfter
+		s.mu.Unlock()
+		if retryAfter != "" {
+			w.Header().Set("Retry-After", retryAfter)
+		}
 		http.Error(w, "service refuses all calls", http.StatusServiceUnavailable)
 		return
 	}
@@ -135,6 +181,7 @@
 			s.seenKeys = append(s.seenKeys, name)
 		}
 	}
+	s.calls = append(s.calls, time.Now())
 	if s.refusing {
 		return 0, 0, false, true
 	}
