--- a/internal/base/slugevent/event.go
+++ b/internal/base/slugevent/event.go
@@ -30,6 +30,9 @@
 	SettingsReloaded
 	SettingsUnusable
 	LinesDropped
+	RequestAfterClose
+	ConnectionUnanswered
+	StoreRestored
 )
 
 // Events of configuration and membership, 200 to 299.
@@ -70,6 +73,9 @@
 	CapacityPlanned
 	UsageFrozen
 	CallFailed
+	RenewalFailed
+	UsageSkipped
+	RecordReloaded
 )
 
 // Events of requests, 400 to 499.
@@ -116,6 +122,9 @@
 	SettingsReloaded:        {logrus.InfoLevel, "settings reloaded", "none"},
 	SettingsUnusable:        {logrus.ErrorLevel, "settings cannot be used", "fix the settings named in the error; the previous ones stay in use"},
 	LinesDropped:            {logrus.WarnLevel, "log lines dropped", "none; the fields give the number of lines dropped per event by the rate limit, and in unread those dropped because the log output was blocked"},
+	RequestAfterClose:       {logrus.InfoLevel, "request dropped because its connection was being closed", "none: the request was not handled"},
+	ConnectionUnanswered:    {logrus.WarnLevel, "connection closed before the request on it was answered", "report it as a fault, unless it occurs at the end of a process's grace period or the caller was too slow"},
+	StoreRestored:           {logrus.WarnLevel, "platform store was restored from a copy", "none, if the restore was planned; requests continue with the configuration in effect, and what the copy lacks is written again: check that the newest configuration is in the store"},
 	ConfigurationInForce:    {logrus.InfoLevel, "configuration is in effect", "none"},
 	ConfigurationUnreadable: {logrus.ErrorLevel, "configuration cannot be read", "apply a corrected manifest; the previous revision stays in effect"},
 	ConfigurationApplied:    {logrus.InfoLevel, "configuration applied", "none"},
@@ -148,6 +157,9 @@
 	CapacityPlanned:         {logrus.InfoLevel, "capacity planned", "none"},
 	UsageFrozen:             {logrus.InfoLevel, "usage of a window finalized", "none"},
 	CallFailed:              {logrus.WarnLevel, "call to the platform failed", "check the platform's interface; the call is retried"},
+	RenewalFailed:           {logrus.WarnLevel, "renewal of a lease failed", "check the store; the duty is held until the time in remainingMs is over"},
+	UsageSkipped:            {logrus.WarnLevel, "usage windows not reported", "none; the store was restored, and an earlier holder of the duty may have reported these windows with other counts"},
+	RecordReloaded:          {logrus.WarnLevel, "record of a duty read again after a restore of the store", "none"},
 	RequestRefused:          {logrus.InfoLevel, "request refused", "the field code gives the reason"},
 	StreamResumed:           {logrus.InfoLevel, "response stream resumed at the same endpoint", "none"},
 	StreamContinued:         {logrus.InfoLevel, "response stream continued at another endpoint", "none"},
--- a/internal/base/slugstore/watch.go
+++ b/internal/base/slugstore/watch.go
@@ -23,7 +23,7 @@
 	if err != nil {
 		return nil, slugfault.Wrap(err, "list "+prefix, s.cfg.BaseURL)
 	}
-	return s.decodeAll(l.Values, decode)
+	return s.decodeAll(l.Values, decode), nil
 }
 
 func (s *Store) list(ctx context.Context, prefix string) (Listing, error) {
@@ -31,6 +31,9 @@
 	defer cancel()
 	s.countCall("list")
 	l, err := s.cfg.Backend.List(ctx, prefix)
+	if err == nil {
+		err = s.observeEra(l.Revision.Era())
+	}
 	s.recordOutcome(err)
 	return l, err
 }
@@ -44,8 +47,9 @@
 	return Object{Name: name, Version: v, Body: value}, nil
 }
 
-// decodeAll decodes the values. It skips those that are older than a version seen before.
-func (s *Store) decodeAll(values []Value, decodeOne decoder) ([]Object, error) {
+// decodeAll decodes the values. It skips those that are older than a version seen before. An
+// object that cannot be read is passed on as such, so that the others are not lost with it.
+func (s *Store) decodeAll(values []Value, decodeOne decoder) []Object {
 	objects := make([]Object, 0, len(values))
 	for _, x := range values {
 		if !s.advanceVersion(x.Name, x.Version) {
@@ -57,11 +61,11 @@
 		}
 		o, err := decodeOne(x.Name, x.Version, x.Bytes)
 		if err != nil {
-			return nil, err
+			o = Object{Name: x.Name, Version: x.Version, Body: x.Bytes, unreadable: err}
 		}
 		objects = append(objects, o)
 	}
-	return objects, nil
+	return objects
 }
 
 // Watcher selects the objects to watch and holds the callbacks for changes.
@@ -188,14 +192,17 @@
 	if err != nil {
 		return nil, changes.CurrentAt, err
 	}
-	if changes.Revision < x.revision {
-		return nil, changes.CurrentAt, errors.Wrapf(ErrStale, "revision %d after %d", changes.Revision, x.revision)
+	if err := s.observeEra(changes.Revision.Era()); err != nil {
+		return nil, changes.CurrentAt, err
+	}
+	if err := x.checkRevision(changes); err != nil {
+		return nil, changes.CurrentAt, err
 	}
 	f := decode
 	if x.NoEnvelope {
 		f = decodeWithoutEnvelope
 	}
-	objects, err = s.decodeAll(changes.Values, f)
+	objects = s.decodeAll(changes.Values, f)
 	x.revision, x.lastCurrent = changes.Revision, changes.CurrentAt
 	if changes.Complete {
 		x.synced = true
@@ -206,7 +213,15 @@
 	if x.OnUpdate != nil {
 		x.OnUpdate(changes)
 	}
-	return objects, changes.CurrentAt, err
+	return objects, changes.CurrentAt, nil
+}
+
+// checkRevision returns ErrStale if a response is older than an earlier one.
+func (x *watch) checkRevision(changes Changes) error {
+	if changes.Revision < x.revision {
+		return errors.Wrapf(ErrStale, "revision %d after %d", changes.Revision, x.revision)
+	}
+	return nil
 }
 
 // fetchUpdate calls the store, or the source that is used instead.
@@ -227,12 +242,17 @@
 		return source.Follow(ctx, x.Prefix, x.revision, wait)
 	case source != nil:
 		return source.Follow(ctx, x.Prefix, 0, wait)
-	case x.synced:
+	case x.synced && x.revision.Era() == s.Era():
 		return s.watchStore(ctx, x, wait)
 	}
 	changes := Changes{Complete: true, CurrentAt: slugclock.Now()}
 	var err error
 	changes.Listing, err = s.list(ctx, x.Prefix)
+	if err == nil {
+		if err = x.checkRevision(changes); err != nil {
+			s.recordOutcome(err)
+		}
+	}
 	return changes, err
 }
 
@@ -244,6 +264,14 @@
 	s.countCall("watch")
 	var err error
 	changes.Listing, err = s.cfg.Backend.Watch(ctx, x.Prefix, x.revision, wait)
+	if err == nil && changes.Revision.Era() > x.revision.Era() {
+		// The store gives revisions out again: changes since the same revision of an older
+		// era aren't all changes.
+		err = errors.Wrapf(ErrCompacted, "era %d after %d", changes.Revision.Era(), x.revision.Era())
+	}
+	if err == nil {
+		err = x.checkRevision(changes)
+	}
 	if errors.Is(err, ErrCompacted) {
 		x.synced = false
 	}
