Do not poll the cache events of engines that want nothing from this host

An engine that had turned a request away for 7 s got 8 long polls of 2 hosts in the next 4 s. The feed reads nothing from an engine now that asked to be left alone or is leaving, and goes on at its cursor afterwards. Calls that release a KV cache are still sent: they free memory of the engine.

--- a/internal/daemon/slughost/caches.go
+++ b/internal/daemon/slughost/caches.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugbackoff"
 	"github.com/sassafraslug/sassafraslug/internal/decision/slugplacement"
 	"github.com/sassafraslug/sassafraslug/internal/decision/slugplan"
@@ -28,8 +29,11 @@
 	client := &http.Client{Transport: &http.Transport{DialContext: h.network.DialWithin(dialTimeout), MaxIdleConnsPerHost: eventIdleConnections}}
 	read := h.noticing(client.Do)
 	feed := slugcachefeed.New(slugcachefeed.Config{
-		Read: func(ctx context.Context, address string, since int64, wait time.Duration) (slugcachefeed.Page, error) {
-			return h.adapter.CacheEvents(ctx, read, address, since, wait)
+		Read: func(ctx context.Context, e slugcachefeed.Engine, since int64, wait time.Duration) (slugcachefeed.Page, error) {
+			if left, leaving := h.notices.Wait(e.Name, e.Incarnation, time.Now()); left > 0 || leaving {
+				return slugcachefeed.Page{}, errUnwanted
+			}
+			return h.adapter.CacheEvents(ctx, read, e.Address, since, wait)
 		},
 		Apply: h.applyCachePage,
 	})
@@ -44,6 +48,9 @@
 	return nil
 }
 
+// errUnwanted means that an engine wants no calls of this host now.
+var errUnwanted = errors.New("engine is leaving or asked to be left alone")
+
 // cacheFeedEngines returns the prefill engines whose cache events this process reads.
 func (h *Host) cacheFeedEngines() []slugcachefeed.Engine {
 	t := h.follower.Table()
@@ -59,7 +66,7 @@
 		all := s.Engine.MaxEventReaders >= hosts
 		for _, e := range h.usableEndpoints(s.Name, time.Now()) {
 			if e.Role == slugplan.RolePrefill && (all || h.owns(e)) {
-				out = append(out, slugcachefeed.Engine{Name: e.Name, Address: e.Address, Service: s.Name})
+				out = append(out, slugcachefeed.Engine{Name: e.Name, Incarnation: int64(e.Incarnation), Address: e.Address, Service: s.Name})
 			}
 		}
 	}
--- a/internal/fleet/slugcachefeed/feed.go
+++ b/internal/fleet/slugcachefeed/feed.go
@@ -41,15 +41,16 @@
 
 // Engine identifies an engine to follow.
 type Engine struct {
-	Name    slugname.Endpoint
-	Address string
-	Service slugname.Service
+	Name        slugname.Endpoint
+	Incarnation int64
+	Address     string
+	Service     slugname.Service
 }
 
 // Config configures a Feed.
 type Config struct {
 	// Read waits up to wait for events of an engine after the cursor since.
-	Read func(ctx context.Context, address string, since int64, wait time.Duration) (Page, error)
+	Read func(ctx context.Context, e Engine, since int64, wait time.Duration) (Page, error)
 	// Apply is called with each page. If fresh is true, everything known about the cache
 	// of the engine must be discarded first.
 	Apply func(e Engine, p Page, fresh bool)
@@ -113,7 +114,7 @@
 	epoch := ""
 	for ctx.Err() == nil {
 		callCtx, cancel := context.WithTimeout(ctx, readTimeout)
-		page, err := f.cfg.Read(callCtx, e.Address, since, readWait)
+		page, err := f.cfg.Read(callCtx, e, since, readWait)
 		cancel()
 		if err != nil {
 			// Failing engines are detected by the requests sent to them. A stale view of
--- a/internal/fleet/slugcachefeed/feed_test.go
+++ b/internal/fleet/slugcachefeed/feed_test.go
@@ -23,13 +23,13 @@
 		}
 		calls, got := 0, ""
 		f := New(Config{
-			Read: func(ctx context.Context, address string, since int64, _ time.Duration) (Page, error) {
+			Read: func(ctx context.Context, e Engine, since int64, _ time.Duration) (Page, error) {
 				calls++
 				if calls == 1 {
 					return Page{}, errors.New("refused")
 				}
 				if n := calls - 2; n < len(pages) {
-					got += fmt.Sprintf("%s from %d; ", address, since)
+					got += fmt.Sprintf("%s from %d; ", e.Address, since)
 					return pages[n], nil
 				}
 				<-ctx.Done()
