Believe a refusal only if it is certainly that of the request, on the own interface

slugchat and slugplaincall took each response with Engine-Not-Run for the answer to the request just sent. With an endpoint that writes an earlier refusal once more, callers were told that a call had not run although it had, and a call that may run once at most was sent to up to four endpoints.

A refusal counts if it has the ID of the request, or none on a connection that has served no other request; otherwise the request may have run. The connection of a refusal is closed, so that it cannot arrive again after the same request was sent there once more.

The case 'refusal of another call after execution' of TestPromiseNotRunIsTrue failed before ('ran no' for a call that was executed). TestOldRefusalOnReusedConnection covers the connections.

--- a/internal/connection/slugsend/sender.go
+++ b/internal/connection/slugsend/sender.go
@@ -108,7 +108,37 @@
 	// Sent is true as soon as the request has a connection. It is false only if no byte of
 	// the request was written to one.
 	Sent bool
-	conn net.Conn
+	// Reused is set if the connection has served another request before.
+	Reused bool
+	conn   net.Conn
+}
+
+// Refusal says what a response states about whether the request ran.
+type Refusal int
+
+const (
+	// NoRefusal means that the response does not state that the request was not run.
+	NoRefusal Refusal = iota
+	// CertainRefusal means that the request was not run.
+	CertainRefusal
+	// DoubtfulRefusal means that the response states it, but may answer another request.
+	DoubtfulRefusal
+)
+
+// RequestIDHeader carries the ID of a request. Endpoints repeat it in refusals.
+const RequestIDHeader = "X-Request-Id"
+
+// Refusal reports whether the response refuses the request with the given ID. A refusal
+// without an ID is believed only on a connection that has served no other request.
+func (e *Exchange) Refusal(id string) Refusal {
+	if e.Response.Header.Get(NotRunHeader) == "" {
+		return NoRefusal
+	}
+	switch ids := e.Response.Header.Values(RequestIDHeader); {
+	case len(ids) == 0 && !e.Reused, len(ids) == 1 && ids[0] == id:
+		return CertainRefusal
+	}
+	return DoubtfulRefusal
 }
 
 // Abort closes the response body and the connection, so that late data on the
@@ -131,7 +161,7 @@
 		GotConn: func(i httptrace.GotConnInfo) {
 			mu.Lock()
 			defer mu.Unlock()
-			e.Sent, e.conn = true, i.Conn
+			e.Sent, e.Reused, e.conn = true, i.Reused, i.Conn
 		},
 	})
 	r, err := s.newHTTPRequest(ctx, request)
--- a/internal/connection/slugsend/sender_test.go
+++ b/internal/connection/slugsend/sender_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -63,3 +64,36 @@
 	assert.ErrorContains(t, err, "send request (127.0.0.1:1)")
 	assert.Assert(t, !sent)
 }
+
+// Guards against an earlier refusal that arrives on a reused connection and is taken for
+// the refusal of the request just sent.
+func TestOldRefusalOnReusedConnection(t *testing.T) {
+	for _, tt := range []struct {
+		name          string
+		ids           []string
+		fresh, reused Refusal
+	}{
+		{"its own ID", []string{"own"}, CertainRefusal, CertainRefusal},
+		{"no ID", nil, CertainRefusal, DoubtfulRefusal},
+		{"another ID", []string{"other"}, DoubtfulRefusal, DoubtfulRefusal},
+		{"two IDs", []string{"own", "other"}, DoubtfulRefusal, DoubtfulRefusal},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				w.Header().Set(NotRunHeader, "1")
+				w.Header()[RequestIDHeader] = tt.ids
+				w.WriteHeader(http.StatusServiceUnavailable)
+			}))
+			defer s.Close()
+			sender := New(Config{})
+			defer sender.CloseIdle()
+			for i, want := range []Refusal{tt.fresh, tt.reused} {
+				e, err := sender.Open(t.Context(), Request{Method: http.MethodGet, URL: s.URL, Repeatable: true})
+				assert.NilError(t, err)
+				assert.Equal(t, e.Reused, i > 0)
+				assert.Equal(t, e.Refusal("own"), want)
+				_ = e.Response.Body.Close()
+			}
+		})
+	}
+}
--- a/internal/operate/slugsystem/promise_request_test.go
+++ b/internal/operate/slugsystem/promise_request_test.go
@@ -150,6 +150,9 @@
 		{"answer lost after execution", func(r *harness) {
 			r.forEachRecordsEndpoint(func(name string) { r.Standins.PlainServices()[name].DropResponses(1000) })
 		}, "unknown"},
+		{"refusal of another call after execution", func(r *harness) {
+			r.forEachRecordsEndpoint(func(name string) { r.Standins.PlainServices()[name].RepeatRefusal("other") })
+		}, "unknown"},
 		{"connection cut after sending", func(r *harness) {
 			r.forEachRecordsEndpoint(func(name string) { r.Standins.PlainServices()[name].SetDelay(2 * time.Second) })
 			time.AfterFunc(time.Second, func() {
--- a/internal/request/slugchat/attempt.go
+++ b/internal/request/slugchat/attempt.go
@@ -73,17 +73,19 @@
 	tokensBefore := a.writer.Tokens()
 	streamCtx, cancel := context.WithCancel(ctx)
 	a.watch = newWatchdog(a.cfg.ProgressTimeout, cancel)
-	resp, sent, err := a.send(streamCtx)
+	e, err := a.send(streamCtx)
 	if err != nil {
 		a.watch.stop()
-		if !sent {
+		if !e.Sent {
 			return slugpick.OutcomeFailed, true, slugrefusal.NotRun(slugrefusal.CodeEndpointFailed, "%s", err)
 		}
-		resp = nil
 	}
+	resp := e.Response
 	if resp != nil && resp.StatusCode != http.StatusOK {
 		defer a.watch.stop()
-		return a.errorResponse(resp)
+		// An error that is written once more must not meet another request.
+		defer e.Abort()
+		return a.errorResponse(e)
 	}
 	a.mayHaveRun = true
 	if tokensBefore > 0 {
@@ -125,12 +127,12 @@
 
 // send sends the request to the endpoint, with a continuation if part of the response
 // was already relayed.
-func (a *attempt) send(ctx context.Context) (*http.Response, bool, error) {
+func (a *attempt) send(ctx context.Context) (*slugsend.Exchange, error) {
 	body, err := a.body()
 	if err != nil {
-		return nil, false, err
+		return &slugsend.Exchange{}, err
 	}
-	return a.cfg.Sender.Send(ctx, slugsend.Request{
+	return a.cfg.Sender.Open(ctx, slugsend.Request{
 		Method: http.MethodPost, URL: "http://" + a.assignment.Address + a.path, Header: a.header(), Body: body, Repeatable: true,
 	})
 }
@@ -182,10 +184,15 @@
 }
 
 // errorResponse handles a response with a status other than 200.
-func (a *attempt) errorResponse(resp *http.Response) (slugpick.Outcome, bool, *slugrefusal.Refusal) {
+func (a *attempt) errorResponse(e *slugsend.Exchange) (slugpick.Outcome, bool, *slugrefusal.Refusal) {
+	resp := e.Response
 	text, _ := io.ReadAll(io.LimitReader(resp.Body, maxErrorBytes))
 	_ = resp.Body.Close()
-	if resp.Header.Get(slugsend.NotRunHeader) == "" {
+	switch e.Refusal(string(a.call.ID)) {
+	case slugsend.DoubtfulRefusal:
+		a.mayHaveRun = true
+		return slugpick.OutcomeFailed, true, slugrefusal.MayHaveRun(slugrefusal.CodeEndpointFailed, "refusal of the endpoint may belong to another request")
+	case slugsend.NoRefusal:
 		a.mayHaveRun = true
 		return slugpick.OutcomeFailed, false, slugrefusal.MayHaveRun(slugrefusal.CodeEndpointFailed, "endpoint responded with status %d: %s", resp.StatusCode, bytes.TrimSpace(text))
 	}
--- a/internal/request/slugplaincall/send.go
+++ b/internal/request/slugplaincall/send.go
@@ -25,6 +25,9 @@
 	maxErrorBytes = 1 << 10
 )
 
+// errDoubtfulRefusal means that an endpoint refused a request, but perhaps another one.
+var errDoubtfulRefusal = errors.New("refusal may belong to another request")
+
 // send tries endpoints until one responds. A call that is not idempotent is retried only
 // if it certainly did not run. The response is stored in answer, or relayed to the caller
 // if answer is nil.
@@ -64,15 +67,22 @@
 func (x *exchange) attempt(ctx context.Context, assignment slugadmit.Assignment, answer *slugclaim.Answer) (slugpick.Outcome, bool, *slugrefusal.Refusal) {
 	ctx, cancel := context.WithDeadline(ctx, slugadmit.Later(x.call.Deadline, time.Now().Add(time.Second)))
 	defer cancel()
-	resp, sent, err := x.cfg.Sender.Send(ctx, slugsend.Request{
+	e, err := x.cfg.Sender.Open(ctx, slugsend.Request{
 		Method: x.r.Method, URL: x.url(assignment.Address), Header: x.header.Clone(), Body: x.call.Body, Repeatable: x.route.Idempotent,
 	})
 	if err != nil {
-		return x.sendFailed(sent, err)
+		return x.sendFailed(e.Sent, err)
 	}
+	resp := e.Response
 	defer func() { _ = resp.Body.Close() }()
-	if resp.Header.Get(slugsend.NotRunHeader) != "" {
+	switch e.Refusal(string(x.call.ID)) {
+	case slugsend.DoubtfulRefusal:
+		e.Abort()
+		return x.sendFailed(true, errDoubtfulRefusal)
+	case slugsend.CertainRefusal:
 		text, _ := io.ReadAll(io.LimitReader(resp.Body, maxErrorBytes))
+		// A refusal that is written once more must not meet another request.
+		e.Abort()
 		refusal := slugrefusal.NotRun(slugrefusal.CodeEndpointRefused, "endpoint did not run the call: %s", strings.TrimSpace(string(text)))
 		return slugpick.OutcomeNotRun, true, x.markRan(refusal.WithRetryAfter(time.Second))
 	}
--- a/internal/standin/slugengine/stream.go
+++ b/internal/standin/slugengine/stream.go
@@ -91,12 +91,12 @@
 	}
 	var c completionRequest
 	if err := json.Unmarshal(body, &c); err != nil {
-		writeNotRun(w, http.StatusBadRequest, err.Error())
+		writeNotRun(w, r, http.StatusBadRequest, err.Error())
 		return
 	}
 	s := newStream(r, c)
 	if reason := e.enqueue(s, c); reason != "" {
-		writeNotRun(w, http.StatusServiceUnavailable, reason)
+		writeNotRun(w, r, http.StatusServiceUnavailable, reason)
 		return
 	}
 	e.relay(w, r, s, 0)
@@ -116,8 +116,9 @@
 	return s
 }
 
-func writeNotRun(w http.ResponseWriter, status int, reason string) {
+func writeNotRun(w http.ResponseWriter, r *http.Request, status int, reason string) {
 	w.Header().Set(NotRunHeader, "1")
+	w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
 	http.Error(w, reason, status)
 }
 
--- a/internal/standin/slugplain/plain.go
+++ b/internal/standin/slugplain/plain.go
@@ -37,6 +37,8 @@
 	dropNext int
 	delay    time.Duration
 	refusing bool
+	// refusedID is the ID of another request whose refusal is sent in place of responses.
+	refusedID string
 }
 
 // New returns a service with the given name.
@@ -64,6 +66,14 @@
 	s.refusing = on
 }
 
+// RepeatRefusal makes the service execute calls and respond with the refusal of an earlier
+// request.
+func (s *Service) RepeatRefusal(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.refusedID = id
+}
+
 // Executions returns the calls executed so far, in order.
 func (s *Service) Executions() []Execution {
 	s.mu.Lock()
@@ -109,9 +119,10 @@
 		panic(http.ErrAbortHandler)
 	}
 	execution := Execution{RequestID: r.Header.Get("X-Request-Id"), Method: r.Method, Path: r.URL.RequestURI(), Body: string(body)}
-	number, delay, drop, refused := s.execute(r, execution)
-	if refused {
+	number, delay, drop, refusedID := s.execute(r, execution)
+	if refusedID != "" {
 		w.Header().Set("Engine-Not-Run", "1")
+		w.Header().Set("X-Request-Id", refusedID)
 		http.Error(w, "service refuses all calls", http.StatusServiceUnavailable)
 		return
 	}
@@ -126,8 +137,9 @@
 }
 
 // execute records a call, unless calls are refused. It returns the number of calls so far
-// and the faults to inject into the response.
-func (s *Service) execute(r *http.Request, execution Execution) (number int, delay time.Duration, drop, refused bool) {
+// and the faults to inject into the response; refusedID is the ID of the request whose
+// refusal is the response.
+func (s *Service) execute(r *http.Request, execution Execution) (number int, delay time.Duration, drop bool, refusedID string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for name, values := range r.Header {
@@ -136,12 +148,12 @@
 		}
 	}
 	if s.refusing {
-		return 0, 0, false, true
+		return 0, 0, false, execution.RequestID
 	}
 	s.executions = append(s.executions, execution)
 	if s.dropNext > 0 {
 		s.dropNext--
 		drop = true
 	}
-	return len(s.executions), s.delay, drop, false
+	return len(s.executions), s.delay, drop, s.refusedID
 }
