Do not blame the endpoint for a caller that does not take the response

A failed write or flush to the caller counted as a failure of the endpoint, unless the context had ended already: the endpoint was avoided, probed for a crash, and the request suspected; a failed flush even started another attempt.

Such errors are marked.

--- a/internal/request/slugdispatch/events.go
+++ b/internal/request/slugdispatch/events.go
@@ -196,13 +196,13 @@
 		d.writeHeader(e.Response, -1)
 		d.timeToFirst = time.Since(d.call.Received)
 	}
-	if _, err := d.w.Write(ev.raw); err != nil {
-		return noRetry(errors.Wrap(err, "write event"))
+	if _, err := (callerWriter{d.w}).Write(ev.raw); err != nil {
+		return err
 	}
 	if ev.id != "" {
 		d.lastEvent = ev.id
 	}
-	return errors.Wrap(http.NewResponseController(d.w).Flush(), "flush event")
+	return callerFailure(http.NewResponseController(d.w).Flush(), "flush event")
 }
 
 func eventNumber(id string) (int64, bool) {
@@ -224,6 +224,6 @@
 	}
 	_ = e.Response.Body.Close()
 	d.writeHeader(e.Response, len(body))
-	_, err = d.w.Write(body)
-	return errors.Wrap(err, "write error response")
+	_, err = callerWriter{d.w}.Write(body)
+	return err
 }
--- a/internal/request/slugdispatch/plain.go
+++ b/internal/request/slugdispatch/plain.go
@@ -25,8 +25,24 @@
 	errUnsigned     = errors.New("response is not signed by the endpoint")
 	errRetryBudget  = errors.New("retry budget is exhausted")
 	errLimited      = errors.New("rate limit of the endpoint is reached")
+	// errCaller marks errors of writing to the caller, which say nothing about the endpoint.
+	errCaller = errors.New("caller does not take the response")
 )
 
+// callerWriter marks the errors of writing to the caller.
+type callerWriter struct{ http.ResponseWriter }
+
+// Write implements io.Writer.
+func (w callerWriter) Write(b []byte) (int, error) {
+	n, err := w.ResponseWriter.Write(b)
+	return n, callerFailure(err, "write response")
+}
+
+// callerFailure marks an error of writing to the caller. The request must not be sent again.
+func callerFailure(err error, step string) error {
+	return errors.Mark(noRetry(errors.Wrap(err, step)), errCaller)
+}
+
 // maxBufferedResponseBytes bounds the part of a response that is read before anything is
 // written to the caller. If reading fails within it, the request can still be retried.
 const maxBufferedResponseBytes = 256 << 10
@@ -129,7 +145,7 @@
 // this side does not count: the request may still have been waiting in the endpoint's queue.
 func (d *dispatch) reportInterruption(ctx context.Context, c *slugplacement.Choice, run *slugquarantine.Run, sent bool, err error) bool {
 	switch {
-	case ctx.Err() != nil || errors.Is(err, errNotRun):
+	case ctx.Err() != nil || errors.Is(err, errNotRun) || errors.Is(err, errCaller):
 		return false
 	case !sent:
 		if errors.Is(err, syscall.ECONNREFUSED) {
@@ -151,7 +167,7 @@
 		return slugplacement.WrongEndpoint
 	case errors.Is(err, errNotRun):
 		return slugplacement.Full
-	case ctx.Err() != nil && !errors.Is(context.Cause(ctx), errDeadline):
+	case errors.Is(err, errCaller), ctx.Err() != nil && !errors.Is(context.Cause(ctx), errDeadline):
 		return slugplacement.Abandoned
 	}
 	return slugplacement.Failed
@@ -194,15 +210,15 @@
 	_ = e.Response.Body.Close()
 	d.writeHeader(e.Response, len(buffered))
 	d.timeToFirst = time.Since(d.call.Received)
-	_, err = d.w.Write(buffered)
-	return errors.Wrap(err, "write response")
+	_, err = callerWriter{d.w}.Write(buffered)
+	return err
 }
 
 // relayUnbuffered relays a response that is too large to be buffered.
 func (d *dispatch) relayUnbuffered(e *slugsend.Exchange, buffered []byte) error {
 	d.writeHeader(e.Response, -1)
 	d.timeToFirst = time.Since(d.call.Received)
-	_, err := io.Copy(d.w, io.MultiReader(bytes.NewReader(buffered), e.Response.Body))
+	_, err := io.Copy(callerWriter{d.w}, io.MultiReader(bytes.NewReader(buffered), e.Response.Body))
 	return errors.Wrap(err, "relay response")
 }
 
--- a/internal/request/slugplaincall/send.go
+++ b/internal/request/slugplaincall/send.go
@@ -146,6 +146,9 @@
 	}
 	if err := copyFlushing(x.w, resp.Body); err != nil {
 		x.mayHaveRun = true
+		if errors.Is(err, errCallerDisconnected) {
+			return slugpick.OutcomeCanceled, false, slugrefusal.MayHaveRun(slugrefusal.CodeStreamInterrupted, "the caller disconnected")
+		}
 		return slugpick.OutcomeFailed, false, slugrefusal.MayHaveRun(slugrefusal.CodeEndpointFailed, "%s", err)
 	}
 	return slugpick.OutcomeComplete, false, nil
@@ -154,6 +157,11 @@
 // copyBufferBytes is the size of the buffer for copying a response to the caller.
 const copyBufferBytes = 32 << 10
 
+// errCallerDisconnected marks errors of writing to the caller, which say nothing about the
+// endpoint.
+var errCallerDisconnected = errors.New("caller disconnected")
+
+// copyFlushing copies a response to the caller and flushes each part.
 func copyFlushing(w http.ResponseWriter, r io.Reader) error {
 	b := make([]byte, copyBufferBytes)
 	ctrl := http.NewResponseController(w)
@@ -161,10 +169,10 @@
 		n, err := r.Read(b)
 		if n > 0 {
 			if _, err := w.Write(b[:n]); err != nil {
-				return err
+				return errors.Mark(err, errCallerDisconnected)
 			}
 			if err := ctrl.Flush(); err != nil {
-				return err
+				return errors.Mark(err, errCallerDisconnected)
 			}
 		}
 		if errors.Is(err, io.EOF) {
