--- a/internal/base/slugevent/event.go
+++ b/internal/base/slugevent/event.go
@@ -30,6 +30,9 @@
 	SettingsReloaded
 	SettingsUnusable
 	LinesDropped
+	RequestAfterClose
+	ConnectionUnanswered
+	StoreRestored
 )
 
 // Events of configuration and membership, 200 to 299.
@@ -70,6 +73,9 @@
 	CapacityPlanned
 	UsageFrozen
 	CallFailed
+	RenewalFailed
+	UsageSkipped
+	RecordReloaded
 )
 
 // Events of requests, 400 to 499.
@@ -96,6 +102,9 @@
 	EndpointLimited
 	EndpointUnlimited
 	LimitUnreadable
+	EndpointSaidLeaving
+	EndpointAskedToWait
+	NoticeUnreadable
 )
 
 var descriptions = map[Event]Description{
@@ -112,6 +121,9 @@
 	SettingsReloaded:        {logrus.InfoLevel, "settings reloaded", "none"},
 	SettingsUnusable:        {logrus.ErrorLevel, "settings cannot be used", "fix the settings named in the error; the previous ones stay in use"},
 	LinesDropped:            {logrus.WarnLevel, "log lines dropped", "none; the fields give the number of lines dropped per event by the rate limit, and in unread those dropped because the log output was blocked"},
+	RequestAfterClose:       {logrus.InfoLevel, "request dropped because its connection was being closed", "none: the request was not handled"},
+	ConnectionUnanswered:    {logrus.WarnLevel, "connection closed before the request on it was answered", "report it as a fault, unless it occurs at the end of a process's grace period or the caller was too slow"},
+	StoreRestored:           {logrus.WarnLevel, "platform store was restored from a copy", "none, if the restore was planned; requests continue with the configuration in effect, and what the copy lacks is written again: check that the newest configuration is in the store"},
 	ConfigurationInForce:    {logrus.InfoLevel, "configuration is in effect", "none"},
 	ConfigurationUnreadable: {logrus.ErrorLevel, "configuration cannot be read", "apply a corrected manifest; the previous revision stays in effect"},
 	ConfigurationApplied:    {logrus.InfoLevel, "configuration applied", "none"},
@@ -144,6 +156,9 @@
 	CapacityPlanned:         {logrus.InfoLevel, "capacity planned", "none"},
 	UsageFrozen:             {logrus.InfoLevel, "usage of a window finalized", "none"},
 	CallFailed:              {logrus.WarnLevel, "call to the platform failed", "check the platform's interface; the call is retried"},
+	RenewalFailed:           {logrus.WarnLevel, "renewal of a lease failed", "check the store; the duty is held until the time in remainingMs is over"},
+	UsageSkipped:            {logrus.WarnLevel, "usage windows not reported", "none; the store was restored, and an earlier holder of the duty may have reported these windows with other counts"},
+	RecordReloaded:          {logrus.WarnLevel, "record of a duty read again after a restore of the store", "none"},
 	RequestRefused:          {logrus.InfoLevel, "request refused", "the field code gives the reason"},
 	StreamResumed:           {logrus.InfoLevel, "response stream resumed at the same endpoint", "none"},
 	StreamContinued:         {logrus.InfoLevel, "response stream continued at another endpoint", "none"},
@@ -157,6 +172,9 @@
 	EndpointLimited:         {logrus.WarnLevel, "endpoint states a rate limit", "check the endpoint: it is in need; requests beyond the limit go to others"},
 	EndpointUnlimited:       {logrus.InfoLevel, "endpoint no longer states a rate limit", "none"},
 	LimitUnreadable:         {logrus.WarnLevel, "rate limit of an endpoint cannot be read", "check the endpoint; the limit that it stated before stays in effect"},
+	EndpointSaidLeaving:     {logrus.InfoLevel, "endpoint says in a response that it is leaving", "none; the host sends it nothing more, whatever its entry says, until it starts anew"},
+	EndpointAskedToWait:     {logrus.WarnLevel, "endpoint turned a request away and asks to be left alone", "check the endpoint: it is in need; requests go to others for the time in the field retryAfterMs"},
+	NoticeUnreadable:        {logrus.WarnLevel, "time to wait that an endpoint states cannot be read", "check the endpoint; it is avoided for a moment only, as without a time"},
 	QuarantineUnreadable:    {logrus.ErrorLevel, "quarantine in the store cannot be decoded", "find out who wrote the object named in the fields, and remove it"},
 	ConnectionSilent:        {logrus.WarnLevel, "connection stopped responding", "check the network between the hosts"},
 	UsageWriteFailed:        {logrus.WarnLevel, "usage record could not be written", "check the store; totals are kept and written later"},
