Take no notice from a response to another request

The rate limit, or the notice of leaving, of a response that belongs to another request was recorded although the response may be an old one: the endpoint was left alone, or limited, for nothing.

TestNoticeOfOldResponse failed before (notice recorded for a foreign ID).

--- a/internal/request/slugdispatch/plain.go
+++ b/internal/request/slugdispatch/plain.go
@@ -135,6 +135,10 @@
 		return e, err
 	}
 	head := d.cfg.Codec.DecodeHead(e.Response)
+	if head.ID != d.call.ID {
+		// The response may be an old one, whose notices no longer hold.
+		return e, nil
+	}
 	d.cfg.Noticed(d.service.Name, c.Endpoint, head)
 	fields := slugevent.Fields{"request": d.call.ID, "endpoint": c.Name, "service": d.service.Name, "perSecond": head.Limit.PerSecond}
 	switch {
