Relay a large response of a claimed call instead of keeping it in memory

A response over the size of the buffer is relayed as it arrives, and the claim says that it was too large to be stored.

--- a/internal/request/slugplaincall/plain.go
+++ b/internal/request/slugplaincall/plain.go
@@ -205,7 +205,7 @@
 	if err != nil {
 		x.cfg.Log.Error(slugevent.ClaimOutcomeUnstored, err, slugevent.Fields{"request": x.call.ID})
 	}
-	if refusal == nil {
+	if refusal == nil && !x.statusWritten {
 		x.writeAnswer(answer)
 	}
 	return refusal
--- a/internal/request/slugplaincall/send.go
+++ b/internal/request/slugplaincall/send.go
@@ -103,12 +103,17 @@
 	return outcome, !sent || x.route.Idempotent, refusal
 }
 
-// storeAnswer reads a response that is to be stored with its claim.
+// storeAnswer reads a response that is to be stored with its claim. A response that is too
+// large for that is relayed at once.
 func (x *exchange) storeAnswer(resp *http.Response, a *slugclaim.Answer) (slugpick.Outcome, bool, *slugrefusal.Refusal) {
-	b, err := io.ReadAll(resp.Body)
+	b, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedBytes))
 	if err != nil {
 		return x.sendFailed(true, err)
 	}
+	if len(b) == maxBufferedBytes {
+		*a = slugclaim.Answer{Status: resp.StatusCode, Dropped: true}
+		return x.relayBuffered(resp, b)
+	}
 	*a = slugclaim.Answer{Status: resp.StatusCode, ContentType: resp.Header.Get("Content-Type"), Body: b}
 	return slugpick.OutcomeComplete, false, nil
 }
--- a/internal/request/slugplaincall/send_test.go
+++ b/internal/request/slugplaincall/send_test.go
@@ -2,12 +2,15 @@
 
 import (
 	"io"
+	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
 	"testing/iotest"
 
 	"github.com/cockroachdb/errors"
+	"github.com/sassafraslug/sassafraslug/internal/authority/slugclaim"
+	"github.com/sassafraslug/sassafraslug/internal/request/slugadmit"
 	"gotest.tools/v3/assert"
 )
 
@@ -25,3 +28,19 @@
 	assert.Assert(t, err != nil && !errors.Is(err, errCallerDisconnected), "%v", err)
 	assert.NilError(t, copyFlushing(httptest.NewRecorder(), strings.NewReader("x")))
 }
+
+// TestLargeResponseOfClaimedCall guards against a response that is kept in memory as a whole
+// before it is stored with its claim, and against one that its caller doesn't get.
+func TestLargeResponseOfClaimedCall(t *testing.T) {
+	for size, dropped := range map[int]bool{4: false, 3 * maxBufferedBytes: true} {
+		var answer slugclaim.Answer
+		w := httptest.NewRecorder()
+		x := &exchange{w: w, call: &slugadmit.Call{ID: "id"}}
+		body := strings.Repeat("x", size)
+		_, retry, refusal := x.storeAnswer(&http.Response{StatusCode: http.StatusOK, Body: io.NopCloser(strings.NewReader(body))}, &answer)
+		assert.Assert(t, !retry && refusal == nil)
+		assert.Equal(t, answer.Dropped, dropped)
+		assert.Equal(t, x.statusWritten, dropped)
+		assert.Equal(t, w.Body.String()+string(answer.Body), body)
+	}
+}
