--- a/internal/request/slugplaincall/send.go
+++ b/internal/request/slugplaincall/send.go
@@ -25,6 +25,9 @@
 	maxErrorBytes = 1 << 10
 )
 
+// errDoubtfulRefusal means that an endpoint refused a request, but perhaps another one.
+var errDoubtfulRefusal = errors.New("refusal may belong to another request")
+
 // send tries endpoints until one responds. A call that is not idempotent is retried only
 // if it certainly did not run. The response is stored in answer, or relayed to the caller
 // if answer is nil.
@@ -64,15 +67,22 @@
 func (x *exchange) attempt(ctx context.Context, assignment slugadmit.Assignment, answer *slugclaim.Answer) (slugpick.Outcome, bool, *slugrefusal.Refusal) {
 	ctx, cancel := context.WithDeadline(ctx, slugadmit.Later(x.call.Deadline, time.Now().Add(time.Second)))
 	defer cancel()
-	resp, sent, err := x.cfg.Sender.Send(ctx, slugsend.Request{
+	e, err := x.cfg.Sender.Open(ctx, slugsend.Request{
 		Method: x.r.Method, URL: x.url(assignment.Address), Header: x.header.Clone(), Body: x.call.Body, Repeatable: x.route.Idempotent,
 	})
 	if err != nil {
-		return x.sendFailed(sent, err)
+		return x.sendFailed(e.Sent, err)
 	}
+	resp := e.Response
 	defer func() { _ = resp.Body.Close() }()
-	if resp.Header.Get(slugsend.NotRunHeader) != "" {
+	switch e.Refusal(string(x.call.ID)) {
+	case slugsend.DoubtfulRefusal:
+		e.Abort()
+		return x.sendFailed(true, errDoubtfulRefusal)
+	case slugsend.CertainRefusal:
 		text, _ := io.ReadAll(io.LimitReader(resp.Body, maxErrorBytes))
+		// A refusal that is written once more must not meet another request.
+		e.Abort()
 		refusal := slugrefusal.NotRun(slugrefusal.CodeEndpointRefused, "endpoint did not run the call: %s", strings.TrimSpace(string(text)))
 		return slugpick.OutcomeNotRun, true, x.markRan(refusal.WithRetryAfter(time.Second))
 	}
@@ -93,12 +103,17 @@
 	return outcome, !sent || x.route.Idempotent, refusal
 }
 
-// storeAnswer reads a response that is to be stored with its claim.
+// storeAnswer reads a response that is to be stored with its claim. A response that is too
+// large for that is relayed at once.
 func (x *exchange) storeAnswer(resp *http.Response, a *slugclaim.Answer) (slugpick.Outcome, bool, *slugrefusal.Refusal) {
-	b, err := io.ReadAll(resp.Body)
+	b, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedBytes))
 	if err != nil {
 		return x.sendFailed(true, err)
 	}
+	if len(b) == maxBufferedBytes {
+		*a = slugclaim.Answer{Status: resp.StatusCode, Dropped: true}
+		return x.relayBuffered(resp, b)
+	}
 	*a = slugclaim.Answer{Status: resp.StatusCode, ContentType: resp.Header.Get("Content-Type"), Body: b}
 	return slugpick.OutcomeComplete, false, nil
 }
@@ -137,6 +152,9 @@
 	}
 	if err := copyFlushing(x.w, resp.Body); err != nil {
 		x.mayHaveRun = true
+		if errors.Is(err, errCallerDisconnected) {
+			return slugpick.OutcomeCanceled, false, slugrefusal.MayHaveRun(slugrefusal.CodeStreamInterrupted, "the caller disconnected")
+		}
 		return slugpick.OutcomeFailed, false, slugrefusal.MayHaveRun(slugrefusal.CodeEndpointFailed, "%s", err)
 	}
 	return slugpick.OutcomeComplete, false, nil
@@ -145,6 +163,11 @@
 // copyBufferBytes is the size of the buffer for copying a response to the caller.
 const copyBufferBytes = 32 << 10
 
+// errCallerDisconnected marks errors of writing to the caller, which say nothing about the
+// endpoint.
+var errCallerDisconnected = errors.New("caller disconnected")
+
+// copyFlushing copies a response to the caller and flushes each part.
 func copyFlushing(w http.ResponseWriter, r io.Reader) error {
 	b := make([]byte, copyBufferBytes)
 	ctrl := http.NewResponseController(w)
@@ -152,10 +175,10 @@
 		n, err := r.Read(b)
 		if n > 0 {
 			if _, err := w.Write(b[:n]); err != nil {
-				return err
+				return errors.Mark(err, errCallerDisconnected)
 			}
 			if err := ctrl.Flush(); err != nil {
-				return err
+				return errors.Mark(err, errCallerDisconnected)
 			}
 		}
 		if errors.Is(err, io.EOF) {
--- a/internal/standin/slugengine/stream.go
+++ b/internal/standin/slugengine/stream.go
@@ -93,7 +93,7 @@
 	}
 	var c completionRequest
 	if err := json.Unmarshal(body, &c); err != nil {
-		writeNotRun(w, http.StatusBadRequest, err.Error())
+		writeNotRun(w, r, http.StatusBadRequest, err.Error())
 		return
 	}
 	s := newStream(r, c)
@@ -104,7 +104,7 @@
 		if retryAfter != "" {
 			w.Header().Set("Retry-After", retryAfter)
 		}
-		writeNotRun(w, http.StatusServiceUnavailable, reason)
+		writeNotRun(w, r, http.StatusServiceUnavailable, reason)
 		return
 	}
 	e.relay(w, r, s, 0)
@@ -124,8 +124,9 @@
 	return s
 }
 
-func writeNotRun(w http.ResponseWriter, status int, reason string) {
+func writeNotRun(w http.ResponseWriter, r *http.Request, status int, reason string) {
 	w.Header().Set(NotRunHeader, "1")
+	w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
 	http.Error(w, reason, status)
 }
 
