Keep the drains while their object cannot be decoded

All drains ended, without a log line, when another writer replaced their object by one that cannot be decoded: endpoints that were to be returned got requests again.

Such an object changes nothing and is logged (DrainsUnreadable).

--- a/internal/authority/slugintent/intent.go
+++ b/internal/authority/slugintent/intent.go
@@ -3,7 +3,7 @@
 //
 // # Usage
 //
-//	i := slugintent.New(store)
+//	i := slugintent.New(store, log)
 //	go i.Run(ctx)
 //	if i.IsDraining(endpoint) { ... }
 package slugintent
@@ -14,6 +14,7 @@
 	"sync"
 
 	"github.com/cockroachdb/errors"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugevent"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugfault"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugname"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugstore"
@@ -44,6 +45,7 @@
 // Intent is the local copy of the requested drains. It is safe for concurrent use.
 type Intent struct {
 	store *slugstore.Store
+	log   *slugevent.Log
 
 	mu       sync.Mutex
 	drains   Drains
@@ -52,8 +54,8 @@
 }
 
 // New returns an empty Intent.
-func New(s *slugstore.Store) *Intent {
-	return &Intent{store: s, releases: map[string]Releases{}, versions: map[string]slugstore.Version{}}
+func New(s *slugstore.Store, log *slugevent.Log) *Intent {
+	return &Intent{store: s, log: log, releases: map[string]Releases{}, versions: map[string]slugstore.Version{}}
 }
 
 // Run watches the objects and applies their changes until ctx ends.
@@ -61,21 +63,28 @@
 	return i.store.Watch(ctx, slugstore.Watcher{Prefix: prefix, OnChange: i.Apply})
 }
 
-// Apply updates the local copy from changed objects. Decode errors are ignored: of such an
-// object, only the fields that could be decoded are used.
+// Apply updates the local copy from changed objects. An object that cannot be decoded changes
+// nothing, since a drain must not end by mistake.
 func (i *Intent) Apply(objects []slugstore.Object) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	for _, o := range objects {
 		i.versions[o.Name] = o.Version
+		var err error
 		if o.Name == drainsName {
-			i.drains = Drains{}
-			_ = decode(o, &i.drains)
-			continue
+			var d Drains
+			if err = decode(o, &d); err == nil {
+				i.drains = d
+			}
+		} else {
+			var r Releases
+			if err = decode(o, &r); err == nil {
+				i.releases[o.Name] = r
+			}
+		}
+		if err != nil {
+			i.log.Error(slugevent.DrainsUnreadable, err, slugevent.Fields{"object": o.Name})
 		}
-		var r Releases
-		_ = decode(o, &r)
-		i.releases[o.Name] = r
 	}
 }
 
--- a/internal/base/slugevent/event.go
+++ b/internal/base/slugevent/event.go
@@ -76,6 +76,7 @@
 	RenewalFailed
 	UsageSkipped
 	RecordReloaded
+	DrainsUnreadable
 )
 
 // Events of requests, 400 to 499.
@@ -159,6 +160,7 @@
 	RenewalFailed:           {logrus.WarnLevel, "renewal of a lease failed", "check the store; the duty is held until the time in remainingMs is over"},
 	UsageSkipped:            {logrus.WarnLevel, "usage windows not reported", "none; the store was restored, and an earlier holder of the duty may have reported these windows with other counts"},
 	RecordReloaded:          {logrus.WarnLevel, "record of a duty read again after a restore of the store", "none"},
+	DrainsUnreadable:        {logrus.WarnLevel, "drains cannot be decoded", "find out who wrote the object; the drains of before stay in effect"},
 	RequestRefused:          {logrus.InfoLevel, "request refused", "the field code gives the reason"},
 	StreamResumed:           {logrus.InfoLevel, "response stream resumed at the same endpoint", "none"},
 	StreamContinued:         {logrus.InfoLevel, "response stream continued at another endpoint", "none"},
--- a/internal/daemon/slugcontrol/control.go
+++ b/internal/daemon/slugcontrol/control.go
@@ -147,7 +147,7 @@
 	}
 	c.client = &http.Client{Timeout: callTimeout, Transport: &http.Transport{DialContext: c.network.Dial}}
 	c.platform = slugplatformapi.New(slugplatformapi.Config{BaseURL: c.settings.PlatformAddress, Do: c.client.Do})
-	c.intent = slugintent.New(c.Store.For("intents"))
+	c.intent = slugintent.New(c.Store.For("intents"), c.log)
 	c.duties = slugduties.New(slugduties.Config{
 		Node: c.Node, Settings: c.settings, Platform: c.platform, Intent: c.intent, HasEnded: c.hasEnded, Log: c.log, Dial: c.network.DialReset,
 		Leaving: c.leaving.Load, OnStep: c.OnStep,
