--- a/internal/base/slugstore/store.go
+++ b/internal/base/slugstore/store.go
@@ -43,12 +43,18 @@
 	Version Version
 	// Change identifies the write that created this version.
 	Change ChangeID
-	// Body is the value in JSON, or nil if the object does not exist.
+	// Body is the value in JSON, or nil if the object does not exist. If the stored bytes
+	// cannot be read, Body holds them as they are, and Decode returns the error.
 	Body json.RawMessage
+	// unreadable is the error of decoding the stored bytes.
+	unreadable error
 }
 
 // Decode unmarshals the body into v.
 func (o Object) Decode(v any) error {
+	if o.unreadable != nil {
+		return o.unreadable
+	}
 	return slugfault.Wrap(json.Unmarshal(o.Body, v), "decode object "+o.Name, "")
 }
 
@@ -187,7 +193,8 @@
 	if err != nil {
 		return Object{}, err
 	}
-	if !s.advanceVersion(name, v.Version) {
+	// The version of an object that does not exist may hold the era only.
+	if (v.Bytes != nil || v.Version.Revision() != 0) && !s.advanceVersion(name, v.Version) {
 		return Object{}, errors.Wrapf(ErrStale, "version %d", v.Version)
 	}
 	if v.Bytes == nil {
@@ -198,7 +205,11 @@
 
 func decode(name string, v Version, body []byte) (Object, error) {
 	var e envelope
-	if err := json.Unmarshal(body, &e); err != nil {
+	err := json.Unmarshal(body, &e)
+	if err == nil && e.Body == nil {
+		err = errors.New("body is missing")
+	}
+	if err != nil {
 		return Object{}, slugfault.Wrap(err, "decode object "+name, "")
 	}
 	return Object{Name: name, Version: v, Change: e.Change, Body: e.Body}, nil
--- a/internal/base/slugstore/watch.go
+++ b/internal/base/slugstore/watch.go
@@ -23,7 +23,7 @@
 	if err != nil {
 		return nil, slugfault.Wrap(err, "list "+prefix, s.cfg.BaseURL)
 	}
-	return s.decodeAll(l.Values, decode)
+	return s.decodeAll(l.Values, decode), nil
 }
 
 func (s *Store) list(ctx context.Context, prefix string) (Listing, error) {
@@ -47,8 +47,9 @@
 	return Object{Name: name, Version: v, Body: value}, nil
 }
 
-// decodeAll decodes the values. It skips those that are older than a version seen before.
-func (s *Store) decodeAll(values []Value, decodeOne decoder) ([]Object, error) {
+// decodeAll decodes the values. It skips those that are older than a version seen before. An
+// object that cannot be read is passed on as such, so that the others are not lost with it.
+func (s *Store) decodeAll(values []Value, decodeOne decoder) []Object {
 	objects := make([]Object, 0, len(values))
 	for _, x := range values {
 		if !s.advanceVersion(x.Name, x.Version) {
@@ -60,11 +61,11 @@
 		}
 		o, err := decodeOne(x.Name, x.Version, x.Bytes)
 		if err != nil {
-			return nil, err
+			o = Object{Name: x.Name, Version: x.Version, Body: x.Bytes, unreadable: err}
 		}
 		objects = append(objects, o)
 	}
-	return objects, nil
+	return objects
 }
 
 // Watcher selects the objects to watch and holds the callbacks for changes.
@@ -187,21 +188,22 @@
 // watchOnce makes one call and updates x, unless the call fails or its response is stale.
 // at is an instant at which the store had no changes other than those returned so far.
 func (s *Store) watchOnce(ctx context.Context, x *watch) (objects []Object, at slugclock.Instant, err error) {
-	changes, err := s.fetchUpdate(ctx, x)
+	changes, fromSource, err := s.fetchUpdate(ctx, x)
 	if err != nil {
 		return nil, changes.CurrentAt, err
 	}
-	if err := s.observeEra(changes.Revision.Era()); err != nil {
-		return nil, changes.CurrentAt, err
-	}
-	if err := x.checkRevision(changes); err != nil {
+	if err := errors.CombineErrors(s.observeEra(changes.Revision.Era()), x.checkRevision(changes)); err != nil {
+		if fromSource {
+			// A source that lags behind says nothing about the store.
+			err = errors.Mark(err, ErrSourceUnavailable)
+		}
 		return nil, changes.CurrentAt, err
 	}
 	f := decode
 	if x.NoEnvelope {
 		f = decodeWithoutEnvelope
 	}
-	objects, err = s.decodeAll(changes.Values, f)
+	objects = s.decodeAll(changes.Values, f)
 	x.revision, x.lastCurrent = changes.Revision, changes.CurrentAt
 	if changes.Complete {
 		x.synced = true
@@ -212,7 +214,7 @@
 	if x.OnUpdate != nil {
 		x.OnUpdate(changes)
 	}
-	return objects, changes.CurrentAt, err
+	return objects, changes.CurrentAt, nil
 }
 
 // checkRevision returns ErrStale if a response is older than an earlier one.
@@ -224,7 +226,7 @@
 }
 
 // fetchUpdate calls the store, or the source that is used instead.
-func (s *Store) fetchUpdate(ctx context.Context, x *watch) (Changes, error) {
+func (s *Store) fetchUpdate(ctx context.Context, x *watch) (changes Changes, fromSource bool, err error) {
 	wait := x.wait()
 	if x.failures > 0 {
 		// After a failure, ask without waiting, to get missed changes at once when the
@@ -238,21 +240,23 @@
 	}
 	switch {
 	case source != nil && x.synced:
-		return source.Follow(ctx, x.Prefix, x.revision, wait)
+		changes, err = source.Follow(ctx, x.Prefix, x.revision, wait)
+		return changes, true, err
 	case source != nil:
-		return source.Follow(ctx, x.Prefix, 0, wait)
+		changes, err = source.Follow(ctx, x.Prefix, 0, wait)
+		return changes, true, err
 	case x.synced && x.revision.Era() == s.Era():
-		return s.watchStore(ctx, x, wait)
+		changes, err = s.watchStore(ctx, x, wait)
+		return changes, false, err
 	}
-	changes := Changes{Complete: true, CurrentAt: slugclock.Now()}
-	var err error
+	changes = Changes{Complete: true, CurrentAt: slugclock.Now()}
 	changes.Listing, err = s.list(ctx, x.Prefix)
 	if err == nil {
 		if err = x.checkRevision(changes); err != nil {
 			s.recordOutcome(err)
 		}
 	}
-	return changes, err
+	return changes, false, err
 }
 
 // watchStore waits for changes in the store.
--- a/internal/daemon/sluggate/gate.go
+++ b/internal/daemon/sluggate/gate.go
@@ -17,6 +17,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/sassafraslug/sassafraslug/internal/authority/slugclaim"
 	"github.com/sassafraslug/sassafraslug/internal/authority/slugledger"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugbackoff"
@@ -50,6 +51,8 @@
 	// leavePropagationTime is how long it takes until all peers know that a process is
 	// leaving. It also limits the time of a push of suspicions.
 	leavePropagationTime = 2 * time.Second
+	// operatorsShutdownTimeout limits the time to answer the last calls of operators.
+	operatorsShutdownTimeout = 200 * time.Millisecond
 	// writeTimeout limits the time of one write of the usage record, and of the last
 	// writes during a shutdown.
 	writeTimeout = 10 * time.Second
@@ -468,14 +471,13 @@
 	g.Table.Update(func(r *slugpeer.Row) { r.Leaving = true })
 	g.Table.Push(ctx)
 	_ = slugbackoff.Sleep(ctx, g.settings.AnswerAge+leavePropagationTime)
-	g.callers.DisableKeepAlives()
 	if err := g.callers.Shutdown(ctx); err != nil {
 		return err
 	}
 	err := g.finalWrites(ctx)
+	err = errors.CombineErrors(err, g.operators.ShutdownWithin(ctx, operatorsShutdownTimeout))
 	g.stop()
 	g.sender.CloseIdle()
-	_ = g.operators.Close()
 	g.log.Emit(slugevent.ShutdownDone, nil)
 	return err
 }
@@ -495,3 +497,6 @@
 func (g *Gate) Endpoints(s slugname.Service) int {
 	return len(g.fleet.Service(s).Picker.Endpoints())
 }
+
+// KnownGates returns the number of gates that this gate's lookups return.
+func (g *Gate) KnownGates() int { return len(g.directory.Lookup("").Addresses) }
--- a/internal/fleet/slugregistry/registry.go
+++ b/internal/fleet/slugregistry/registry.go
@@ -97,7 +97,9 @@
 	synced bool
 	// ended holds the endpoints to be passed to Config.Ended.
 	ended []Endpoint
-	era   slugstore.EraTracker
+	// unreadable maps the entries that cannot be read to the error that was logged.
+	unreadable map[slugname.Endpoint]string
+	era        slugstore.EraTracker
 	// departures holds the endpoints that were seen leaving or gone, and copied the entries
 	// of those that were gone and came back with a copy.
 	departures map[slugname.Endpoint]departure
@@ -120,7 +122,8 @@
 	}
 	return &Registry{
 		cfg: cfg, endpoints: map[slugname.Endpoint]Endpoint{}, services: map[slugname.Service][]Endpoint{},
-		missing: map[slugname.Endpoint]time.Time{}, departures: map[slugname.Endpoint]departure{}, copied: map[slugname.Endpoint]copiedEntry{},
+		missing: map[slugname.Endpoint]time.Time{}, unreadable: map[slugname.Endpoint]string{},
+		departures: map[slugname.Endpoint]departure{}, copied: map[slugname.Endpoint]copiedEntry{},
 	}
 }
 
@@ -244,14 +247,20 @@
 	name := nameOf(o)
 	old, known := r.endpoints[name]
 	if o.Body == nil {
+		delete(r.unreadable, name)
 		if known {
 			r.entryRemoved(name, old, now, changed)
 		}
 		return
 	}
 	e, err := r.cfg.Decode(o)
-	if err != nil {
-		r.cfg.Log.Error(slugevent.EndpointUnreadable, err, slugevent.Fields{"endpoint": name, "version": o.Version})
+	if err == nil {
+		delete(r.unreadable, name)
+	} else {
+		if r.unreadable[name] != err.Error() {
+			r.unreadable[name] = err.Error()
+			r.cfg.Log.Error(slugevent.EndpointUnreadable, err, slugevent.Fields{"endpoint": name, "version": o.Version})
+		}
 		if known {
 			r.remove(name, old, "its entry cannot be read", now, changed)
 		}
@@ -294,7 +303,15 @@
 		r.missing[name] = r.recovered.Add(reregistrationGrace)
 		return
 	}
-	r.remove(name, old, "its entry is gone", now, changed)
+	r.removeEnded(name, old, "its entry is gone", now, changed)
+}
+
+// removeEnded removes an endpoint that has ended; r.mu must be held.
+func (r *Registry) removeEnded(name slugname.Endpoint, old Endpoint, reason string, now time.Time, changed map[slugname.Service]bool) {
+	if !old.Leaving {
+		r.ended = append(r.ended, old)
+	}
+	r.remove(name, old, reason, now, changed)
 }
 
 // remove deletes an endpoint and logs the reason; r.mu must be held.
@@ -302,9 +319,6 @@
 	r.recordRemoval(old, now)
 	delete(r.endpoints, name)
 	delete(r.missing, name)
-	if !old.Leaving {
-		r.ended = append(r.ended, old)
-	}
 	changed[old.Service] = true
 	r.cfg.Log.Emit(slugevent.EndpointGone, slugevent.Fields{"endpoint": name, "service": old.Service, "reason": reason})
 }
@@ -315,7 +329,7 @@
 		if now.Before(deadline) {
 			continue
 		}
-		r.remove(name, r.endpoints[name], "its entry did not come back", now, changed)
+		r.removeEnded(name, r.endpoints[name], "its entry did not come back", now, changed)
 	}
 }
 
--- a/internal/request/slugdispatch/call.go
+++ b/internal/request/slugdispatch/call.go
@@ -6,6 +6,7 @@
 
 	"github.com/sassafraslug/sassafraslug/internal/base/slugname"
 	"github.com/sassafraslug/sassafraslug/internal/connection/slugsend"
+	"github.com/sassafraslug/sassafraslug/internal/decision/slugnotice"
 	"github.com/sassafraslug/sassafraslug/internal/decision/slugplacement"
 )
 
@@ -60,7 +61,7 @@
 // ResponseHead holds what the status and headers of an endpoint's response say.
 type ResponseHead struct {
 	Status int
-	// ID is the request to which the response belongs.
+	// ID is the request to which the response belongs, empty if it does not name exactly one.
 	ID RequestID
 	// NotRun is set if the endpoint states that it did not run the request.
 	NotRun bool
@@ -72,6 +73,12 @@
 	// one that cannot be read.
 	Limit           slugplacement.Limit
 	LimitUnreadable bool
+	// Responder is the endpoint that responded, empty if the response does not name it.
+	Responder slugname.Endpoint
+	// Notice is what the endpoint says about itself. NoticeUnreadable is set if it states a
+	// time to wait that cannot be read.
+	Notice           slugnotice.Notice
+	NoticeUnreadable bool
 }
 
 // Handle identifies the KV cache of a processed prompt at its endpoint.
