--- a/internal/connection/slugsend/sender.go
+++ b/internal/connection/slugsend/sender.go
@@ -44,6 +44,8 @@
 type Config struct {
 	// Dial opens connections; nil means a NewDialer with UserTimeout.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+	// Responded is called with each response, before it is returned; it may be nil.
+	Responded func(Response)
 }
 
 // Sender sends HTTP requests to endpoints. It doesn't follow redirects.
@@ -51,6 +53,8 @@
 	// pooled reuses connections; fresh opens a new one for each request.
 	pooled *http.Client
 	fresh  *http.Client
+	// onResponse is Config.Responded.
+	onResponse func(Response)
 }
 
 // Request is one request to an endpoint.
@@ -74,7 +78,7 @@
 	if cfg.Dial == nil {
 		cfg.Dial = NewDialer(UserTimeout).DialContext
 	}
-	return &Sender{pooled: newClient(cfg, false), fresh: newClient(cfg, true)}
+	return &Sender{pooled: newClient(cfg, false), fresh: newClient(cfg, true), onResponse: cfg.Responded}
 }
 
 func newClient(cfg Config, fresh bool) *http.Client {
@@ -108,7 +112,37 @@
 	// Sent is true as soon as the request has a connection. It is false only if no byte of
 	// the request was written to one.
 	Sent bool
-	conn net.Conn
+	// Reused is set if the connection has served another request before.
+	Reused bool
+	conn   net.Conn
+}
+
+// Refusal says what a response states about whether the request ran.
+type Refusal int
+
+const (
+	// NoRefusal means that the response does not state that the request was not run.
+	NoRefusal Refusal = iota
+	// CertainRefusal means that the request was not run.
+	CertainRefusal
+	// DoubtfulRefusal means that the response states it, but may answer another request.
+	DoubtfulRefusal
+)
+
+// RequestIDHeader carries the ID of a request. Endpoints repeat it in refusals.
+const RequestIDHeader = "X-Request-Id"
+
+// Refusal reports whether the response refuses the request with the given ID. A refusal
+// without an ID is believed only on a connection that has served no other request.
+func (e *Exchange) Refusal(id string) Refusal {
+	if e.Response.Header.Get(NotRunHeader) == "" {
+		return NoRefusal
+	}
+	switch ids := e.Response.Header.Values(RequestIDHeader); {
+	case len(ids) == 0 && !e.Reused, len(ids) == 1 && ids[0] == id:
+		return CertainRefusal
+	}
+	return DoubtfulRefusal
 }
 
 // Abort closes the response body and the connection, so that late data on the
@@ -131,7 +165,7 @@
 		GotConn: func(i httptrace.GotConnInfo) {
 			mu.Lock()
 			defer mu.Unlock()
-			e.Sent, e.conn = true, i.Conn
+			e.Sent, e.Reused, e.conn = true, i.Reused, i.Conn
 		},
 	})
 	r, err := s.newHTTPRequest(ctx, request)
@@ -142,7 +176,11 @@
 	if request.Repeatable {
 		c = s.pooled
 	}
+	sentAt := time.Now()
 	resp, err := c.Do(r)
+	if err == nil {
+		s.responded(r.URL.Host, sentAt, resp)
+	}
 	mu.Lock()
 	defer mu.Unlock()
 	// Copy the exchange, because the trace callback may still write to it if a dial
--- a/internal/standin/slugengine/stream.go
+++ b/internal/standin/slugengine/stream.go
@@ -60,6 +60,8 @@
 	// NotRunHeader marks rejections of requests that were not run and can be retried
 	// safely.
 	NotRunHeader = "Engine-Not-Run"
+	// LeavingHeader marks the responses of an engine that is leaving.
+	LeavingHeader = "Engine-Leaving"
 )
 
 // Prompt returns the prompt of a request's body in the form that Token and Answer take.
@@ -91,12 +93,18 @@
 	}
 	var c completionRequest
 	if err := json.Unmarshal(body, &c); err != nil {
-		writeNotRun(w, http.StatusBadRequest, err.Error())
+		writeNotRun(w, r, http.StatusBadRequest, err.Error())
 		return
 	}
 	s := newStream(r, c)
 	if reason := e.enqueue(s, c); reason != "" {
-		writeNotRun(w, http.StatusServiceUnavailable, reason)
+		e.mu.Lock()
+		retryAfter := e.retryAfter
+		e.mu.Unlock()
+		if retryAfter != "" {
+			w.Header().Set("Retry-After", retryAfter)
+		}
+		writeNotRun(w, r, http.StatusServiceUnavailable, reason)
 		return
 	}
 	e.relay(w, r, s, 0)
@@ -116,8 +124,9 @@
 	return s
 }
 
-func writeNotRun(w http.ResponseWriter, status int, reason string) {
+func writeNotRun(w http.ResponseWriter, r *http.Request, status int, reason string) {
 	w.Header().Set(NotRunHeader, "1")
+	w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
 	http.Error(w, reason, status)
 }
 
@@ -126,6 +135,7 @@
 func (e *Engine) enqueue(s *stream, c completionRequest) string {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.requested = append(e.requested, time.Now())
 	if c.Model != "" && c.Model != e.cfg.Model {
 		return "model " + c.Model + " is not loaded"
 	}
--- a/internal/standin/slugplain/plain.go
+++ b/internal/standin/slugplain/plain.go
@@ -37,6 +37,13 @@
 	dropNext int
 	delay    time.Duration
 	refusing bool
+	leaving  bool
+	// retryAfter is the time to wait that rejections state; empty means none.
+	retryAfter string
+	// calls are the times of the calls received, rejected ones too.
+	calls []time.Time
+	// refusedID is the ID of another request whose refusal is sent in place of responses.
+	refusedID string
 }
 
 // New returns a service with the given name.
@@ -64,6 +71,41 @@
 	s.refusing = on
 }
 
+// SetRetryAfter makes rejections state a time to wait, the value of Retry-After; empty means
+// none.
+func (s *Service) SetRetryAfter(value string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.retryAfter = value
+}
+
+// SetLeaving makes all responses say that the service is leaving, or stops that.
+func (s *Service) SetLeaving(on bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leaving = on
+}
+
+// Calls returns the number of calls received after a time, rejected ones too.
+func (s *Service) Calls(after time.Time) (n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, at := range s.calls {
+		if at.After(after) {
+			n++
+		}
+	}
+	return n
+}
+
+// RepeatRefusal makes the service execute calls and respond with the refusal of an earlier
+// request.
+func (s *Service) RepeatRefusal(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.refusedID = id
+}
+
 // Executions returns the calls executed so far, in order.
 func (s *Service) Executions() []Execution {
 	s.mu.Lock()
@@ -92,7 +134,15 @@
 		_ = json.NewEncoder(w).Encode(Load{})
 	})
 	mux.HandleFunc("/", s.serveCall)
-	return mux
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.mu.Lock()
+		leaving := s.leaving
+		s.mu.Unlock()
+		if leaving {
+			w.Header().Set("Engine-Leaving", "1")
+		}
+		mux.ServeHTTP(w, r)
+	})
 }
 
 // Answer is the response body of a call.
@@ -109,9 +159,16 @@
 		panic(http.ErrAbortHandler)
 	}
 	execution := Execution{RequestID: r.Header.Get("X-Request-Id"), Method: r.Method, Path: r.URL.RequestURI(), Body: string(body)}
-	number, delay, drop, refused := s.execute(r, execution)
-	if refused {
+	number, delay, drop, refusedID := s.execute(r, execution)
+	if refusedID != "" {
 		w.Header().Set("Engine-Not-Run", "1")
+		s.mu.Lock()
+		retryAfter := s.retryAfter
+		s.mu.Unlock()
+		if retryAfter != "" {
+			w.Header().Set("Retry-After", retryAfter)
+		}
+		w.Header().Set("X-Request-Id", refusedID)
 		http.Error(w, "service refuses all calls", http.StatusServiceUnavailable)
 		return
 	}
@@ -126,8 +183,9 @@
 }
 
 // execute records a call, unless calls are refused. It returns the number of calls so far
-// and the faults to inject into the response.
-func (s *Service) execute(r *http.Request, execution Execution) (number int, delay time.Duration, drop, refused bool) {
+// and the faults to inject into the response; refusedID is the ID of the request whose
+// refusal is the response.
+func (s *Service) execute(r *http.Request, execution Execution) (number int, delay time.Duration, drop bool, refusedID string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for name, values := range r.Header {
@@ -135,13 +193,14 @@
 			s.seenKeys = append(s.seenKeys, name)
 		}
 	}
+	s.calls = append(s.calls, time.Now())
 	if s.refusing {
-		return 0, 0, false, true
+		return 0, 0, false, execution.RequestID
 	}
 	s.executions = append(s.executions, execution)
 	if s.dropNext > 0 {
 		s.dropNext--
 		drop = true
 	}
-	return len(s.executions), s.delay, drop, false
+	return len(s.executions), s.delay, drop, s.refusedID
 }
