End requests that begin during a shutdown before their connections are closed

What callers saw: a request whose connection was opened just before a stopping host closed its listener was passed on, and its connection was closed at the end of the grace period without a response (LOST).

Cause: nothing tied the deadline of such a request to the end of the shutdown; it kept the timeout of its route. Since a new connection has a second for its first request, the request may begin 3.5 s after SIGTERM, when a timeout of 5 s already ends after the grace period of 8 s. Class: work is accepted whose time limit lies beyond the life of the process.

Change: from SIGTERM on, deadlines of new requests end 100 ms before the connections are closed. The endpoint gets the shorter deadline too, and a request that isn't done by then gets 504, or 503 if it did not run. Requests that began before SIGTERM keep their deadlines.

--- a/internal/daemon/slughost/host.go
+++ b/internal/daemon/slughost/host.go
@@ -71,6 +71,9 @@
 	// shutdownMargin is the part of the grace period reserved for the last writes and for
 	// closing the servers.
 	shutdownMargin = 400 * time.Millisecond
+	// finalResponseMargin is the time before the end of a shutdown that is reserved for
+	// sending the last responses.
+	finalResponseMargin = 100 * time.Millisecond
 	// serversShutdownTimeout limits the time to answer the last lookups and checks. It is
 	// part of shutdownMargin.
 	serversShutdownTimeout = 200 * time.Millisecond
--- a/internal/daemon/slughost/serve.go
+++ b/internal/daemon/slughost/serve.go
@@ -122,14 +122,16 @@
 // the grace period.
 func (h *Host) shutDown(ctx context.Context) error {
 	begun := time.Now()
+	finishBy := begun.Add(h.settings.Grace - shutdownMargin)
 	h.log.Emit(slugevent.ShutdownBegun, slugevent.Fields{"requests": h.dispatcher.Running()})
+	h.dispatcher.EndBy(finishBy.Add(-finalResponseMargin))
 	h.leaving.Store(true)
 	h.table.Update(func(r *slugpeer.Row) { r.Leaving = true })
 	pushCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	h.table.Push(pushCtx)
 	cancel()
 	_ = slugbackoff.Sleep(ctx, drainDelay-time.Since(begun))
-	finishCtx, cancel := context.WithDeadline(ctx, begun.Add(h.settings.Grace-shutdownMargin))
+	finishCtx, cancel := context.WithDeadline(ctx, finishBy)
 	defer cancel()
 	err := h.requests.Shutdown(finishCtx)
 	h.sendUsage(ctx)
--- a/internal/request/slugdispatch/dispatcher.go
+++ b/internal/request/slugdispatch/dispatcher.go
@@ -100,6 +100,8 @@
 	cfg Config
 	// running is the number of requests in progress.
 	running atomic.Int64
+	// endBy is the latest deadline of new requests; nil means that there is none.
+	endBy atomic.Pointer[time.Time]
 }
 
 // New returns a Dispatcher.
@@ -116,6 +118,10 @@
 // Running returns the number of requests in progress.
 func (d *Dispatcher) Running() int64 { return d.running.Load() }
 
+// EndBy makes the deadlines of all further requests end at t at the latest, so that their
+// callers get a response before the process closes their connections.
+func (d *Dispatcher) EndBy(t time.Time) { d.endBy.Store(&t) }
+
 // dispatch is the state of one request, over all of its attempts.
 type dispatch struct {
 	*Dispatcher
@@ -236,6 +242,9 @@
 		timeout = defaultTimeout
 	}
 	d.deadline = d.call.Received.Add(timeout - responseMargin)
+	if t := d.endBy.Load(); t != nil && t.Before(d.deadline) {
+		d.deadline = *t
+	}
 	d.quarantine = d.cfg.Quarantine(name)
 	d.subject = slugquarantine.NewSubject(d.workspaceName(), d.call.Path, d.call.Body, d.call.Prompt.PartIDs())
 	return d.refuseQuarantined()
