Tell HTTP/2 connections to close that begin beside a shutdown

Cause: the GOAWAY goes once, to the connections that are registered at that moment. A connection in the middle of its preface or handshake registers afterwards and is never told, and as HTTP/2 connections are not closed as idle, nothing else ends it.

Without the change TestHTTP2ConnectionBegunBesideShutdownIsToldToClose fails: "context deadline exceeded: the connection was not told to close". Now each round of the shutdown sends GOAWAY to the connections that were not told yet.

--- a/internal/daemon/slugserve/http2_test.go
+++ b/internal/daemon/slugserve/http2_test.go
@@ -14,6 +14,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -111,3 +112,74 @@
 		return string(body), err
 	}
 }
+
+// pausedConn sends the first bytes, and the rest after release is closed.
+type pausedConn struct {
+	net.Conn
+	begun   bool
+	paused  chan struct{}
+	release chan struct{}
+}
+
+func (c *pausedConn) Write(p []byte) (int, error) {
+	if c.begun {
+		return c.Conn.Write(p)
+	}
+	c.begun = true
+	const first = 10
+	if _, err := c.Conn.Write(p[:first]); err != nil {
+		return 0, err
+	}
+	close(c.paused)
+	<-c.release
+	n, err := c.Conn.Write(p[first:])
+	return first + n, err
+}
+
+// A connection whose preface arrives while the server shuts down is not told to close, so that
+// the shutdown waits for its requests until the end.
+func TestHTTP2ConnectionBegunBesideShutdownIsToldToClose(t *testing.T) {
+	s, err := New(Config{Address: "127.0.0.1:0", Log: slugevent.Discard(), Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {})})
+	assert.NilError(t, err)
+	served := make(chan error, 1)
+	go func() { served <- s.Serve(t.Context()) }()
+	conn := &pausedConn{paused: make(chan struct{}), release: make(chan struct{})}
+	protocols := &http.Protocols{}
+	protocols.SetUnencryptedHTTP2(true)
+	var dialled atomic.Int32
+	transport := &http.Transport{Protocols: protocols, DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+		if dialled.Add(1) > 1 {
+			return nil, net.ErrClosed
+		}
+		nc, err := (&net.Dialer{}).DialContext(ctx, network, address)
+		conn.Conn = nc
+		return conn, err
+	}}
+	defer transport.CloseIdleConnections()
+	ended := make(chan int, 1)
+	go func() {
+		n := 0
+		for ; n < 100; n++ {
+			resp, err := (&http.Client{Transport: transport}).Get("http://" + s.Address() + "/x")
+			if err != nil {
+				break
+			}
+			_ = resp.Body.Close()
+			time.Sleep(50 * time.Millisecond)
+		}
+		ended <- n
+	}()
+	<-conn.paused
+	ctx, cancel := context.WithTimeout(t.Context(), 4*time.Second)
+	defer cancel()
+	down := make(chan error, 1)
+	go func() { down <- s.Shutdown(ctx) }()
+	for !s.shuttingDown.Load() {
+		time.Sleep(time.Millisecond)
+	}
+	time.Sleep(20 * time.Millisecond)
+	close(conn.release)
+	assert.NilError(t, <-down, "the connection was not told to close")
+	assert.Assert(t, <-ended < 100)
+	assert.NilError(t, <-served)
+}
--- a/internal/daemon/slugserve/server.go
+++ b/internal/daemon/slugserve/server.go
@@ -186,6 +186,8 @@
 		for _, c := range s.openConnections() {
 			c.closeIdle(0)
 		}
+		// An HTTP/2 connection that was in its handshake at the last attempt is told now.
+		err = errors.CombineErrors(err, s.http2.Shutdown(context.Background()))
 		select {
 		case <-s.drained:
 			return errors.CombineErrors(err, slugfault.Wrap(s.server.Close(), "shut down server", s.Address()))
