Write a membership record again that was lost before the first list

Cause: the process looks for its record when a response shows a restore, and the first response that it gets shows none. If its record was written in an older era and the first list is already that of the copy, the loss went unnoticed.

Evidence: found by the review; TestRecordIsLostBeforeFirstList failed with both lists, an empty one too. The first response holds all records like the one after a restore, so a record of an older era is missing in it as well. Later responses are left out: each host would write its record as soon as another call shows the era.

--- a/internal/membership/slugmember/record.go
+++ b/internal/membership/slugmember/record.go
@@ -214,12 +214,14 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	era := m.cfg.Store.Era()
+	first := !m.listed
 	m.listed = true
 	restored := m.era.Restored(objects, era)
 	for _, o := range objects {
 		m.applyRecord(o, restored, now)
 	}
-	if v, published := m.versions[m.cfg.Self.Process]; published && restored && v.Era() < era {
+	// The first response has all records, like the one after a restore.
+	if v, published := m.versions[m.cfg.Self.Process]; published && (restored || first) && v.Era() < era {
 		m.reportLost()
 	}
 	return m.expireMissing(now) || len(objects) > 0
--- a/internal/membership/slugmember/record_test.go
+++ b/internal/membership/slugmember/record_test.go
@@ -103,3 +103,36 @@
 	m.changed([]slugstore.Object{{Name: Prefix + "a", Version: slugstore.NewVersion(1, 130)}})
 	assert.Assert(t, !lost(m))
 }
+
+// Guards against a process that never appears in the lists of the others, because the store
+// was restored between the write of its record and its first list.
+func TestRecordIsLostBeforeFirstList(t *testing.T) {
+	era := slugstore.Era(1)
+	other := slugstore.Value{Name: Prefix + "other", Bytes: []byte(`{"change":"x","body":{"process":"other"}}`)}
+	for _, values := range [][]slugstore.Value{nil, {other}} {
+		era = 1
+		s := slugstore.New(slugstore.Config{Backend: &slugstore.Backend{
+			Era: func() (slugstore.Era, bool) { return era, true },
+			Write: func(context.Context, string, slugstore.Version, []byte) (slugstore.Version, error) {
+				return slugstore.NewVersion(era, 10), nil
+			},
+			List: func(context.Context, string) (slugstore.Listing, error) {
+				for i := range values {
+					values[i].Version = slugstore.NewVersion(era, 4)
+				}
+				return slugstore.Listing{Revision: slugstore.NewVersion(era, 5), Values: values}, nil
+			},
+		}})
+		m := New(Config{Self: Record{Process: "a", Host: "a"}, Store: s})
+		assert.NilError(t, m.Publish(t.Context()))
+		era = 2
+		objects, err := s.List(t.Context(), Prefix)
+		assert.NilError(t, err)
+		m.apply(objects, time.Now())
+		select {
+		case <-m.Lost():
+		default:
+			t.Errorf("the record is not written again after a list of %d others", len(values))
+		}
+	}
+}
