Derive the fence of a claim from the version of the lease that it replaces

What callers saw: nothing yet. Two holders may have sent commands with one fence (ONE) if a write of an older era, executed late, replaced a claim of the new era and the duty was then taken by a process that had never seen the replaced claim.

Cause: the fence counted the claims of an era, from what the lease and the memory of the process held. Both can lack a claim. Class: a number that must be unique rests on a record that the store may lose.

Evidence: found by the review. Now the fence is the era and the revision that the conditional write of the claim replaces, which succeeds once for each revision, so it needs no memory.

--- a/internal/authority/sluglease/lease.go
+++ b/internal/authority/sluglease/lease.go
@@ -259,7 +259,7 @@
 	}
 	next := r.nextClaim(l.cfg.Duty, l.cfg.Self, l.cfg.Host, l.cfg.TTL)
 	l.mu.Lock()
-	next.Fence, next.Era = max(next.Fence, l.highestFence+1, Fence(era)*fencesPerEra+1), era
+	next.Fence, next.Era = max(next.Fence, l.highestFence+1, fenceAfter(era, version)), era
 	l.mu.Unlock()
 	version, err := l.cfg.Store.Put(ctx, l.name(), version, next)
 	if err != nil {
--- a/internal/authority/sluglease/record.go
+++ b/internal/authority/sluglease/record.go
@@ -15,13 +15,19 @@
 const Prefix = "leases/"
 
 // Fence is the fencing token of a duty. Each claim increases it; renewals do not change it.
-// The fences of claims in one era of the store are above those of all older eras, even if
-// the store lost the older claims: claim 3 in era 2 has the fence 2000003.
+// It follows from the version of the lease that the claim replaces, so that no two claims
+// have the same one, even if the store lost a claim: fences of one era of the store are above
+// those of all older eras, and within an era each version is replaced once.
 type Fence uint64
 
-// fencesPerEra is the distance between the first fences of successive eras. Platforms
-// that encode fences as JSON numbers keep them exact up to the last era of slugstore.
-const fencesPerEra = 1_000_000
+// fencesPerEra is the distance between the first fences of successive eras. It exceeds the
+// revisions of an era, and JSON numbers hold such fences exactly for 2 million eras.
+const fencesPerEra = 1 << 32
+
+// fenceAfter returns the fence of a claim that replaces a version of the lease in an era.
+func fenceAfter(era slugstore.Era, replaced slugstore.Version) Fence {
+	return Fence(era)*fencesPerEra + Fence(replaced.Revision()) + 1
+}
 
 // Record is the stored content of a lease.
 type Record struct {
--- a/internal/authority/sluglease/restore_test.go
+++ b/internal/authority/sluglease/restore_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"flag"
 	"fmt"
 	"os"
@@ -226,3 +227,44 @@
 	_, held := l.Status()
 	assert.Assert(t, !held)
 }
+
+// Guards against a fence that two holders share: a write from an older era takes effect late
+// and replaces a claim, and a process that never saw the claim holds the duty next.
+func TestFenceIsSharedAfterLateWrite(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newMemoryStore()
+		store.era = 2
+		fences := map[slugname.Process]Fence{}
+		run := func(ctx context.Context, p slugname.Process) *Lease {
+			l := New(Config{
+				Duty: "test", Self: p, Host: slugname.Host(p), TTL: 3 * time.Second, FirstStart: true, Rank: func() int { return 0 }, Log: slugevent.Discard(),
+				Store: slugstore.New(slugstore.Config{Backend: (&unreliableLink{store: store}).backend()}),
+			})
+			go func() {
+				_ = l.Run(ctx, func(ctx context.Context, g *Grant) error {
+					fences[p] = g.Fence
+					<-ctx.Done()
+					return nil
+				})
+			}()
+			return l
+		}
+		ctx, kill := context.WithCancel(t.Context())
+		killed := run(ctx, "b")
+		time.Sleep(100 * time.Millisecond)
+		killed.Abandon()
+		kill()
+		late, err := json.Marshal(map[string]any{"change": "late", "body": Record{Duty: "test", Holder: "a", Host: "a", Fence: fenceAfter(1, 7), Era: 1, TTLMs: 3000}})
+		assert.NilError(t, err)
+		store.mu.Lock()
+		_, err = store.write("leases/test", slugstore.NewVersion(1, store.get("leases/test").Version.Revision()), late)
+		store.mu.Unlock()
+		assert.NilError(t, err)
+		ctx, stop := context.WithCancel(t.Context())
+		run(ctx, "c")
+		time.Sleep(20 * time.Second)
+		stop()
+		synctest.Wait()
+		assert.Assert(t, fences["b"] > 0 && fences["c"] > fences["b"], "%v", fences)
+	})
+}
