Answer a request whose handler panics, and log the panic

What callers saw: the connection closed without a response (LOST), and nothing told why: net/http recovers such a panic, writes it to a log that slugserve discards, and closes the connection.

Before, TestPanicOfHandlerIsAnswered failed with EOF. Now the caller gets 500 unless part of the response was written, and event 116 has the panic and its stack.

--- a/internal/base/slugevent/event.go
+++ b/internal/base/slugevent/event.go
@@ -33,6 +33,7 @@
 	RequestAfterClose
 	ConnectionUnanswered
 	StoreRestored
+	HandlerPanicked
 )
 
 // Events of configuration and membership, 200 to 299.
@@ -126,6 +127,7 @@
 	RequestAfterClose:       {logrus.InfoLevel, "request dropped because its connection was being closed", "none: the request was not handled"},
 	ConnectionUnanswered:    {logrus.WarnLevel, "connection closed before the request on it was answered", "report it as a fault, unless it occurs at the end of a process's grace period or the caller was too slow"},
 	StoreRestored:           {logrus.WarnLevel, "platform store was restored from a copy", "none, if the restore was planned; requests continue with the configuration in effect, and what the copy lacks is written again: check that the newest configuration is in the store"},
+	HandlerPanicked:         {logrus.ErrorLevel, "handler of a request panicked", "report it as a fault, with the stack; the caller got 500, or a closed connection if part of the response was written"},
 	ConfigurationInForce:    {logrus.InfoLevel, "configuration is in effect", "none"},
 	ConfigurationUnreadable: {logrus.ErrorLevel, "configuration cannot be read", "apply a corrected manifest; the previous revision stays in effect"},
 	ConfigurationApplied:    {logrus.InfoLevel, "configuration applied", "none"},
--- a/internal/daemon/slugserve/server.go
+++ b/internal/daemon/slugserve/server.go
@@ -17,12 +17,14 @@
 import (
 	"context"
 	"crypto/tls"
+	"fmt"
 	"io"
 	stdlog "log"
 	"maps"
 	"net"
 	"net/http"
 	"os"
+	"runtime/debug"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -169,12 +171,32 @@
 		s.cfg.Log.Emit(slugevent.RequestAfterClose, slugevent.Fields{"caller": r.RemoteAddr, "path": r.URL.Path, "closedMs": c.closedFor().Milliseconds()})
 		panic(http.ErrAbortHandler)
 	}
+	tracked := &responseWriter{ResponseWriter: w, shuttingDown: s.shuttingDown.Load}
+	defer s.handlePanic(tracked, r)
 	if r.ProtoMajor == 1 {
-		w = &responseWriter{ResponseWriter: w, shuttingDown: s.shuttingDown.Load}
+		w = tracked
 	}
 	s.cfg.Handler.ServeHTTP(w, r)
 }
 
+// handlePanic logs a panic of the handler and answers the request with 500. If that is not
+// possible anymore, it closes the connection, as http.ErrAbortHandler does.
+func (s *Server) handlePanic(w *responseWriter, r *http.Request) {
+	v := recover()
+	if v == nil {
+		return
+	}
+	if err, ok := v.(error); !ok || !errors.Is(err, http.ErrAbortHandler) {
+		s.cfg.Log.Emit(slugevent.HandlerPanicked, slugevent.Fields{"path": r.URL.Path, "panic": fmt.Sprint(v), "stack": string(debug.Stack())})
+		if r.ProtoMajor == 1 && !w.wroteHeader {
+			w.Header().Set("Connection", "close")
+			w.WriteHeader(http.StatusInternalServerError)
+			return
+		}
+	}
+	panic(http.ErrAbortHandler)
+}
+
 // Shutdown closes the listener and all idle connections, and waits until the requests on the
 // other ones are answered or ctx is cancelled. A request of which any part was read is
 // answered.
--- a/internal/daemon/slugserve/server_test.go
+++ b/internal/daemon/slugserve/server_test.go
@@ -462,3 +462,30 @@
 		}
 	}
 }
+
+// TestPanicOfHandlerIsAnswered guards against a request that is closed without a response, and
+// without a log line that tells why, because its handler panicked.
+func TestPanicOfHandlerIsAnswered(t *testing.T) {
+	for _, written := range []string{"", "part"} {
+		synctest.Test(t, func(t *testing.T) {
+			s := startServer(t, func(w http.ResponseWriter, _ *http.Request) {
+				if written != "" {
+					_, _ = io.WriteString(w, written)
+					_ = http.NewResponseController(w).Flush()
+				}
+				panic("fault in a handler")
+			})
+			c := s.connect(nil)
+			c.send(wholeRequest)
+			resp, err := c.answer()
+			if written == "" {
+				assert.NilError(t, err)
+				assert.Equal(t, resp.StatusCode, http.StatusInternalServerError)
+				assert.Assert(t, resp.Close)
+			} else {
+				assert.Assert(t, err != nil, "a response that broke off looks complete")
+			}
+			assert.Assert(t, strings.Contains(s.log.String(), "fault in a handler") && strings.Contains(s.log.String(), "server_test.go"), s.log.String())
+		})
+	}
+}
