Do not end at a SIGHUP while a daemon starts

Cause: SIGHUP was registered by a goroutine after the settings were read; until then its default action ends the process.

TestHangupWhileStarting ended the test with "signal: hangup" before. Now Main registers the signal first.

--- a/internal/daemon/slugdaemon/daemon.go
+++ b/internal/daemon/slugdaemon/daemon.go
@@ -48,6 +48,9 @@
 // graceful shutdown, the second exits immediately. file is the default path of the
 // settings file.
 func Main(name string, d slugsettings.Daemon, file string, args []string, run Run) int {
+	// A SIGHUP that nothing receives ends the process.
+	hangup := make(chan os.Signal, 1)
+	signal.Notify(hangup, syscall.SIGHUP)
 	app := kingpin.New("sassafraslug-"+name, "The sassafraslug "+name+" daemon.")
 	helped := false
 	app.UsageWriter(os.Stdout)
@@ -72,7 +75,7 @@
 	level, _ := logrus.ParseLevel(s.LogLevel)
 	log, flush := slugevent.NewBounded(os.Stdout, level, string(s.Host)+"-"+name)
 	defer flush(flushTimeout)
-	go watchSettings(loader, *path, s, log)
+	go watchSettings(loader, *path, s, log, hangup)
 	if err := run(signalContext(), s, log); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return ExitFailure
@@ -87,9 +90,7 @@
 // watchSettings reloads the settings on SIGHUP and every reloadInterval. Only the log
 // level takes effect while the daemon runs. If the settings are invalid, the current ones
 // remain in effect.
-func watchSettings(l *slugsettings.Loader, path string, current *slugsettings.Settings, log *slugevent.Log) {
-	hangup := make(chan os.Signal, 1)
-	signal.Notify(hangup, syscall.SIGHUP)
+func watchSettings(l *slugsettings.Loader, path string, current *slugsettings.Settings, log *slugevent.Log, hangup <-chan os.Signal) {
 	ticks := time.NewTicker(reloadInterval)
 	defer ticks.Stop()
 	applied := *current
--- a/internal/daemon/slugdaemon/daemon_test.go
+++ b/internal/daemon/slugdaemon/daemon_test.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"os"
+	"os/signal"
 	"path/filepath"
 	"strings"
+	"syscall"
 	"testing"
 
 	"github.com/sassafraslug/sassafraslug/internal/base/slugevent"
@@ -55,3 +57,16 @@
 	assert.Equal(t, code, ExitUsage)
 	assert.Assert(t, strings.Contains(errOut, "nowhere.ini"), "%s", errOut)
 }
+
+// TestHangupWhileStarting guards against a SIGHUP that ends a daemon that has not read its
+// settings yet.
+func TestHangupWhileStarting(t *testing.T) {
+	code, _, _ := runMain(t, "--help")
+	assert.Equal(t, code, ExitSuccess)
+	received := make(chan os.Signal, 1)
+	signal.Notify(received, syscall.SIGUSR1)
+	defer signal.Stop(received)
+	assert.NilError(t, syscall.Kill(os.Getpid(), syscall.SIGHUP))
+	assert.NilError(t, syscall.Kill(os.Getpid(), syscall.SIGUSR1))
+	<-received
+}
