Do not let data age in tests of virtual time while their process is stalled

TestConfigurationNeverRegresses failed once, in a run of its whole package at a load of 41: 503 instead of 200, "the last valid configuration must stay in force".

Cause: the age of a confirmation is the longer of two clocks, and one of them, CLOCK_BOOTTIME, is real in a synctest bubble. A test process that gets no processor time for longer than a confirmation is valid (3.6 s) sees its data expire.

That the stall was the cause of the one failure is likely and not shown: the run left no figures.

Change: the rigs of whole hosts make Instants hold only the runtime's clock. Tests of suspensions set both clocks by hand, as before. TestStalledProcessDoesNotAgeData failed to compile before, since there was no such switch.

--- a/internal/base/slugclock/clock.go
+++ b/internal/base/slugclock/clock.go
@@ -13,6 +13,7 @@
 package slugclock
 
 import (
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -28,9 +29,28 @@
 // Now returns the current Instant.
 func Now() Instant { return Instant{runtime: time.Now(), sinceBoot: bootTime()} }
 
+// runtimeOnly makes bootTime return 0, so that only the runtime's clock counts.
+var runtimeOnly atomic.Bool
+
+// IgnoreSuspensions makes new Instants hold only the runtime's clock, until the returned
+// function is called. Tests in virtual time need it: the boot clock goes on while the test
+// process gets no processor time, and virtual time does not.
+func IgnoreSuspensions() (restore func()) {
+	runtimeOnly.Store(true)
+	return func() { runtimeOnly.Store(false) }
+}
+
 // bootTime returns the time since the host was booted, including suspensions, or 0
-// if the kernel does not support CLOCK_BOOTTIME.
+// if it is not known or does not count.
 func bootTime() time.Duration {
+	if runtimeOnly.Load() {
+		return 0
+	}
+	return bootClock()
+}
+
+// bootClock reads CLOCK_BOOTTIME, or returns 0 if the kernel does not support it.
+func bootClock() time.Duration {
 	var ts unix.Timespec
 	if unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts) != nil {
 		return 0
--- a/internal/base/slugclock/clock_test.go
+++ b/internal/base/slugclock/clock_test.go
@@ -19,6 +19,21 @@
 	})
 }
 
+// Guards against tests in virtual time whose data ages while their process gets no processor
+// time.
+func TestStalledProcessDoesNotAgeData(t *testing.T) {
+	defer IgnoreSuspensions()()
+	synctest.Test(t, func(t *testing.T) {
+		i := Now()
+		for begun := bootClock(); bootClock()-begun < 50*time.Millisecond; {
+			continue
+		}
+		assert.Equal(t, Since(i), time.Duration(0))
+		time.Sleep(time.Minute)
+		assert.Equal(t, Since(i), time.Minute)
+	})
+}
+
 // Guards against a lease that seems valid after a suspension, during which only the boot
 // clock advances.
 func TestSubIncludesSuspension(t *testing.T) {
--- a/internal/operate/slugsystem/rig_test.go
+++ b/internal/operate/slugsystem/rig_test.go
@@ -17,6 +17,7 @@
 	"github.com/sassafraslug/sassafraslug/internal/authority/sluglease"
 	"github.com/sassafraslug/sassafraslug/internal/authority/slugledger"
 	"github.com/sassafraslug/sassafraslug/internal/authority/slugreport"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugclock"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugname"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugsettings"
 	"github.com/sassafraslug/sassafraslug/internal/daemon/slugoperatorapi"
@@ -63,6 +64,7 @@
 func withHarness(t *testing.T, o harnessOptions, f func(*testing.T, *harness)) {
 	t.Helper()
 	slugknownfailures.Skip(t)
+	t.Cleanup(slugclock.IgnoreSuspensions())
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithTimeout(context.Background(), 24*time.Hour)
 		defer cancel()
