--- a/internal/daemon/sluggate/gate.go
+++ b/internal/daemon/sluggate/gate.go
@@ -497,6 +497,3 @@
 func (g *Gate) Endpoints(s slugname.Service) int {
 	return len(g.fleet.Service(s).Picker.Endpoints())
 }
-
-// KnownGates returns the number of gates that this gate's lookups return.
-func (g *Gate) KnownGates() int { return len(g.directory.Lookup("").Addresses) }
--- a/internal/daemon/sluggate/http.go
+++ b/internal/daemon/sluggate/http.go
@@ -80,6 +80,9 @@
 	writeJSON(w, g.directory.Lookup(workspace))
 }
 
+// KnownGates returns the number of gates that this gate's lookups return.
+func (g *Gate) KnownGates() int { return len(g.directory.Lookup("").Addresses) }
+
 // modelEntry is one entry of the model list.
 type modelEntry struct {
 	ID      string `json:"id"`
