Keep the state of an endpoint while its entry is away

Callers saw: an endpoint in need that had stated a rate limit got 37 requests in 4 s, 16 allowed (LIMIT), after it was cut from the store for some seconds.

Cause: Placer.SetEndpoints kept the state of an endpoint only while it was a choice. An entry that lapses and comes back, and an engine that is left out while its role changes, began anew: without its limit, cache, pace, load and failures, although the process lives on.

--- a/internal/daemon/slughost/host.go
+++ b/internal/daemon/slughost/host.go
@@ -310,20 +310,20 @@
 
 // updatePlacers passes the usable endpoints of the services to their placers.
 func (h *Host) updatePlacers(services []slugname.Service) {
-	t := h.follower.Table()
+	t, now := h.follower.Table(), time.Now()
 	for _, s := range services {
 		var engine slugrouting.Engine
 		if t != nil && t.Service(s) != nil && t.Service(s).Engine != nil {
 			engine = *t.Service(s).Engine
 		}
 		var list []slugplacement.Endpoint
-		for _, e := range h.usableEndpoints(s, time.Now()) {
+		for _, e := range h.usableEndpoints(s, now) {
 			list = append(list, slugplacement.Endpoint{
 				Name: e.Name, Incarnation: int64(e.Incarnation), Address: e.Address, DataCentre: e.DataCentre,
 				Role: e.Role, Slots: e.Slots, CacheTokens: engine.CacheTokens, TransferPerToken: engine.TransferPerToken(),
 			})
 		}
-		h.placer(s).SetEndpoints(list)
+		h.placer(s).SetEndpoints(list, now)
 	}
 }
 
--- a/internal/decision/slugplacement/announce_test.go
+++ b/internal/decision/slugplacement/announce_test.go
@@ -73,7 +73,7 @@
 		list := make([]*Placer, hosts)
 		for i := range list {
 			list[i] = New(Config{DataCentre: "a", Pace: measuredPace(), Random: rand.New(rand.NewPCG(1, uint64(i))).Float64})
-			list[i].SetEndpoints(newEngines(engineCount, 0))
+			list[i].SetEndpoints(newEngines(engineCount, 0), start)
 		}
 		for n := range prompts {
 			for i, p := range list {
--- a/internal/decision/slugplacement/notice_test.go
+++ b/internal/decision/slugplacement/notice_test.go
@@ -20,7 +20,7 @@
 		}
 	}
 	p := New(Config{DataCentre: "a", Pace: measuredPace(), Notices: notices, Random: func() float64 { return 0 }})
-	p.SetEndpoints(endpoints)
+	p.SetEndpoints(endpoints, start)
 	return p
 }
 
--- a/internal/decision/slugplacement/placer.go
+++ b/internal/decision/slugplacement/placer.go
@@ -17,13 +17,14 @@
 // # Usage
 //
 //	p := slugplacement.New(slugplacement.Config{DataCentre: "dc-a"})
-//	p.SetEndpoints(endpoints)
+//	p.SetEndpoints(endpoints, time.Now())
 //	c, ok := p.Prefill(job, nil, time.Now())
 //	...
 //	c.End(slugplacement.Served, time.Now())
 package slugplacement
 
 import (
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -109,6 +110,10 @@
 	slownessMaxAge = 6 * time.Second
 	// maxSlowness limits the slowness of a single measurement.
 	maxSlowness = 20
+	// awayTTL is how long the state of an endpoint that is no choice is kept. It may live and
+	// come back, with the limit that it stated: its entry lapses while it is cut from the
+	// store, and is left out while its role changes.
+	awayTTL = 10 * time.Minute
 	// maxCacheShare is the fraction of an endpoint's cache that running requests may
 	// use.
 	maxCacheShare = 0.9
@@ -157,6 +162,12 @@
 	lastPrefillAt time.Time
 }
 
+// awayEndpoint is the state of an endpoint that has been no choice since a time.
+type awayEndpoint struct {
+	state *endpointState
+	since time.Time
+}
+
 // Placer chooses among the endpoints of one service. It is safe for concurrent use.
 type Placer struct {
 	cfg Config
@@ -164,6 +175,8 @@
 	mu     sync.Mutex
 	byName map[slugname.Endpoint]*endpointState
 	list   []*endpointState
+	// away holds the endpoints that were a choice within awayTTL.
+	away   map[slugname.Endpoint]awayEndpoint
 	demand demand
 	// meanWork is the smoothed time of a whole prompt without cache.
 	meanWork time.Duration
@@ -193,14 +206,14 @@
 		cfg.Random = rand.Float64
 	}
 	return &Placer{
-		cfg: cfg, byName: map[slugname.Endpoint]*endpointState{}, backlog: slugbacklog.New(),
+		cfg: cfg, byName: map[slugname.Endpoint]*endpointState{}, away: map[slugname.Endpoint]awayEndpoint{}, backlog: slugbacklog.New(),
 		firstEvents: slugmedian.New(measurementMaxAge), plainTimes: slugmedian.New(measurementMaxAge),
 	}
 }
 
-// SetEndpoints replaces the endpoints that accept new work. The state of endpoints that
-// remain is kept, unless they restarted.
-func (p *Placer) SetEndpoints(endpoints []Endpoint) {
+// SetEndpoints replaces the endpoints that accept new work. The state of an endpoint is kept
+// until it restarts, also while it is not among them for up to awayTTL.
+func (p *Placer) SetEndpoints(endpoints []Endpoint, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if slices.EqualFunc(endpoints, p.list, func(e Endpoint, s *endpointState) bool { return e == s.Endpoint }) {
@@ -209,20 +222,36 @@
 	next := make(map[slugname.Endpoint]*endpointState, len(endpoints))
 	p.list = p.list[:0]
 	for _, e := range endpoints {
-		s := p.byName[e.Name]
-		if s == nil || s.Incarnation != e.Incarnation {
-			s = &endpointState{hash: xxhash.Sum64String(string(e.Name)), cache: newCache(e.CacheTokens), slowness: 1}
-		}
+		s := p.stateOf(e)
 		if s.Role != e.Role {
 			s.cache = newCache(e.CacheTokens)
 		}
 		s.Endpoint = e
 		next[e.Name] = s
 		p.list = append(p.list, s)
+		delete(p.away, e.Name)
+	}
+	for name, s := range p.byName {
+		if next[name] == nil {
+			p.away[name] = awayEndpoint{s, now}
+		}
 	}
+	maps.DeleteFunc(p.away, func(_ slugname.Endpoint, a awayEndpoint) bool { return now.Sub(a.since) > awayTTL })
 	p.byName = next
 }
 
+// stateOf returns what is known of an incarnation of an endpoint. The caller must hold p.mu.
+func (p *Placer) stateOf(e Endpoint) *endpointState {
+	s := p.byName[e.Name]
+	if s == nil {
+		s = p.away[e.Name].state
+	}
+	if s == nil || s.Incarnation != e.Incarnation {
+		s = &endpointState{hash: xxhash.Sum64String(string(e.Name)), cache: newCache(e.CacheTokens), slowness: 1}
+	}
+	return s
+}
+
 // RecordCacheReport records a cache report of an endpoint: parts with tokens are cached,
 // parts without are not. fresh means that the report replaces everything known of the cache.
 func (p *Placer) RecordCacheReport(e slugname.Endpoint, parts []Part, fresh bool) {
--- a/internal/decision/slugplacement/placer_test.go
+++ b/internal/decision/slugplacement/placer_test.go
@@ -45,7 +45,7 @@
 // newPlacer returns a placer in data centre a that breaks ties in list order.
 func newPlacer(endpoints []Endpoint) *Placer {
 	p := New(Config{DataCentre: "a", Pace: measuredPace(), Random: func() float64 { return 0 }})
-	p.SetEndpoints(endpoints)
+	p.SetEndpoints(endpoints, start)
 	return p
 }
 
@@ -119,7 +119,7 @@
 	urgent := Job{Parts: []Part{{"q", 1000}}, Tokens: 1000, Priority: 0}
 	c, _ := p.Prefill(urgent, nil, start)
 	assert.Assert(t, c.Predicted > 300*time.Millisecond, "%s", c.Predicted)
-	p.SetEndpoints(newEngines(3, 0))
+	p.SetEndpoints(newEngines(3, 0), start)
 	c, _ = p.Prefill(urgent, nil, start)
 	assert.Equal(t, c.Name, slugname.Endpoint("e-02"))
 	assert.Assert(t, c.Predicted < 50*time.Millisecond, "%s", c.Predicted)
