Take no part of a shared limit before the number of hosts is known

Callers saw: possibly more requests at an endpoint in need than it allows, and more retries than the budget, right after all hosts were killed.

Cause: a host that has not read the membership records yet took itself for the only one, and so the whole of each rate limit and of the fixed part of the retry budgets. Where the store answers for endpoints and not for records, all hosts do so for as long as that lasts.

Change: a share without a number of hosts has no permits and no fixed part of the budget. Requests go to the other endpoints, or are refused at once.

--- a/internal/daemon/slughost/host.go
+++ b/internal/daemon/slughost/host.go
@@ -249,7 +249,7 @@
 	b := h.retryBudgets[s]
 	if b == nil {
 		b = slugbudget.New(slugbudget.Config{Ratio: h.settings.RetryRatio, Window: h.settings.RetryWindow, Reserve: retryReserve})
-		b.SetExtra(h.settings.RetryExtra / float64(h.hostCount()))
+		b.SetExtra(h.retryExtra())
 		h.retryBudgets[s] = b
 	}
 	return b
@@ -258,17 +258,30 @@
 // hostCount returns the number of known hosts, including this one.
 func (h *Host) hostCount() int { return max(1, h.share().Hosts) }
 
-// share returns the place of this host among all known hosts. Hosts that are gone count
-// until their records are removed.
+// retryExtra returns the share of this host in the fixed part of the retry budgets. There is
+// none as long as the number of hosts is not known.
+func (h *Host) retryExtra() float64 {
+	if h.share().Hosts == 0 {
+		return 0
+	}
+	return h.settings.RetryExtra / float64(h.hostCount())
+}
+
+// share returns the place of this host among all known hosts, which is not known until the
+// membership records have been read. Hosts that are gone count until their records are
+// removed.
 func (h *Host) share() slugpermit.Share {
 	if s := h.hostShare.Load(); s != nil {
 		return *s
 	}
-	return slugpermit.Share{Hosts: 1}
+	if !h.member.Listed() {
+		return slugpermit.Share{}
+	}
+	return h.updateShare()
 }
 
 // updateShare determines the place of this host among all known hosts.
-func (h *Host) updateShare() {
+func (h *Host) updateShare() slugpermit.Share {
 	seen := map[slugname.Host]bool{h.settings.Host: true}
 	for _, r := range h.member.Records() {
 		seen[r.Host] = true
@@ -280,6 +293,7 @@
 		}
 	}
 	h.hostShare.Store(&share)
+	return share
 }
 
 // followEndpoints starts to follow the registry entries of the endpoints.
--- a/internal/daemon/slughost/join.go
+++ b/internal/daemon/slughost/join.go
@@ -110,7 +110,7 @@
 // endpoints, evenly among the known hosts.
 func (h *Host) divideLimits() {
 	h.updateShare()
-	extra := h.settings.RetryExtra / float64(h.hostCount())
+	extra := h.retryExtra()
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for _, b := range h.retryBudgets {
--- a/internal/decision/slugpermit/permits.go
+++ b/internal/decision/slugpermit/permits.go
@@ -34,7 +34,7 @@
 type Share struct {
 	// Rank is the position of the host in the order on which all hosts agree, from 0.
 	Rank int
-	// Hosts is the number of hosts.
+	// Hosts is the number of hosts, or 0 if it is not known yet. Such a host has no permits.
 	Hosts int
 }
 
@@ -79,6 +79,9 @@
 // next returns when the oldest permit that can still be used is or will be issued. A clock
 // that was set back does not hold up the permits for longer than validity.
 func (p *Permits) next(s Share, now time.Time) time.Time {
+	if s.Hosts <= 0 {
+		return now.Add(validity)
+	}
 	if p.usedAt.After(now.Add(validity)) {
 		p.usedAt = now
 	}
@@ -86,7 +89,7 @@
 	if p.usedAt.After(after) {
 		after = p.usedAt
 	}
-	hosts, rank := float64(max(1, s.Hosts)), float64(s.Rank)
+	hosts, rank := float64(s.Hosts), float64(s.Rank)
 	// Seconds within a day keep the precision of the floating-point numbers high.
 	base := after.Truncate(24 * time.Hour)
 	turn := math.Floor((after.Sub(base).Seconds()*p.rate-rank)/hosts) + 1
--- a/internal/decision/slugplacement/limit_test.go
+++ b/internal/decision/slugplacement/limit_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/sassafraslug/sassafraslug/internal/decision/slugpermit"
 	"gotest.tools/v3/assert"
 )
 
@@ -46,3 +47,19 @@
 		})
 	}
 }
+
+// TestHostThatKnowsNoOthersTakesTheWholeLimit guards against a host that takes all that an
+// endpoint allows because it does not know yet how many hosts there are.
+func TestHostThatKnowsNoOthersTakesTheWholeLimit(t *testing.T) {
+	share := slugpermit.Share{}
+	now := start
+	p, _ := limitedEndpoint(Config{Share: func() slugpermit.Share { return share }})
+	p.cfg.Clock = func() time.Time { return now }
+	now = start.Add(10 * time.Second)
+	_, ok := p.Plain(nil, now)
+	assert.Assert(t, !ok)
+	share = slugpermit.Share{Hosts: 2}
+	now = start.Add(12 * time.Second)
+	_, ok = p.Plain(nil, now)
+	assert.Assert(t, ok)
+}
