Count each crash of a request that was sent again after the last one

Callers saw: a request that crashes endpoints ended more of them than three.

Cause: crashes within 150 ms of each other were attributed to a common cause. A request that crashes its endpoint within milliseconds is sent again at once, so that the next crash, under a run that began after the first, counted for nothing.

Evidence: TestCrashesOfARequestDoNotAddUp, in quick succession, failed before: no verdict after three crashes 60 ms apart.

Change: for a whole request, a crash counts separately if the run that it interrupted began after the crash before. Runs that were in progress together still count once.

--- a/internal/decision/slugquarantine/record.go
+++ b/internal/decision/slugquarantine/record.go
@@ -31,6 +31,8 @@
 	// commonCauseWindow is the time within which crashes of different endpoints are attributed
 	// to a common cause, such as a failing rack.
 	commonCauseWindow = 150 * time.Millisecond
+	// reportResolution is the resolution of the times that peers report.
+	reportResolution = 2 * time.Millisecond
 	// maxCrashes bounds the crashes that are remembered of a trait.
 	maxCrashes = 32
 )
@@ -127,23 +129,25 @@
 
 // unexplained returns the number of crashes since the last response that no quarantined part
 // explains, and the number of different requests that they interrupted. Crashes at about the
-// same time count once, because they have a common cause.
+// same time count once, because they have a common cause, unless a request was sent again
+// after the crash before.
 func (r *record) unexplained(explained map[Start]Trait) (crashes, requests int) {
 	different := map[uint32]bool{}
-	var times []time.Time
+	var list []crash
 	for e, c := range r.crashes {
 		if culprit, ok := explained[e]; ok && culprit != r.trait || !c.began.After(r.servedAt) {
 			continue
 		}
-		times = append(times, c.at)
+		list = append(list, c)
 		different[c.request] = true
 	}
-	slices.SortFunc(times, time.Time.Compare)
+	slices.SortFunc(list, func(a, b crash) int { return a.at.Compare(b.at) })
 	var last time.Time
-	for _, at := range times {
-		if at.Sub(last) >= commonCauseWindow {
+	for _, c := range list {
+		sentAgain := r.trait.Scope == ScopeRequest && c.began.After(last.Add(-reportResolution))
+		if sentAgain || c.at.Sub(last) >= commonCauseWindow {
 			crashes++
-			last = at
+			last = c.at
 		}
 	}
 	return crashes, len(different)
--- a/internal/decision/slugquarantine/tracker_test.go
+++ b/internal/decision/slugquarantine/tracker_test.go
@@ -322,3 +322,29 @@
 		})
 	}
 }
+
+// Guards against a request that goes on crashing endpoints because its crashes do not add
+// up: the next run began right after the crash before, under a retry, or long after it.
+func TestCrashesOfARequestDoNotAddUp(t *testing.T) {
+	poison := subject(7, "aa", "s")
+	crash := func(tr *Tracker, n int, began, at time.Time) {
+		tr.Begin(start(n), poison, began).Interrupted(at)
+		tr.Crashed(start(n), at)
+	}
+	t.Run("in quick succession", func(t *testing.T) {
+		tr, now := New(), time.Now()
+		for i := range requestCrashes {
+			at := now.Add(time.Duration(i) * 60 * time.Millisecond)
+			crash(tr, i+1, at.Add(-40*time.Millisecond), at)
+		}
+		assert.Equal(t, len(settle(tr, now.Add(settleTime))), 1)
+	})
+	t.Run("at the same time", func(t *testing.T) {
+		tr, now := New(), time.Now()
+		for i := range 2 * requestCrashes {
+			at := now.Add(time.Duration(i) * 10 * time.Millisecond)
+			crash(tr, i+1, now.Add(-40*time.Millisecond), at)
+		}
+		assert.Equal(t, len(settle(tr, now.Add(settleTime))), 0)
+	})
+}
