Remember crashes of a whole request for 10 min

Callers saw: a request that comes again rarely goes on ending endpoints.

Cause: crashes were forgotten after a minute, which is right for parts of prompts, that many requests share, and too short for one request that is repeated.

Evidence: TestCrashesOfARequestDoNotAddUp, rarely, failed before: no verdict after three crashes 100 s apart.

Change: crashes count against a whole request for 10 min. Single crashes that are older than a minute are not compared with peers, so that the exchange does not grow (TestOldSingleCrashIsNotCompared). TestStateIsBounded waits for the longer time, and checks one more map.

--- a/internal/decision/slugquarantine/entry.go
+++ b/internal/decision/slugquarantine/entry.go
@@ -51,11 +51,24 @@
 	return out
 }
 
-// All returns the entries of all traits, up to a bound.
+// All returns the entries of all traits, up to a bound. Single crashes of requests are left
+// out after crashRetention: most of these requests never come again.
 func (t *Tracker) All(now time.Time) []Entry {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.entries(now, func(r *record) bool { return r.worthSending(now) })
+	return t.entries(now, func(r *record) bool {
+		return r.worthSending(now) && (r.quarantined(now) || len(r.crashes) > 1 || r.crashedSince(now.Add(-crashRetention)))
+	})
+}
+
+// crashedSince reports whether there was a crash after a time.
+func (r *record) crashedSince(at time.Time) bool {
+	for _, c := range r.crashes {
+		if c.at.After(at) {
+			return true
+		}
+	}
+	return false
 }
 
 // worthSending reports whether the trait may be a culprit, or a peer suspects that it is.
@@ -126,7 +139,7 @@
 	r.runs, r.served = max(r.runs, e.Runs), max(r.served, e.Served)
 	// Crashes come first, so that a response clears the trait of them.
 	for _, c := range e.Crashes {
-		if at := ago(c.InterruptedMs); now.Sub(at) <= crashRetention {
+		if at := ago(c.InterruptedMs); now.Sub(at) <= r.retention() {
 			r.addCrash(c.Start, crash{request: c.Request, began: ago(c.BeganMs), at: at})
 		}
 	}
--- a/internal/decision/slugquarantine/record.go
+++ b/internal/decision/slugquarantine/record.go
@@ -183,10 +183,18 @@
 		return false
 	}
 	r.expire(now)
-	maps.DeleteFunc(r.crashes, func(_ Start, c crash) bool { return now.Sub(c.at) > crashRetention })
+	maps.DeleteFunc(r.crashes, func(_ Start, c crash) bool { return now.Sub(c.at) > r.retention() })
 	return len(r.crashes) == 0 && !r.changed && !r.probation
 }
 
+// retention returns how long a crash is remembered.
+func (r *record) retention() time.Duration {
+	if r.trait.Scope == ScopeRequest {
+		return requestRetention
+	}
+	return crashRetention
+}
+
 // newestCrashes returns up to n crashes, the newest first.
 func (r *record) newestCrashes(n int) []Start {
 	list := slices.SortedFunc(maps.Keys(r.crashes), func(a, b Start) int {
--- a/internal/decision/slugquarantine/tracker.go
+++ b/internal/decision/slugquarantine/tracker.go
@@ -100,8 +100,10 @@
 }
 
 const (
-	// crashRetention is how long a crash is remembered.
-	crashRetention = time.Minute
+	// crashRetention is how long a crash is remembered, and requestRetention how long it
+	// counts against the whole request: no other request shares that, and the same one may
+	// come again rarely.
+	crashRetention, requestRetention = time.Minute, 10 * time.Minute
 	// servedRetention is how long a response speaks for the parts of its prompt.
 	servedRetention = 15 * time.Second
 	// interruptionWindow is the longest time between an interrupted request and the news
--- a/internal/decision/slugquarantine/tracker_test.go
+++ b/internal/decision/slugquarantine/tracker_test.go
@@ -275,13 +275,13 @@
 	assert.Assert(t, len(tr.records) <= maxRecords)
 	assert.Assert(t, len(tr.served) <= maxServed)
 	assert.Assert(t, len(tr.All(now)) <= maxEntries)
-	later := now.Add(crashRetention + servedRetention + time.Second)
+	later := now.Add(requestRetention + servedRetention + time.Second)
 	for range maxRecords/maxEntries + 1 {
 		tr.Changed(later)
 	}
 	tr.Decide(later)
 	tr.Decide(later.Add(2 * pruneInterval))
-	assert.Equal(t, len(tr.records)+len(tr.served)+len(tr.interruptions)+len(tr.crashed), 0)
+	assert.Equal(t, len(tr.records)+len(tr.served)+len(tr.interruptions)+len(tr.crashed)+len(tr.heard), 0)
 }
 
 // Guards against endpoints that fall silent under a request without a crash, and against a
@@ -347,4 +347,28 @@
 		}
 		assert.Equal(t, len(settle(tr, now.Add(settleTime))), 0)
 	})
+	t.Run("rarely", func(t *testing.T) {
+		tr, now := New(), time.Now()
+		for i := range requestCrashes {
+			crash(tr, i+1, now.Add(-50*time.Millisecond), now)
+			settle(tr, now.Add(time.Second))
+			now = now.Add(100 * time.Second)
+		}
+		assert.Assert(t, tr.Quarantined(poison.Request, now))
+	})
+}
+
+// Guards against peers that go on comparing crashes of requests that came once.
+func TestOldSingleCrashIsNotCompared(t *testing.T) {
+	tr, now := New(), time.Now()
+	crashWith(tr, 1, now, subject(1, "p"))
+	crashWith(tr, 2, now, subject(2, "q"))
+	crashWith(tr, 3, now.Add(time.Second), subject(2, "q"))
+	now = now.Add(crashRetention + 10*time.Second)
+	tr.Decide(now)
+	var compared []Trait
+	for _, e := range tr.All(now) {
+		compared = append(compared, e.Trait)
+	}
+	assert.DeepEqual(t, compared, []Trait{subject(2, "q").Request})
 }
