Do not clear a request of its crashes when an endpoint answers with an error

Callers saw: a request that crashes endpoints was sent to endpoints for as long as it came.

Cause: any complete response counted as a run that the endpoint survived, also an error of an endpoint that fails. It cleared the request of all crashes before it.

Change: responses with a status of 500 and above clear nothing.

--- a/internal/request/slugdispatch/plain.go
+++ b/internal/request/slugdispatch/plain.go
@@ -100,7 +100,7 @@
 	}
 	c.End(d.placementOutcome(ctx, err), time.Now())
 	if err == nil {
-		run.Served(time.Now())
+		recordServed(run, e)
 	} else {
 		e.Abort()
 		if sent && !errors.Is(err, errNotRun) {
@@ -115,6 +115,14 @@
 	return sent, err
 }
 
+// recordServed records that the endpoint has survived the request. An error shows that only
+// of the endpoint: it may have failed before it began to run the request.
+func recordServed(run *slugquarantine.Run, e *slugsend.Exchange) {
+	if e.Response.StatusCode < http.StatusInternalServerError {
+		run.Served(time.Now())
+	}
+}
+
 // checkReady checks, immediately before a request is sent, that the chosen endpoint still
 // wants requests, and takes a permit if it has a rate limit.
 func checkReady(c *slugplacement.Choice) error {
--- a/internal/request/slugdispatch/stream.go
+++ b/internal/request/slugdispatch/stream.go
@@ -370,7 +370,7 @@
 	c.End(d.placementOutcome(requestCtx, err), time.Now())
 	if err == nil {
 		// A prefill alone does not show that an engine survives the request.
-		run.Served(time.Now())
+		recordServed(run, e)
 		return true, nil
 	}
 	e.Abort()
