Let streams go on only at the software version that began them

Cause: no part of the system knew the software version of an endpoint. A response that the host continued, and a stream that a caller took up, went on at any engine. All hosts may be killed in between, so that what one of them remembers is not enough.

Hosts remember which version began each stream, and tell four others while versions mix.

--- a/internal/base/slugname/name.go
+++ b/internal/base/slugname/name.go
@@ -21,6 +21,7 @@
 	endpointKind   struct{}
 	hostKind       struct{}
 	processKind    struct{}
+	versionKind    struct{}
 )
 
 // The kinds of names.
@@ -41,6 +42,8 @@
 	Host = Name[hostKind]
 	// Process is the name of one run of a daemon; a restart gets a new name.
 	Process = Name[processKind]
+	// SoftwareVersion is the version of the software of an endpoint.
+	SoftwareVersion = Name[versionKind]
 )
 
 // MaxLength is the maximum length of a name in bytes.
--- a/internal/daemon/slughost/host.go
+++ b/internal/daemon/slughost/host.go
@@ -31,6 +31,7 @@
 	"github.com/sassafraslug/sassafraslug/internal/daemon/slugserve"
 	"github.com/sassafraslug/sassafraslug/internal/decision/slugbudget"
 	"github.com/sassafraslug/sassafraslug/internal/decision/slugnotice"
+	"github.com/sassafraslug/sassafraslug/internal/decision/slugorigin"
 	"github.com/sassafraslug/sassafraslug/internal/decision/slugpace"
 	"github.com/sassafraslug/sassafraslug/internal/decision/slugpermit"
 	"github.com/sassafraslug/sassafraslug/internal/decision/slugplacement"
@@ -44,6 +45,7 @@
 	"github.com/sassafraslug/sassafraslug/internal/membership/slugowner"
 	"github.com/sassafraslug/sassafraslug/internal/membership/slugpeer"
 	"github.com/sassafraslug/sassafraslug/internal/membership/slugpeerclock"
+	"github.com/sassafraslug/sassafraslug/internal/membership/slugtakeup"
 	"github.com/sassafraslug/sassafraslug/internal/request/slugdispatch"
 	"github.com/sassafraslug/sassafraslug/internal/version/slugrouting"
 	"golang.org/x/sync/errgroup"
@@ -115,6 +117,8 @@
 	quarantines    *slugquarantine.Set
 	evidence       *slugevidence.Exchange
 	notices        *slugnotice.Notices
+	origins        *slugorigin.Memory
+	takeUps        *slugtakeup.Resolver
 	probes         probes
 	hostShare      atomic.Pointer[slugpermit.Share]
 	dispatcher     *slugdispatch.Dispatcher
@@ -165,7 +169,7 @@
 		owners:         slugowner.New(),
 		usageAggregate: slugusageaggregate.New(), firstSeen: map[slugname.Endpoint]firstSighting{},
 		placers: map[slugname.Service]*slugplacement.Placer{}, paces: map[slugname.Service]*slugpace.Model{}, publishedPaces: map[slugname.Service]slugpeer.Pace{},
-		retryBudgets: map[slugname.Service]*slugbudget.Budget{}, quarantines: slugquarantine.NewSet(), notices: slugnotice.New(),
+		retryBudgets: map[slugname.Service]*slugbudget.Budget{}, quarantines: slugquarantine.NewSet(), notices: slugnotice.New(), origins: slugorigin.New(),
 	}
 }
 
@@ -185,6 +189,7 @@
 		{Name: "follow the caches of engines", Run: h.followCaches},
 		{Name: "exchange with peers", Run: h.exchange},
 		{Name: "follow the quarantines", Run: h.followQuarantines},
+		{Name: "tell of streams", Run: h.shareOrigins},
 		{Name: "serve callers", Run: h.serve},
 		{Name: "tell of usage", Run: h.sendUsagePeriodically},
 		{Name: "take part in the duties", Run: h.runDuties},
@@ -208,7 +213,7 @@
 		Table: h.follower.Table, Fresh: h.configFresh,
 		ConfigurationAge: func() time.Duration { return slugclock.Since(h.follower.LastConfirmed()) },
 		Placer:           h.placer, Budget: h.retryBudget, Quarantine: h.quarantines.Of, EndpointFailed: h.endpointFailed, Noticed: h.endpointNoticed, Codec: h.adapter.Codec, Open: h.sender.Open, Announce: h.announce, WithdrawAnnouncement: h.withdrawAnnouncement,
-		Started: h.usageCounter.Count, Ended: h.counters.Record, Log: h.log,
+		Origin: h.findOrigin, StreamBegan: h.streamBegan, Started: h.usageCounter.Count, Ended: h.counters.Record, Log: h.log,
 	})
 	return nil
 }
@@ -334,10 +339,11 @@
 		for _, e := range h.usableEndpoints(s, now) {
 			list = append(list, slugplacement.Endpoint{
 				Name: e.Name, Incarnation: int64(e.Incarnation), Address: e.Address, DataCentre: e.DataCentre,
-				Role: e.Role, Slots: e.Slots, CacheTokens: engine.CacheTokens, TransferPerToken: engine.TransferPerToken(),
+				Role: e.Role, Version: e.Version, Slots: e.Slots, CacheTokens: engine.CacheTokens, TransferPerToken: engine.TransferPerToken(),
 			})
 		}
 		h.placer(s).SetEndpoints(list, now)
+		h.observeVersions(s, now)
 	}
 }
 
--- a/internal/daemon/slughost/join.go
+++ b/internal/daemon/slughost/join.go
@@ -14,6 +14,7 @@
 	"github.com/sassafraslug/sassafraslug/internal/base/slugevent"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugname"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugstore"
+	"github.com/sassafraslug/sassafraslug/internal/decision/slugorigin"
 	"github.com/sassafraslug/sassafraslug/internal/decision/slugpace"
 	"github.com/sassafraslug/sassafraslug/internal/decision/slugplacement"
 	"github.com/sassafraslug/sassafraslug/internal/decision/slugplan"
@@ -57,11 +58,14 @@
 		Self: h.member.Self(), Call: transport.Call, Peers: h.member.Records, LastConfirmed: h.follower.LastConfirmed,
 		RevisionConfirmed: h.follower.ObservePeer, Bundle: h.follower.Encoded, Fanout: exchangeFanout, Interval: h.exchangeInterval,
 		Follow: h.sharedWatches.Serve, UsageReported: h.usageAggregate.Update, Announce: h.handleAnnouncement,
+		Origins:    func(list []slugorigin.Origin) { h.takeUps.Merge(list) },
+		FindOrigin: func(q slugpeer.OriginQuery) slugpeer.OriginAnswer { return h.takeUps.Serve(q) },
 		Evidence: func(list []slugpeer.Evidence, compare bool) []slugpeer.Evidence {
 			return h.evidence.Serve(list, compare)
 		},
 	})
 	h.evidence = h.newEvidence()
+	h.takeUps = h.newTakeUps()
 	return nil
 }
 
--- /dev/null
+++ b/internal/decision/slugorigin/memory.go
@@ -0,0 +1,202 @@
+// Package slugorigin remembers which software version of a service began each stream.
+//
+// The load it answers: several software versions serve side by side during a release, and
+// what two of them write does not fit together. A stream that breaks off is taken up at any
+// host within seconds, and has to go on at the version that began it.
+//
+// The package keeps, for each stream, its version until the stream has certainly ended, and
+// for each service the versions that were seen serving. If there was only one throughout the
+// time that a stream may last, it began all streams that can still be taken up. The package
+// performs no I/O.
+//
+// # Usage
+//
+//	m := slugorigin.New()
+//	m.Observe(service, versions, now)
+//	m.Record(slugorigin.NewKey(service, requestID), version, now.Add(limit), now)
+//	v, ok := m.Find(key, now)
+package slugorigin
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugname"
+)
+
+// Key identifies the request that began a stream.
+type Key uint64
+
+// NewKey returns the key of a request to a service.
+func NewKey(s slugname.Service, requestID string) Key {
+	return Key(xxhash.Sum64String(string(s) + "\x00" + requestID))
+}
+
+// Origin is the software version that began a stream, as exchanged between processes.
+type Origin struct {
+	_       struct{} `cbor:",toarray"`
+	Key     Key
+	Version slugname.SoftwareVersion
+	// LeftMs is how long the stream may still be taken up, in milliseconds.
+	LeftMs uint32
+}
+
+// Observation is what a process has seen of the versions of a service.
+type Observation struct {
+	// Versions served within the time asked for.
+	Versions []slugname.SoftwareVersion
+	// Complete is set if the process has observed the service for all of that time.
+	Complete bool
+}
+
+const (
+	// maxOrigins bounds the streams that are remembered.
+	maxOrigins = 1 << 16
+	// maxLeft bounds the time for which peers may report a stream.
+	maxLeft = time.Hour
+	// pruneInterval is the time between removals of streams that have ended.
+	pruneInterval = time.Second
+)
+
+// origin is what is remembered of a stream.
+type origin struct {
+	version slugname.SoftwareVersion
+	until   time.Time
+}
+
+// Memory holds the origins of streams. It is safe for concurrent use.
+type Memory struct {
+	mu      sync.Mutex
+	origins map[Key]origin
+	// unshared are the streams that this process began and has told no other of.
+	unshared []Key
+	// seenAt is when each version of a service was last seen, and since when the first one
+	// of any service was.
+	seenAt   map[slugname.Service]map[slugname.SoftwareVersion]time.Time
+	since    time.Time
+	prunedAt time.Time
+}
+
+// New returns an empty Memory.
+func New() *Memory {
+	return &Memory{origins: map[Key]origin{}, seenAt: map[slugname.Service]map[slugname.SoftwareVersion]time.Time{}}
+}
+
+// Record records a stream of this process that may be taken up until a time.
+func (m *Memory) Record(k Key, v slugname.SoftwareVersion, until, now time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.prune(now)
+	if len(m.origins) >= maxOrigins {
+		return
+	}
+	m.origins[k] = origin{v, until}
+	m.unshared = append(m.unshared, k)
+}
+
+// Find returns the version that began a stream.
+func (m *Memory) Find(k Key, now time.Time) (slugname.SoftwareVersion, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	o, ok := m.origins[k]
+	return o.version, ok && now.Before(o.until)
+}
+
+// Unshared returns the streams of this process that it did not return before.
+func (m *Memory) Unshared(now time.Time) []Origin {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var out []Origin
+	for _, k := range m.unshared {
+		if o, ok := m.origins[k]; ok && now.Before(o.until) {
+			out = append(out, Origin{Key: k, Version: o.version, LeftMs: uint32(o.until.Sub(now).Milliseconds())})
+		}
+	}
+	m.unshared = nil
+	return out
+}
+
+// Merge adds streams of a peer.
+func (m *Memory) Merge(list []Origin, now time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.prune(now)
+	for _, o := range list {
+		if len(m.origins) < maxOrigins {
+			m.origins[o.Key] = origin{o.Version, now.Add(min(time.Duration(o.LeftMs)*time.Millisecond, maxLeft))}
+		}
+	}
+}
+
+// Observe records the versions of which endpoints of a service may run streams.
+func (m *Memory) Observe(s slugname.Service, versions []slugname.SoftwareVersion, now time.Time) {
+	if len(versions) == 0 {
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.since.IsZero() {
+		m.since = now
+	}
+	seen := m.seenAt[s]
+	if seen == nil {
+		seen = map[slugname.SoftwareVersion]time.Time{}
+		m.seenAt[s] = seen
+	}
+	for _, v := range versions {
+		seen[v] = now
+	}
+	for v, at := range seen {
+		if now.Sub(at) > maxLeft {
+			delete(seen, v)
+		}
+	}
+}
+
+// Observed returns the versions of a service that were seen within a time before now.
+func (m *Memory) Observed(s slugname.Service, within time.Duration, now time.Time) Observation {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	o := Observation{Complete: !m.since.IsZero() && now.Sub(m.since) >= within}
+	for v, at := range m.seenAt[s] {
+		if now.Sub(at) <= within {
+			o.Versions = append(o.Versions, v)
+		}
+	}
+	slices.Sort(o.Versions)
+	return o
+}
+
+// Mixed reports whether streams of any service may have begun at different versions within a
+// time before now.
+func (m *Memory) Mixed(within time.Duration, now time.Time) bool {
+	m.mu.Lock()
+	services := make([]slugname.Service, 0, len(m.seenAt))
+	for s := range m.seenAt {
+		services = append(services, s)
+	}
+	m.mu.Unlock()
+	return slices.ContainsFunc(services, func(s slugname.Service) bool {
+		o := m.Observed(s, within, now)
+		return !o.Complete || len(o.Versions) > 1
+	})
+}
+
+// prune forgets streams that have ended. The caller must hold m.mu.
+func (m *Memory) prune(now time.Time) {
+	if now.Sub(m.prunedAt) < pruneInterval {
+		return
+	}
+	m.prunedAt = now
+	for k, o := range m.origins {
+		if !now.Before(o.until) {
+			delete(m.origins, k)
+		}
+	}
+	m.unshared = slices.DeleteFunc(m.unshared, func(k Key) bool {
+		_, ok := m.origins[k]
+		return !ok
+	})
+}
--- a/internal/decision/slugplacement/job.go
+++ b/internal/decision/slugplacement/job.go
@@ -24,6 +24,8 @@
 	Output int
 	// Priority is the urgency; 0 is the most urgent.
 	Priority int
+	// Version is the only software version that may generate the response; empty means any.
+	Version slugname.SoftwareVersion
 	// DataCentre is the data centre of the host that received the request.
 	DataCentre slugname.DataCentre
 }
--- a/internal/decision/slugplacement/limit_test.go
+++ b/internal/decision/slugplacement/limit_test.go
@@ -15,7 +15,7 @@
 	cfg.Clock = func() time.Time { return start }
 	p := New(cfg)
 	p.SetEndpoints(endpoints, start)
-	c, _ := p.Plain(nil, start)
+	c, _ := p.Plain("", nil, start)
 	c.RecordLimit(Limit{Stated: true, PerSecond: 1}, start, start)
 	c.End(Served, start)
 	return p, endpoints
@@ -56,10 +56,10 @@
 	p, _ := limitedEndpoint(Config{Share: func() slugpermit.Share { return share }})
 	p.cfg.Clock = func() time.Time { return now }
 	now = start.Add(10 * time.Second)
-	_, ok := p.Plain(nil, now)
+	_, ok := p.Plain("", nil, now)
 	assert.Assert(t, !ok)
 	share = slugpermit.Share{Hosts: 2}
 	now = start.Add(12 * time.Second)
-	_, ok = p.Plain(nil, now)
+	_, ok = p.Plain("", nil, now)
 	assert.Assert(t, ok)
 }
--- a/internal/decision/slugplacement/notice.go
+++ b/internal/decision/slugplacement/notice.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/sassafraslug/sassafraslug/internal/base/slugname"
 	"github.com/sassafraslug/sassafraslug/internal/decision/slugplan"
 )
 
@@ -22,13 +23,13 @@
 }
 
 // Accepts reports whether an endpoint with a role can get a request now, or there is none
-// with the role.
-func (p *Placer) Accepts(r slugplan.Role, now time.Time) bool {
+// with the role. If a software version is given, it takes one of that version.
+func (p *Placer) Accepts(r slugplan.Role, v slugname.SoftwareVersion, now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	found := false
 	for _, s := range p.list {
-		if s.Role != r {
+		if s.Role != r || v != "" && s.Version != v {
 			continue
 		}
 		if p.wantsRequests(s, now) && p.hasPermit(s) {
@@ -36,7 +37,7 @@
 		}
 		found = true
 	}
-	return !found
+	return !found && v == ""
 }
 
 // UntilWanted returns the time until the first endpoint with a role wants requests again. It
--- a/internal/decision/slugplacement/notice_test.go
+++ b/internal/decision/slugplacement/notice_test.go
@@ -32,7 +32,7 @@
 	case slugplan.RoleDecode:
 		return p.Decode(newJob("s", 1), "a", nil, now)
 	}
-	return p.Plain(nil, now)
+	return p.Plain("", nil, now)
 }
 
 // Guards against work that is placed at endpoints that want none, or nowhere while others
@@ -58,7 +58,7 @@
 			chosen[c.Name]++
 		}
 		assert.DeepEqual(t, chosen, map[slugname.Endpoint]int{own[3].Name: 20})
-		assert.Assert(t, p.Accepts(r, start) && p.UntilWanted(r, start) == 0)
+		assert.Assert(t, p.Accepts(r, "", start) && p.UntilWanted(r, start) == 0)
 		for range 20 {
 			c, ok := pick(p, r, start.Add(3*time.Second))
 			assert.Assert(t, ok)
@@ -85,10 +85,10 @@
 	} {
 		p := noticed(newEngines(2, 3), slugplan.RoleDecode, test.given...)
 		now := start.Add(time.Second)
-		assert.Equal(t, p.Accepts(slugplan.RoleDecode, now), test.accepts)
+		assert.Equal(t, p.Accepts(slugplan.RoleDecode, "", now), test.accepts)
 		assert.Equal(t, p.UntilWanted(slugplan.RoleDecode, now), test.wait)
-		assert.Assert(t, p.Accepts(slugplan.RolePrefill, now) && p.UntilWanted(slugplan.RolePrefill, now) == 0)
-		assert.Assert(t, p.Accepts("", now), "none has the role")
+		assert.Assert(t, p.Accepts(slugplan.RolePrefill, "", now) && p.UntilWanted(slugplan.RolePrefill, now) == 0)
+		assert.Assert(t, p.Accepts("", "", now), "none has the role")
 		_, ok := pick(p, slugplan.RoleDecode, now)
 		assert.Equal(t, ok, test.accepts)
 	}
--- a/internal/decision/slugplacement/placer.go
+++ b/internal/decision/slugplacement/placer.go
@@ -47,7 +47,9 @@
 	Address     string
 	DataCentre  slugname.DataCentre
 	Role        slugplan.Role
-	Slots       int
+	// Version is the version of the endpoint's software.
+	Version slugname.SoftwareVersion
+	Slots   int
 	// CacheTokens is the capacity for the tokens of prompts and responses; 0 for plain
 	// services.
 	CacheTokens int
@@ -378,13 +380,13 @@
 // been sent yet.
 func (c *Choice) StartedAt() time.Time { return c.startedAt }
 
-// candidates returns the endpoints with a role that are not excluded, that want requests and
-// whose rate limit allows one. Endpoints to avoid are returned only if there are no others.
+// candidates returns the endpoints with a role, of a software version unless that is empty,
+// that are not excluded, that want requests and whose rate limit allows one. Endpoints to avoid are returned only if there are no others.
 // The caller must hold p.mu.
-func (p *Placer) candidates(r slugplan.Role, exclude []slugname.Endpoint, now time.Time) []*endpointState {
+func (p *Placer) candidates(r slugplan.Role, v slugname.SoftwareVersion, exclude []slugname.Endpoint, now time.Time) []*endpointState {
 	var preferred, avoided []*endpointState
 	for _, s := range p.list {
-		if s.Role != r || slices.Contains(exclude, s.Name) || !p.hasPermit(s) || !p.wantsRequests(s, now) {
+		if s.Role != r || v != "" && s.Version != v || slices.Contains(exclude, s.Name) || !p.hasPermit(s) || !p.wantsRequests(s, now) {
 			continue
 		}
 		if now.Before(s.avoidUntil) {
@@ -410,7 +412,7 @@
 // must hold p.mu.
 func (p *Placer) bestPrefill(j Job, exclude []slugname.Endpoint, now time.Time) *Choice {
 	var best *Choice
-	candidates := p.candidates(slugplan.RolePrefill, exclude, now)
+	candidates := p.candidates(slugplan.RolePrefill, "", exclude, now)
 	sharedPart := j.lastSharedPart()
 	home := p.homeEndpoint(sharedPart, slugplan.RolePrefill)
 	cached := p.cachedTokens(j, candidates)
@@ -450,7 +452,7 @@
 	defer p.mu.Unlock()
 	var best *Choice
 	median := p.medianSlowness(slugplan.RoleDecode, now)
-	for _, s := range p.candidates(slugplan.RoleDecode, exclude, now) {
+	for _, s := range p.candidates(slugplan.RoleDecode, j.Version, exclude, now) {
 		c := &Choice{Endpoint: s.Endpoint, p: p, state: s, job: j}
 		c.score = p.scoreDecode(s, j, near, median, now)
 		if best == nil || c.score < best.score {
--- a/internal/decision/slugplacement/placer_test.go
+++ b/internal/decision/slugplacement/placer_test.go
@@ -177,7 +177,7 @@
 	p := newPlacer([]Endpoint{{Name: "small", Slots: 2, DataCentre: "a"}, {Name: "large", Slots: 6, DataCentre: "a"}})
 	n := map[slugname.Endpoint]int{}
 	for range 16 {
-		c, _ := p.Plain(nil, start)
+		c, _ := p.Plain("", nil, start)
 		n[c.Name]++
 	}
 	assert.Equal(t, n["small"], 4)
--- a/internal/decision/slugplacement/plain.go
+++ b/internal/decision/slugplacement/plain.go
@@ -6,13 +6,14 @@
 	"github.com/sassafraslug/sassafraslug/internal/base/slugname"
 )
 
-// Plain chooses the endpoint of a plain service with the fewest requests per slot.
-func (p *Placer) Plain(exclude []slugname.Endpoint, now time.Time) (*Choice, bool) {
+// Plain chooses the endpoint of a plain service with the fewest requests per slot, among those
+// of a software version unless that is empty.
+func (p *Placer) Plain(v slugname.SoftwareVersion, exclude []slugname.Endpoint, now time.Time) (*Choice, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var best *Choice
 	median := p.medianSlowness("", now)
-	for _, s := range p.candidates("", exclude, now) {
+	for _, s := range p.candidates("", v, exclude, now) {
 		c := &Choice{Endpoint: s.Endpoint, p: p, state: s}
 		c.score = p.scorePlain(s, median, now)
 		if best == nil || c.score < best.score {
--- a/internal/fleet/slugregistry/registry.go
+++ b/internal/fleet/slugregistry/registry.go
@@ -34,8 +34,10 @@
 	Name        slugname.Endpoint
 	Incarnation Incarnation
 	Service     slugname.Service
-	Address     string
-	DataCentre  slugname.DataCentre
+	// Version is the version of the endpoint's software.
+	Version    slugname.SoftwareVersion
+	Address    string
+	DataCentre slugname.DataCentre
 	// Role is empty for plain services.
 	Role  slugplan.Role
 	Slots int
@@ -291,7 +293,7 @@
 func (r *Registry) logChange(e Endpoint, version slugstore.Version) {
 	r.cfg.Log.Emit(slugevent.EndpointChanged, slugevent.Fields{
 		"endpoint": e.Name, "service": e.Service, "dataCentre": e.DataCentre, "address": e.Address, "role": e.Role,
-		"leaving": e.Leaving, "cheap": e.Cheap, "incarnation": e.Incarnation, "version": version,
+		"leaving": e.Leaving, "cheap": e.Cheap, "incarnation": e.Incarnation, "softwareVersion": e.Version, "version": version,
 	})
 }
 
--- a/internal/membership/slugpeer/row.go
+++ b/internal/membership/slugpeer/row.go
@@ -19,6 +19,7 @@
 
 	"github.com/sassafraslug/sassafraslug/internal/base/slugname"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugstore"
+	"github.com/sassafraslug/sassafraslug/internal/decision/slugorigin"
 	"github.com/sassafraslug/sassafraslug/internal/decision/slugplan"
 	"github.com/sassafraslug/sassafraslug/internal/decision/slugquarantine"
 	"github.com/sassafraslug/sassafraslug/internal/decision/slugsuspect"
@@ -174,6 +175,29 @@
 	// all entries of the receiver in return.
 	Evidence        []Evidence `cbor:"15,keyasint,omitempty"`
 	CompareEvidence bool       `cbor:"16,keyasint,omitempty"`
+	// Origins are the software versions that began streams of the sender.
+	Origins []slugorigin.Origin `cbor:"17,keyasint,omitempty"`
+	// FindOrigin asks which software version began a stream, and Origin is the answer.
+	FindOrigin *OriginQuery  `cbor:"18,keyasint,omitempty"`
+	Origin     *OriginAnswer `cbor:"19,keyasint,omitempty"`
+}
+
+// OriginQuery asks which software version of a service began a stream.
+type OriginQuery struct {
+	_       struct{} `cbor:",toarray"`
+	Service slugname.Service
+	Key     slugorigin.Key
+}
+
+// OriginAnswer is what a process knows of a stream.
+type OriginAnswer struct {
+	_ struct{} `cbor:",toarray"`
+	// Version is empty if the process does not know the stream.
+	Version slugname.SoftwareVersion
+	// Versions served while the stream may have begun. Complete is set if the process has
+	// observed the service for all of that time.
+	Versions []slugname.SoftwareVersion
+	Complete bool
 }
 
 // Evidence holds the entries of one service about requests that may crash endpoints.
--- a/internal/membership/slugpeer/table.go
+++ b/internal/membership/slugpeer/table.go
@@ -12,6 +12,7 @@
 	"github.com/sassafraslug/sassafraslug/internal/base/slugbackoff"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugclock"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugname"
+	"github.com/sassafraslug/sassafraslug/internal/decision/slugorigin"
 	"github.com/sassafraslug/sassafraslug/internal/membership/slugmember"
 	"github.com/sassafraslug/sassafraslug/internal/version/slugconfig"
 	"golang.org/x/sync/errgroup"
@@ -47,6 +48,10 @@
 	// Evidence merges the evidence of a peer, and returns that of this process if the peer
 	// asks to compare; it may be nil.
 	Evidence func(list []Evidence, compare bool) []Evidence
+	// Origins merges the streams of a peer, and FindOrigin answers a question for one; they
+	// may be nil.
+	Origins    func([]slugorigin.Origin)
+	FindOrigin func(OriginQuery) OriginAnswer
 	// UsageReported is called with the counts of accounting windows of a peer; it may be nil.
 	UsageReported func(slugname.Process, []WindowCount)
 	// Fanout is the number of live peers called per round; 0 means 2.
@@ -355,6 +360,15 @@
 		answer.Evidence = t.cfg.Evidence(m.Evidence, m.CompareEvidence)
 		return answer
 	}
+	if m.Origins != nil && t.cfg.Origins != nil {
+		t.cfg.Origins(m.Origins)
+		return answer
+	}
+	if m.FindOrigin != nil && t.cfg.FindOrigin != nil {
+		found := t.cfg.FindOrigin(*m.FindOrigin)
+		answer.Origin = &found
+		return answer
+	}
 	if m.Usage != nil && t.cfg.UsageReported != nil {
 		t.cfg.UsageReported(from, m.Usage)
 		return answer
--- /dev/null
+++ b/internal/membership/slugtakeup/resolver.go
@@ -0,0 +1,189 @@
+// Package slugtakeup finds out which software version began a stream that a caller takes up.
+//
+// Each host remembers the streams that it began. While several versions of a service serve, it
+// also tells a few other hosts, chosen by rendezvous hashing, so that the knowledge outlasts
+// the hosts that fail together. A host at which a stream is taken up asks the hosts that rank
+// first for it. If nobody knows the stream, it began at the only version that served
+// throughout the time that streams may last; if there were several, or nobody has observed
+// the service for that long, the version is unknown.
+//
+// Nothing of this is stored: after all hosts have failed, streams that began before are
+// unknown until they would have ended.
+//
+// # Usage
+//
+//	r := slugtakeup.New(slugtakeup.Config{Memory: slugorigin.New(), Peers: peers, Call: transport.Call, Limit: limit})
+//	go r.Run(ctx)
+//	r.Began(service, requestID, version)
+//	answer := r.Find(ctx, service, requestID)
+package slugtakeup
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/sassafraslug/sassafraslug/internal/base/slugbackoff"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugname"
+	"github.com/sassafraslug/sassafraslug/internal/decision/slugorigin"
+	"github.com/sassafraslug/sassafraslug/internal/membership/slugmember"
+	"github.com/sassafraslug/sassafraslug/internal/membership/slugpeer"
+)
+
+const (
+	// spreadInterval is the time between messages about new streams. Streams that began
+	// since the last one are lost with their host.
+	spreadInterval = 100 * time.Millisecond
+	// copies is the number of other hosts that are told of a stream, and askedPeers the
+	// number that is asked, which is larger because hosts differ on who is alive.
+	copies, askedPeers = 4, 8
+	// askTimeout bounds a question to peers, some of which may have failed.
+	askTimeout = 300 * time.Millisecond
+	// confirmations is the number of answers after which a host does not wait for others, if
+	// all agree that there was one version only.
+	confirmations = 2
+	// callTimeout bounds a message about new streams.
+	callTimeout = time.Second
+)
+
+// Source says how the version of a stream was found.
+type Source string
+
+// The values of Source.
+const (
+	SourceOwn         Source = "own"
+	SourcePeer        Source = "peer"
+	SourceOnlyVersion Source = "onlyVersion"
+	SourceUnknown     Source = "unknown"
+)
+
+// Answer is the software version that began a stream, empty if it is unknown.
+type Answer struct {
+	Version slugname.SoftwareVersion
+	Source  Source
+	// Versions served while the stream may have begun.
+	Versions []slugname.SoftwareVersion
+}
+
+// Config configures a Resolver.
+type Config struct {
+	Memory *slugorigin.Memory
+	// Peers returns up to n other live processes, ranked for a subject.
+	Peers func(subject string, n int) []slugmember.Record
+	// Call sends a message to a peer and returns the answer.
+	Call func(ctx context.Context, to slugmember.Record, m slugpeer.Message) (slugpeer.Message, error)
+	// Limit returns the longest time that a stream may last.
+	Limit func() time.Duration
+}
+
+// Resolver finds the origins of streams. It is safe for concurrent use.
+type Resolver struct {
+	cfg Config
+}
+
+// New returns a Resolver.
+func New(cfg Config) *Resolver { return &Resolver{cfg} }
+
+// Began records that a version of a service began the stream of a request.
+func (r *Resolver) Began(s slugname.Service, requestID string, v slugname.SoftwareVersion) {
+	now := time.Now()
+	r.cfg.Memory.Record(slugorigin.NewKey(s, requestID), v, now.Add(r.cfg.Limit()), now)
+}
+
+// Run tells peers of new streams while that is needed, until ctx ends.
+func (r *Resolver) Run(ctx context.Context) error {
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	for slugbackoff.Sleep(ctx, spreadInterval) == nil {
+		if now := time.Now(); r.cfg.Memory.Mixed(r.cfg.Limit(), now) {
+			r.spread(ctx, &wg, r.cfg.Memory.Unshared(now))
+		}
+	}
+	return nil
+}
+
+// subject returns the subject for which peers are ranked for a stream.
+func subject(k slugorigin.Key) string { return fmt.Sprintf("%016x", uint64(k)) }
+
+// spread sends each stream to the peers that rank first for it.
+func (r *Resolver) spread(ctx context.Context, wg *sync.WaitGroup, list []slugorigin.Origin) {
+	records := map[slugname.Process]slugmember.Record{}
+	batches := map[slugname.Process][]slugorigin.Origin{}
+	for _, o := range list {
+		for _, p := range r.cfg.Peers(subject(o.Key), copies) {
+			records[p.Process] = p
+			batches[p.Process] = append(batches[p.Process], o)
+		}
+	}
+	for name, batch := range batches {
+		wg.Go(func() {
+			callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+			defer cancel()
+			// A message that is lost is not repeated: other peers have the streams too.
+			_, _ = r.cfg.Call(callCtx, records[name], slugpeer.Message{Protocol: slugpeer.Protocol, Origins: batch})
+		})
+	}
+}
+
+// Merge takes over streams of a peer.
+func (r *Resolver) Merge(list []slugorigin.Origin) { r.cfg.Memory.Merge(list, time.Now()) }
+
+// Serve answers the question of a peer.
+func (r *Resolver) Serve(q slugpeer.OriginQuery) slugpeer.OriginAnswer {
+	now := time.Now()
+	v, _ := r.cfg.Memory.Find(q.Key, now)
+	o := r.cfg.Memory.Observed(q.Service, r.cfg.Limit(), now)
+	return slugpeer.OriginAnswer{Version: v, Versions: o.Versions, Complete: o.Complete}
+}
+
+// Find returns the version that began the stream of a request.
+func (r *Resolver) Find(ctx context.Context, s slugname.Service, requestID string) Answer {
+	q := slugpeer.OriginQuery{Service: s, Key: slugorigin.NewKey(s, requestID)}
+	own := r.Serve(q)
+	if own.Version != "" {
+		return Answer{own.Version, SourceOwn, own.Versions}
+	}
+	answer := Answer{Source: SourceUnknown, Versions: own.Versions}
+	complete := own.Complete
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	peers := r.cfg.Peers(subject(q.Key), askedPeers)
+	answers := r.ask(ctx, peers, q)
+	confirmed := 0
+	for range peers {
+		a := <-answers
+		if a == nil {
+			continue
+		}
+		if a.Version != "" {
+			return Answer{a.Version, SourcePeer, a.Versions}
+		}
+		complete = complete || a.Complete
+		answer.Versions = slices.Compact(slices.Sorted(slices.Values(append(answer.Versions, a.Versions...))))
+		if confirmed++; confirmed >= confirmations && complete && len(answer.Versions) == 1 {
+			break
+		}
+	}
+	if complete && len(answer.Versions) == 1 {
+		answer.Version, answer.Source = answer.Versions[0], SourceOnlyVersion
+	}
+	return answer
+}
+
+// ask asks peers for a stream. The channel yields one answer for each, nil if there is none.
+func (r *Resolver) ask(ctx context.Context, peers []slugmember.Record, q slugpeer.OriginQuery) <-chan *slugpeer.OriginAnswer {
+	answers := make(chan *slugpeer.OriginAnswer, len(peers))
+	for _, p := range peers {
+		go func() {
+			m, err := r.cfg.Call(ctx, p, slugpeer.Message{Protocol: slugpeer.Protocol, FindOrigin: &q})
+			if err != nil {
+				answers <- nil
+				return
+			}
+			answers <- m.Origin
+		}()
+	}
+	return answers
+}
--- a/internal/request/slugdispatch/call.go
+++ b/internal/request/slugdispatch/call.go
@@ -35,6 +35,8 @@
 	Prompt slugplacement.Job
 	// ResumeAfter is the ID of the last event that the caller of a stream already has.
 	ResumeAfter string
+	// Resumes is the ID of the request that brought the first event of that stream.
+	Resumes RequestID
 }
 
 // Target describes one attempt: the endpoint and the parameters to send along.
--- a/internal/request/slugdispatch/dispatcher.go
+++ b/internal/request/slugdispatch/dispatcher.go
@@ -88,6 +88,11 @@
 	WithdrawAnnouncement func(slugname.Service, *slugplacement.Choice, slugplacement.Forecast)
 	// Open sends a request to an endpoint and reads the header of the response.
 	Open func(context.Context, slugsend.Request) (*slugsend.Exchange, error)
+	// Origin finds the software version that began the stream of an earlier request, and
+	// StreamBegan records which one began that of a request. Both may be nil: then streams go
+	// on at any version.
+	Origin      func(context.Context, slugname.Service, RequestID) Origin
+	StreamBegan func(slugname.Service, RequestID, slugname.SoftwareVersion)
 	// Started is called once for each request that began to run.
 	Started func(slugname.Workspace)
 	// Ended is called at the end of each request that was admitted.
@@ -152,6 +157,8 @@
 	headerWritten bool
 	// startCounted is set once the request has been passed to Config.Started.
 	startCounted bool
+	// version is the software version that began the stream; empty as long as any may.
+	version slugname.SoftwareVersion
 	// lastEvent is the ID of the last event that the caller has.
 	lastEvent   string
 	timeToFirst time.Duration
@@ -239,7 +246,7 @@
 		timeout = d.route.Timeout
 	}
 	if timeout <= 0 {
-		timeout = defaultTimeout
+		timeout = DefaultTimeout
 	}
 	d.deadline = d.call.Received.Add(timeout - responseMargin)
 	if t := d.endBy.Load(); t != nil && t.Before(d.deadline) {
@@ -283,9 +290,9 @@
 }
 
 const (
-	// defaultTimeout bounds requests for which neither the caller nor the route sets a
+	// DefaultTimeout bounds requests for which neither the caller nor the route sets a
 	// timeout.
-	defaultTimeout = 30 * time.Second
+	DefaultTimeout = 30 * time.Second
 	// responseMargin is the part of the timeout that is reserved for sending the
 	// response to the caller.
 	responseMargin = 20 * time.Millisecond
--- a/internal/request/slugdispatch/events.go
+++ b/internal/request/slugdispatch/events.go
@@ -107,7 +107,7 @@
 		silence.Event(now)
 		c.Event(now)
 		d.countStart()
-		if err := d.relayEvent(e, ev, from); err != nil {
+		if err := d.relayEvent(e, c, ev, from); err != nil {
 			return err
 		}
 	}
@@ -182,7 +182,7 @@
 }
 
 // relayEvent sends one event to the caller, unless the caller already has it.
-func (d *dispatch) relayEvent(e *slugsend.Exchange, ev event, from resumption) error {
+func (d *dispatch) relayEvent(e *slugsend.Exchange, c *slugplacement.Choice, ev event, from resumption) error {
 	if err := from.check(ev); err != nil {
 		return err
 	}
@@ -195,6 +195,7 @@
 		return errors.Wrapf(errMissingEvents, "event %d follows %d", id, last)
 	}
 	if !d.headerWritten {
+		d.recordStart(c)
 		d.writeHeader(e.Response, -1)
 		d.timeToFirst = time.Since(d.call.Received)
 	}
--- a/internal/request/slugdispatch/plain.go
+++ b/internal/request/slugdispatch/plain.go
@@ -50,6 +50,9 @@
 
 // plain serves a request that is relayed as a single response, not as a stream of events.
 func (d *dispatch) plain(ctx context.Context) error {
+	if refusal := d.fixVersion(ctx); refusal != nil {
+		return refusal
+	}
 	var last error
 	for d.possibleRuns < d.route.MaxAttempts {
 		if refusal := d.reauthorize(); refusal != nil && d.possibleRuns == 0 {
@@ -58,7 +61,7 @@
 		if err := d.stopQuarantined(); err != nil {
 			return d.callerError(ctx, err)
 		}
-		c, ok := d.placer.Plain(d.excluded, time.Now())
+		c, ok := d.placer.Plain(d.version, d.excluded, time.Now())
 		if !ok {
 			return d.callerError(ctx, errors.CombineErrors(last, errNoEndpoint))
 		}
@@ -96,7 +99,7 @@
 		d.sends++
 	}
 	if err == nil {
-		err = d.relayPlain(e)
+		err = d.relayPlain(e, c)
 	}
 	c.End(d.placementOutcome(ctx, err), time.Now())
 	if err == nil {
@@ -227,7 +230,7 @@
 }
 
 // relayPlain relays a response, buffered up to maxBufferedResponseBytes.
-func (d *dispatch) relayPlain(e *slugsend.Exchange) error {
+func (d *dispatch) relayPlain(e *slugsend.Exchange, c *slugplacement.Choice) error {
 	if err := d.checkResponse(e); err != nil {
 		return err
 	}
@@ -236,6 +239,7 @@
 	if err != nil {
 		return errors.Wrap(err, "read response")
 	}
+	d.recordStart(c)
 	if len(buffered) == maxBufferedResponseBytes {
 		return d.relayUnbuffered(e, buffered)
 	}
--- a/internal/request/slugdispatch/stream.go
+++ b/internal/request/slugdispatch/stream.go
@@ -48,6 +48,9 @@
 // stream serves a request of a model with disaggregated prefill: one endpoint processes
 // the prompt (prefill), another one generates the response (decode).
 func (d *dispatch) stream(ctx context.Context) error {
+	if refusal := d.fixVersion(ctx); refusal != nil {
+		return refusal
+	}
 	var last error
 	for d.sends < maxSends {
 		if refusal := d.reauthorize(); refusal != nil && !d.headerWritten && d.possibleRuns == 0 {
@@ -56,7 +59,10 @@
 		if err := d.stopQuarantined(); err != nil {
 			return d.callerError(ctx, err)
 		}
-		if !d.placer.Accepts(slugplan.RoleDecode, time.Now()) {
+		if d.version != "" && d.possibleRuns == 0 && !d.placer.Accepts(slugplan.RoleDecode, d.version, time.Now()) {
+			return d.refuseTakeUp("no endpoint of software version %s, which began the stream, takes requests", d.version)
+		}
+		if !d.placer.Accepts(slugplan.RoleDecode, d.version, time.Now()) {
 			// The prompt would be processed in vain.
 			return d.callerError(ctx, noRetry(errors.CombineErrors(last, errNoEndpoint)))
 		}
@@ -184,7 +190,7 @@
 // job returns the placement job of the request.
 func (d *dispatch) job() slugplacement.Job {
 	j := d.call.Prompt
-	j.Priority = d.route.PriorityFor(d.workspace)
+	j.Priority, j.Version = d.route.PriorityFor(d.workspace), d.version
 	return j
 }
 
--- a/internal/request/slugrefusal/refusal.go
+++ b/internal/request/slugrefusal/refusal.go
@@ -63,6 +63,9 @@
 	// CodeQuarantinedUnrun refuses a request that crashed endpoints before. Unlike
 	// CodeQuarantined, its status lets the caller repeat the request later.
 	CodeQuarantinedUnrun Code = "quarantinedUnrun"
+	// CodeStreamUnresumable refuses to take up a stream, because the software version that
+	// began it is unknown or does not serve. The request can be sent anew.
+	CodeStreamUnresumable Code = "streamUnresumable"
 )
 
 // RanHeader is the response header that carries Ran.
@@ -82,7 +85,8 @@
 	CodeClaimUnavailable: http.StatusServiceUnavailable, CodeClaimMismatch: http.StatusUnprocessableEntity,
 	CodeOutcomeUnknown: http.StatusConflict, CodeUpgrade: http.StatusNotImplemented,
 	CodeTimeout: http.StatusGatewayTimeout, CodeQuarantinedUnrun: http.StatusServiceUnavailable,
-	CodeInternal: http.StatusInternalServerError, CodeStreamInterrupted: http.StatusBadGateway,
+	CodeStreamUnresumable: http.StatusServiceUnavailable,
+	CodeInternal:          http.StatusInternalServerError, CodeStreamInterrupted: http.StatusBadGateway,
 }
 
 // Refusal is the reason for which a request was not served. It implements error.
