Refuse a request at once that cannot end before its host stops

Callers saw: in a planned stop of one host, in calm, requests that came late in the grace were passed on and cut at its end, among them requests that must not be repeated.

Evidence: TestRequestThatCannotEndIsPassedOnWhileHostStops failed before for long requests: 504 for a plain one, 200 and a cut for a stream. Shorter ones are served as before.

Change: while a host stops, a request whose deadline the stop shortens is refused as not run if requests of its service have lately taken longer than what is left, by a quarter.

--- a/internal/decision/slugplacement/learn.go
+++ b/internal/decision/slugplacement/learn.go
@@ -58,6 +58,7 @@
 		c.p.plainTimes.Add(now.Sub(c.startedAt), now)
 		return
 	case slugplan.RoleDecode:
+		c.p.streamTimes.Add(now.Sub(c.startedAt), now)
 		return
 	}
 	c.state.cache.addAll(c.job.Parts)
@@ -93,6 +94,19 @@
 	return d
 }
 
+// UsualTime returns the median duration of recent requests to plain endpoints or, for a role,
+// of the responses of its engines, or 0 if it has not been measured.
+func (p *Placer) UsualTime(r slugplan.Role, now time.Time) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	times := p.plainTimes
+	if r != "" {
+		times = p.streamTimes
+	}
+	d, _ := times.Median(now)
+	return d
+}
+
 // recordDuration updates the slowness with the measured and the expected duration of a
 // stage. The caller must hold p.mu.
 func (s *endpointState) recordDuration(duration, expected time.Duration, now time.Time) {
--- a/internal/decision/slugplacement/placer.go
+++ b/internal/decision/slugplacement/placer.go
@@ -183,8 +183,9 @@
 	// meanWork is the smoothed time of a whole prompt without cache.
 	meanWork time.Duration
 	// firstEvents are the times from the start of decode requests to their first events,
-	// plainTimes the durations of requests to plain endpoints.
-	firstEvents, plainTimes *slugmedian.Window
+	// streamTimes those to their ends, and plainTimes the durations of requests to plain
+	// endpoints.
+	firstEvents, streamTimes, plainTimes *slugmedian.Window
 	// backlog is the work that all processes announced for the endpoints of which this
 	// process is the owner.
 	backlog *slugbacklog.Backlog
@@ -209,7 +210,7 @@
 	}
 	return &Placer{
 		cfg: cfg, byName: map[slugname.Endpoint]*endpointState{}, away: map[slugname.Endpoint]awayEndpoint{}, backlog: slugbacklog.New(),
-		firstEvents: slugmedian.New(measurementMaxAge), plainTimes: slugmedian.New(measurementMaxAge),
+		firstEvents: slugmedian.New(measurementMaxAge), streamTimes: slugmedian.New(measurementMaxAge), plainTimes: slugmedian.New(measurementMaxAge),
 	}
 }
 
--- a/internal/request/slugdispatch/dispatcher.go
+++ b/internal/request/slugdispatch/dispatcher.go
@@ -251,12 +251,37 @@
 	d.deadline = d.call.Received.Add(timeout - responseMargin)
 	if t := d.endBy.Load(); t != nil && t.Before(d.deadline) {
 		d.deadline = *t
+		if refusal := d.refuseUnfinishable(); refusal != nil {
+			return refusal
+		}
 	}
 	d.quarantine = d.cfg.Quarantine(name)
 	d.subject = slugquarantine.NewSubject(d.workspaceName(), d.call.Path, d.call.Body, d.call.Prompt.PartIDs())
 	return d.refuseQuarantined()
 }
 
+// usualTimeMargin is the factor by which requests may take longer than usual.
+const usualTimeMargin = 1.25
+
+// refuseUnfinishable refuses a request whose deadline is the end of this process, and that
+// usually takes longer.
+func (d *dispatch) refuseUnfinishable() *slugrefusal.Refusal {
+	role := slugplan.Role("")
+	if d.isGenerated() {
+		role = slugplan.RoleDecode
+	}
+	usual := d.placer.UsualTime(role, time.Now())
+	if time.Duration(usualTimeMargin*float64(usual)) <= d.remaining() {
+		return nil
+	}
+	return slugrefusal.NotRun(slugrefusal.CodeNotReady, "this host stops, and requests of the service usually take %s", usual.Round(time.Millisecond)).WithRetryAfter(time.Duration(rand.Int64N(int64(transientRetryAfter))))
+}
+
+// isGenerated reports whether an engine generates the response as a stream.
+func (d *dispatch) isGenerated() bool {
+	return d.service.Engine != nil && d.route.Kind == slugrouting.Stream
+}
+
 // refuseQuarantined refuses a request that crashes endpoints, as others did that had
 // something in common with it.
 func (d *dispatch) refuseQuarantined() *slugrefusal.Refusal {
@@ -326,7 +351,7 @@
 
 // forward serves the request by the method that its route and service call for.
 func (d *dispatch) forward(ctx context.Context) error {
-	if d.service.Engine != nil && d.route.Kind == slugrouting.Stream {
+	if d.isGenerated() {
 		return d.stream(ctx)
 	}
 	return d.plain(ctx)
