Let lookups return all sound gates

Cause: two comparisons with a fixed time of what takes several rounds of the exchange between processes. A gate was left out if the last confirmation of its configuration was older than 4 s, as known elsewhere, where it is older by the time that rows need; a gate's own is seldom older than 2 s. And a process counted as silent after 4 s without a heartbeat, which with 18 processes now and then takes longer.

Evidence: TestLookupsLackSoundGates failed before with 5 hosts already (3 of 5 gates).

Change: a gate says in its row whether it is cut off, and lookups leave out those that do. Heartbeats have at least 7 rounds to arrive; slugpartition, which must notice within 4 s that most peers are silent, keeps that time (with the longer one TestPromiseWithdrawnKey failed: 5.9 s, 5 s allowed).

--- a/internal/daemon/sluggate/gate.go
+++ b/internal/daemon/sluggate/gate.go
@@ -208,7 +208,7 @@
 		Host: s.Host, DataCentre: s.DataCentre, Store: g.Store.For("plans"), Get: g.sender.Get,
 		QueueLength: int(s.QueueLength), Changed: g.acknowledgePlans, MaxTokenGap: g.maxTokenGap, GateIndex: g.gateIndex, Log: g.log,
 	})
-	g.partitionDetector = slugpartition.New(slugpartition.Config{LastConfirmed: g.Follower.LastConfirmed, Statuses: g.Table.Statuses, Records: g.Member.Records, Log: g.log})
+	g.partitionDetector = slugpartition.New(slugpartition.Config{LastConfirmed: g.Follower.LastConfirmed, Statuses: g.Table.Statuses, Records: g.Member.Records, Changed: g.tellCutOff, Log: g.log})
 	g.directory = slugdirectory.New(slugdirectory.Config{
 		Self: self, Statuses: g.Table.Statuses, Record: g.Member.Record, CutOff: g.partitionDetector.CutOff, MaxAge: s.AnswerAge,
 	})
@@ -219,6 +219,16 @@
 	return nil
 }
 
+// tellCutOff tells peers whether this gate is cut off, so that their lookups leave it out.
+func (g *Gate) tellCutOff(cutOff bool) {
+	g.Table.Update(func(r *slugpeer.Row) { r.CutOff = cutOff })
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), leavePropagationTime)
+		defer cancel()
+		g.Table.Push(ctx)
+	}()
+}
+
 // maxGatesBefore limits how many gates go before this one in probing a suspected request.
 // The later gates learn from the outcome of the earlier ones.
 const maxGatesBefore = 3
--- a/internal/daemon/sluggate/http.go
+++ b/internal/daemon/sluggate/http.go
@@ -80,8 +80,14 @@
 	writeJSON(w, g.directory.Lookup(workspace))
 }
 
-// KnownGates returns the number of gates that this gate's lookups return.
-func (g *Gate) KnownGates() int { return len(g.directory.Lookup("").Addresses) }
+// KnownGates returns the addresses of the gates that this gate's lookups return.
+func (g *Gate) KnownGates() []string {
+	var out []string
+	for _, a := range g.directory.Lookup("").Addresses {
+		out = append(out, a.Address)
+	}
+	return out
+}
 
 // modelEntry is one entry of the model list.
 type modelEntry struct {
--- a/internal/membership/slugdirectory/directory.go
+++ b/internal/membership/slugdirectory/directory.go
@@ -13,10 +13,8 @@
 	"sync"
 	"time"
 
-	"github.com/sassafraslug/sassafraslug/internal/base/slugclock"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugname"
 	"github.com/sassafraslug/sassafraslug/internal/membership/slugmember"
-	"github.com/sassafraslug/sassafraslug/internal/membership/slugpartition"
 	"github.com/sassafraslug/sassafraslug/internal/membership/slugpeer"
 )
 
@@ -69,10 +67,11 @@
 	MaxAgeSeconds int       `json:"maxAgeSeconds"`
 }
 
-// gate is a live gate. It is fresh if its configuration was confirmed recently.
+// gate is a live gate.
 type gate struct {
 	slugmember.Record
-	fresh bool
+	// cutOff is set if the gate refuses requests with keys.
+	cutOff bool
 }
 
 // Lookup returns the gates for a shard key, such as a workspace. The same key gets the same
@@ -111,28 +110,26 @@
 	return answer
 }
 
-// gates returns the gates that take new callers: those that are alive and not leaving.
-// Gates without a fresh configuration are left out unless no gate has one.
+// gates returns the gates that take new callers: those that are alive and not leaving. Gates
+// that say that they are cut off are left out unless all are. What this process knows of the
+// age of another's configuration says less: it is older by the time that rows need.
 func (d *Directory) gates() []gate {
 	var live []gate
-	anyFresh := false
+	anySound := false
 	leaving := d.leavingHosts()
 	for _, status := range d.cfg.Statuses() {
 		record, ok := d.cfg.Record(status.Process)
 		if !ok || status.Kind != slugmember.KindGate || !status.Alive || status.Leaving || leaving[status.Host] {
 			continue
 		}
-		g := gate{record, slugclock.Since(status.LastConfirmed) < slugpartition.FreshnessBound}
-		if status.Process == d.cfg.Self.Process && d.cfg.CutOff() {
-			g.fresh = false
-		}
-		anyFresh = anyFresh || g.fresh
+		g := gate{record, status.CutOff || status.Process == d.cfg.Self.Process && d.cfg.CutOff()}
+		anySound = anySound || !g.cutOff
 		live = append(live, g)
 	}
-	if !anyFresh {
+	if !anySound {
 		return live
 	}
-	return slices.DeleteFunc(live, func(g gate) bool { return !g.fresh })
+	return slices.DeleteFunc(live, func(g gate) bool { return g.cutOff })
 }
 
 // leavingHosts returns the hosts that any process reports as leaving.
--- a/internal/membership/slugpartition/detector.go
+++ b/internal/membership/slugpartition/detector.go
@@ -43,7 +43,9 @@
 	// Statuses returns the rows of all processes, and Records the published processes.
 	Statuses func() []slugpeer.Status
 	Records  func() []slugmember.Record
-	Log      *slugevent.Log
+	// Changed is called when the gate becomes cut off or is reconnected; it may be nil.
+	Changed func(cutOff bool)
+	Log     *slugevent.Log
 }
 
 // Detector tracks whether one gate is cut off.
@@ -73,6 +75,9 @@
 	if d.cutOff.Swap(decision) == decision {
 		return
 	}
+	if d.cfg.Changed != nil {
+		d.cfg.Changed(decision)
+	}
 	if decision {
 		d.cfg.Log.Emit(slugevent.HostCutOff, nil)
 		return
@@ -93,7 +98,7 @@
 		}
 	}
 	for _, status := range d.cfg.Statuses() {
-		if _, known := reachable[status.Host]; known && status.Alive {
+		if _, known := reachable[status.Host]; known && status.HeardLately {
 			reachable[status.Host] = true
 		}
 	}
--- a/internal/membership/slugpeer/row.go
+++ b/internal/membership/slugpeer/row.go
@@ -65,6 +65,9 @@
 	PlannedRoles map[slugname.Endpoint]slugplan.Role `cbor:"18,keyasint,omitempty"`
 	// Paces are the paces of the engines of each service as measured by the process.
 	Paces map[slugname.Service]Pace `cbor:"19,keyasint,omitempty"`
+	// CutOff reports that the process refuses requests with keys, because its configuration
+	// may be out of date.
+	CutOff bool `cbor:"20,keyasint,omitempty"`
 }
 
 // Pace is the measured pace of the engines of a service.
--- a/internal/membership/slugpeer/table.go
+++ b/internal/membership/slugpeer/table.go
@@ -68,8 +68,10 @@
 	// callTimeout bounds one exchange with a peer, and one fetch of a configuration.
 	callTimeout = time.Second
 	// baseAliveTimeout is how long a process counts as alive after its last heartbeat if one
-	// digest can hold all rows. Table.aliveTimeout extends it for larger systems.
+	// digest can hold all rows, and aliveRounds the number of rounds that a heartbeat has at
+	// least to arrive. Table.aliveTimeout extends the time for larger systems.
 	baseAliveTimeout = 4 * time.Second
+	aliveRounds      = 7
 	// maxDigestRows bounds the rows in a digest, and so the size of an exchange.
 	maxDigestRows = 40
 	// silentRowTTL is how long the row of a silent process is kept.
@@ -153,6 +155,9 @@
 	// Alive reports that the heartbeat grew recently, so messages from the owner arrive
 	// here, directly or through other processes.
 	Alive bool
+	// HeardLately is set if the heartbeat grew so recently that the owner most likely is not
+	// cut off from this process. A single process may lack it although it is alive.
+	HeardLately bool
 	// LastConfirmed is when the configuration of the owner was last confirmed to be the
 	// newest.
 	LastConfirmed slugclock.Instant
@@ -163,13 +168,14 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := time.Now()
-	timeout := t.aliveTimeout()
+	timeout, partition := t.aliveTimeout(), t.partitionTimeout()
 	out := make([]Status, 0, len(t.rows))
 	for id, state := range t.rows {
 		if state.row.Process == "" {
 			continue
 		}
-		s := Status{Row: state.row, Alive: id == t.self || now.Sub(state.heartbeatAt) < timeout, LastConfirmed: state.confirmedAt}
+		age := now.Sub(state.heartbeatAt)
+		s := Status{Row: state.row, Alive: id == t.self || age < timeout, HeardLately: id == t.self || age < partition, LastConfirmed: state.confirmedAt}
 		if id == t.self {
 			s.LastConfirmed = t.cfg.LastConfirmed()
 		}
@@ -316,13 +322,22 @@
 	return alive, silent
 }
 
-// aliveTimeout returns how long a process counts as alive after its last heartbeat. It
-// grows with the number of rows, because a digest then holds only some of them; t.mu must
+// aliveTimeout returns how long a process counts as alive after its last heartbeat. Heartbeats
+// reach most processes through others, in a few rounds. It grows with the number of rows, because a digest then holds only some of them; t.mu must
 // be held.
 func (t *Table) aliveTimeout() time.Duration {
-	return baseAliveTimeout * time.Duration(1+len(t.rows)/maxDigestRows)
+	return max(t.partitionTimeout(), aliveRounds*t.cfg.Interval()*time.Duration(t.digests()))
+}
+
+// partitionTimeout returns the age of heartbeats at which most processes being silent shows
+// that this one is cut off; t.mu must be held.
+func (t *Table) partitionTimeout() time.Duration {
+	return baseAliveTimeout * time.Duration(t.digests())
 }
 
+// digests returns the number of digests that hold all rows; t.mu must be held.
+func (t *Table) digests() int { return 1 + len(t.rows)/maxDigestRows }
+
 // exchange sends a digest to a peer and merges the newer rows in its answer. If there are
 // rows that either side still lacks, a second call exchanges them.
 func (t *Table) exchange(ctx context.Context, p slugmember.Record) {
--- a/internal/operate/slugsystem/session_test.go
+++ b/internal/operate/slugsystem/session_test.go
@@ -70,7 +70,7 @@
 	}
 	withHarness(t, harnessOptions{beforeStart: begun}, func(t *testing.T, r *harness) {
 		for _, h := range r.Hosts() {
-			assert.Equal(t, h.Gate.KnownGates(), len(r.Hosts()), "gates known at %s", h.Name)
+			assert.Equal(t, len(h.Gate.KnownGates()), len(r.Hosts()), "gates known at %s", h.Name)
 		}
 	})
 }
--- a/internal/operate/slugsystem/system.go
+++ b/internal/operate/slugsystem/system.go
@@ -16,6 +16,7 @@
 	"fmt"
 	"io"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -133,15 +134,32 @@
 func (s *System) waitForGates(ctx context.Context) error {
 	hosts := s.Hosts()
 	for _, h := range hosts {
-		for h.Gate.KnownGates() < len(hosts) {
+		for missing := missingGates(h, hosts); len(missing) > 0; missing = missingGates(h, hosts) {
 			if err := slugbackoff.Sleep(ctx, pollInterval); err != nil {
-				return slugfault.Wrap(err, "wait for the gates known at "+string(h.Name), "")
+				return slugfault.Wrap(err, fmt.Sprintf("wait until the lookups of %s return the gates of %s", h.Name, missing), "")
 			}
 		}
 	}
 	return nil
 }
 
+// missingGates returns the hosts whose gates the lookups of a host lack.
+func missingGates(h *Host, hosts []*Host) (missing []slugname.Host) {
+	known := h.Gate.KnownGates()
+	for _, other := range hosts {
+		if !slices.Contains(known, callersAddress(other)) {
+			missing = append(missing, other.Name)
+		}
+	}
+	return missing
+}
+
+// callersAddress returns the address at which a host's gate takes callers.
+func callersAddress(h *Host) string {
+	callers, _ := h.Gate.Addresses()
+	return callers
+}
+
 // Add starts a new host.
 func (s *System) Add(ctx context.Context) (*Host, error) {
 	s.mu.Lock()
