Take up streams after all hosts have failed if there was one version only

Cause: hosts that have all just started cannot know whether another version served shortly before.

Change: the store holds a list of the versions of each service, which changes twice in a release.

--- a/internal/daemon/slughost/share.go
+++ b/internal/daemon/slughost/share.go
@@ -15,6 +15,7 @@
 	"github.com/sassafraslug/sassafraslug/internal/membership/slugmember"
 	"github.com/sassafraslug/sassafraslug/internal/membership/slugmirror"
 	"github.com/sassafraslug/sassafraslug/internal/membership/slugpeer"
+	"github.com/sassafraslug/sassafraslug/internal/membership/slugtakeup"
 	"github.com/sassafraslug/sassafraslug/internal/membership/slugwatcher"
 )
 
@@ -54,7 +55,7 @@
 // newWatchSharing returns a watchSharing with an empty mirror for each watched prefix.
 func newWatchSharing(h *Host) *watchSharing {
 	w := &watchSharing{host: h, mirrors: map[string]*slugmirror.Mirror{}}
-	for _, prefix := range []string{slugmember.Prefix, h.adapter.ConfigName, h.adapter.EntryPrefix, slugevidence.Prefix} {
+	for _, prefix := range []string{slugmember.Prefix, h.adapter.ConfigName, h.adapter.EntryPrefix, slugevidence.Prefix, slugtakeup.Prefix} {
 		w.mirrors[prefix] = slugmirror.New()
 	}
 	return w
--- a/internal/daemon/slughost/takeups.go
+++ b/internal/daemon/slughost/takeups.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/sassafraslug/sassafraslug/internal/base/slugname"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugstore"
 	"github.com/sassafraslug/sassafraslug/internal/decision/slugplan"
 	"github.com/sassafraslug/sassafraslug/internal/membership/slugmember"
 	"github.com/sassafraslug/sassafraslug/internal/membership/slugtakeup"
@@ -14,14 +15,23 @@
 	"golang.org/x/sync/errgroup"
 )
 
+// versionsWatchWait is how long one watch call for the lists of software versions waits.
+const versionsWatchWait = 10 * time.Second
+
 // newTakeUps returns the resolver of streams that callers take up.
 func (h *Host) newTakeUps() *slugtakeup.Resolver {
-	return slugtakeup.New(slugtakeup.Config{Memory: h.origins, Peers: h.rankedPeers, Call: h.transport.Call, Limit: h.streamLimit})
+	return slugtakeup.New(slugtakeup.Config{Memory: h.origins, Peers: h.rankedPeers, Call: h.transport.Call, Limit: h.streamLimit, Rank: h.rankFor, Store: h.store.For("versions"), Log: h.log})
 }
 
 // shareOrigins starts to tell peers which software versions began streams.
 func (h *Host) shareOrigins(ctx context.Context, g *errgroup.Group) error {
 	g.Go(func() error { return h.takeUps.Run(ctx) })
+	g.Go(func() error {
+		return h.store.For("versions").Watch(ctx, slugstore.Watcher{
+			Prefix: slugtakeup.Prefix, Wait: func() time.Duration { return versionsWatchWait }, OnChange: h.takeUps.Apply,
+			SharedWatch: h.sharedWatches.SharedWatch(slugtakeup.Prefix, versionsWatchWait),
+		})
+	})
 	return nil
 }
 
--- a/internal/decision/slugorigin/memory.go
+++ b/internal/decision/slugorigin/memory.go
@@ -18,6 +18,7 @@
 package slugorigin
 
 import (
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -169,16 +170,17 @@
 	return o
 }
 
+// Services returns the services that were observed.
+func (m *Memory) Services() []slugname.Service {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return slices.Collect(maps.Keys(m.seenAt))
+}
+
 // Mixed reports whether streams of any service may have begun at different versions within a
 // time before now.
 func (m *Memory) Mixed(within time.Duration, now time.Time) bool {
-	m.mu.Lock()
-	services := make([]slugname.Service, 0, len(m.seenAt))
-	for s := range m.seenAt {
-		services = append(services, s)
-	}
-	m.mu.Unlock()
-	return slices.ContainsFunc(services, func(s slugname.Service) bool {
+	return slices.ContainsFunc(m.Services(), func(s slugname.Service) bool {
 		o := m.Observed(s, within, now)
 		return !o.Complete || len(o.Versions) > 1
 	})
--- a/internal/membership/slugtakeup/resolver.go
+++ b/internal/membership/slugtakeup/resolver.go
@@ -7,8 +7,9 @@
 // throughout the time that streams may last; if there were several, or nobody has observed
 // the service for that long, the version is unknown.
 //
-// Nothing of this is stored: after all hosts have failed, streams that began before are
-// unknown until they would have ended.
+// The store holds one list of versions for each service, which changes when a release begins
+// or has ended. After all hosts have failed, streams that began before go on if the list has
+// one version; otherwise they are unknown until they would have ended.
 //
 // # Usage
 //
@@ -26,7 +27,9 @@
 	"time"
 
 	"github.com/sassafraslug/sassafraslug/internal/base/slugbackoff"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugevent"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugname"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugstore"
 	"github.com/sassafraslug/sassafraslug/internal/decision/slugorigin"
 	"github.com/sassafraslug/sassafraslug/internal/membership/slugmember"
 	"github.com/sassafraslug/sassafraslug/internal/membership/slugpeer"
@@ -76,15 +79,27 @@
 	Call func(ctx context.Context, to slugmember.Record, m slugpeer.Message) (slugpeer.Message, error)
 	// Limit returns the longest time that a stream may last.
 	Limit func() time.Duration
+	// Rank returns the rank of this process among the live ones for a subject.
+	Rank  func(subject string) int
+	Store *slugstore.Store
+	Log   *slugevent.Log
 }
 
 // Resolver finds the origins of streams. It is safe for concurrent use.
 type Resolver struct {
 	cfg Config
+
+	mu sync.Mutex
+	// stored holds the lists of versions in the store, and writeAt is when this process
+	// changes one.
+	stored  map[slugname.Service]storedList
+	writeAt map[slugname.Service]time.Time
 }
 
 // New returns a Resolver.
-func New(cfg Config) *Resolver { return &Resolver{cfg} }
+func New(cfg Config) *Resolver {
+	return &Resolver{cfg: cfg, stored: map[slugname.Service]storedList{}, writeAt: map[slugname.Service]time.Time{}}
+}
 
 // Began records that a version of a service began the stream of a request.
 func (r *Resolver) Began(s slugname.Service, requestID string, v slugname.SoftwareVersion) {
@@ -92,14 +107,17 @@
 	r.cfg.Memory.Record(slugorigin.NewKey(s, requestID), v, now.Add(r.cfg.Limit()), now)
 }
 
-// Run tells peers of new streams while that is needed, until ctx ends.
+// Run tells peers of new streams while that is needed, and keeps the lists of versions in the
+// store, until ctx ends.
 func (r *Resolver) Run(ctx context.Context) error {
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	for slugbackoff.Sleep(ctx, spreadInterval) == nil {
-		if now := time.Now(); r.cfg.Memory.Mixed(r.cfg.Limit(), now) {
+		now := time.Now()
+		if r.cfg.Memory.Mixed(r.cfg.Limit(), now) {
 			r.spread(ctx, &wg, r.cfg.Memory.Unshared(now))
 		}
+		r.updateStore(ctx, &wg, now)
 	}
 	return nil
 }
@@ -145,8 +163,9 @@
 	if own.Version != "" {
 		return Answer{own.Version, SourceOwn, own.Versions}
 	}
-	answer := Answer{Source: SourceUnknown, Versions: own.Versions}
-	complete := own.Complete
+	listed, reliable := r.listed(s)
+	answer := Answer{Source: SourceUnknown, Versions: union(own.Versions, listed)}
+	complete := own.Complete || reliable
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	peers := r.cfg.Peers(subject(q.Key), askedPeers)
@@ -161,7 +180,7 @@
 			return Answer{a.Version, SourcePeer, a.Versions}
 		}
 		complete = complete || a.Complete
-		answer.Versions = slices.Compact(slices.Sorted(slices.Values(append(answer.Versions, a.Versions...))))
+		answer.Versions = union(answer.Versions, a.Versions)
 		if confirmed++; confirmed >= confirmations && complete && len(answer.Versions) == 1 {
 			break
 		}
@@ -172,6 +191,11 @@
 	return answer
 }
 
+// union returns the versions in either list.
+func union(a, b []slugname.SoftwareVersion) []slugname.SoftwareVersion {
+	return slices.Compact(slices.Sorted(slices.Values(slices.Concat(a, b))))
+}
+
 // ask asks peers for a stream. The channel yields one answer for each, nil if there is none.
 func (r *Resolver) ask(ctx context.Context, peers []slugmember.Record, q slugpeer.OriginQuery) <-chan *slugpeer.OriginAnswer {
 	answers := make(chan *slugpeer.OriginAnswer, len(peers))
--- a/internal/membership/slugtakeup/resolver_test.go
+++ b/internal/membership/slugtakeup/resolver_test.go
@@ -3,15 +3,19 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/sassafraslug/sassafraslug/internal/base/slugevent"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugname"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugstore"
 	"github.com/sassafraslug/sassafraslug/internal/decision/slugorigin"
 	"github.com/sassafraslug/sassafraslug/internal/membership/slugmember"
 	"github.com/sassafraslug/sassafraslug/internal/membership/slugpeer"
+	"github.com/sirupsen/logrus"
 	"gotest.tools/v3/assert"
 )
 
@@ -35,12 +39,25 @@
 	return c
 }
 
+// unavailable returns the backend of a store that does not answer.
+func unavailable() *slugstore.Backend {
+	return &slugstore.Backend{
+		Get: func(context.Context, string) (slugstore.Value, error) {
+			return slugstore.Value{}, slugstore.ErrUnavailable
+		},
+		Write: func(context.Context, string, slugstore.Version, []byte) (slugstore.Version, error) {
+			return 0, slugstore.ErrUnavailable
+		},
+	}
+}
+
 // add starts a process that knows nothing.
 func (c *cluster) add(self slugname.Process) *Resolver {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	r := New(Config{
-		Memory: slugorigin.New(), Limit: func() time.Duration { return limit },
+		Memory: slugorigin.New(), Store: slugstore.New(slugstore.Config{Backend: unavailable()}), Rank: func(string) int { return 0 }, Log: slugevent.New(io.Discard, logrus.InfoLevel, ""),
+		Limit: func() time.Duration { return limit },
 		Peers: func(subject string, n int) (out []slugmember.Record) {
 			c.mu.Lock()
 			defer c.mu.Unlock()
