--- a/internal/decision/slugplacement/placer.go
+++ b/internal/decision/slugplacement/placer.go
@@ -382,7 +382,8 @@
 func (c *Choice) StartedAt() time.Time { return c.startedAt }
 
 // candidates returns the endpoints with a role, of a software version unless that is empty,
-// that are not excluded, that want requests and whose rate limit allows one. Endpoints to avoid are returned only if there are no others.
+// that are not excluded, that want requests and whose rate limit allows one. Endpoints to
+// avoid are returned only if there are no others.
 // The caller must hold p.mu.
 func (p *Placer) candidates(r slugplan.Role, v slugname.SoftwareVersion, exclude []slugname.Endpoint, now time.Time) []*endpointState {
 	var preferred, avoided []*endpointState
