--- a/internal/membership/slugevidence/exchange.go
+++ b/internal/membership/slugevidence/exchange.go
@@ -28,6 +28,7 @@
 	"github.com/sassafraslug/sassafraslug/internal/decision/slugquarantine"
 	"github.com/sassafraslug/sassafraslug/internal/membership/slugmember"
 	"github.com/sassafraslug/sassafraslug/internal/membership/slugpeer"
+	"github.com/sassafraslug/sassafraslug/internal/membership/slugturn"
 )
 
 const (
@@ -59,12 +60,12 @@
 // Exchange spreads entries and verdicts. It is safe for concurrent use.
 type Exchange struct {
 	cfg Config
+	// turns are those of writing or removing a verdict.
+	turns *slugturn.Turns
 
 	mu sync.Mutex
 	// stored holds the verdicts in the store by name.
 	stored map[string]storedObject
-	// writeAt is when this process writes or removes a verdict, by name.
-	writeAt map[string]time.Time
 	// announced holds the verdicts that were logged, by name.
 	announced map[string]bool
 	era       slugstore.EraTracker
@@ -72,7 +73,7 @@
 
 // New returns an Exchange.
 func New(cfg Config) *Exchange {
-	return &Exchange{cfg: cfg, stored: map[string]storedObject{}, writeAt: map[string]time.Time{}, announced: map[string]bool{}}
+	return &Exchange{cfg: cfg, turns: slugturn.New(cfg.Rank), stored: map[string]storedObject{}, announced: map[string]bool{}}
 }
 
 // Run decides, spreads and stores until ctx ends.
--- a/internal/membership/slugevidence/verdicts.go
+++ b/internal/membership/slugevidence/verdicts.go
@@ -17,16 +17,8 @@
 // Prefix is the prefix of the names of the verdicts in the store.
 const Prefix = "quarantines/"
 
-const (
-	// writeDelay is the time by which a process waits longer to write a verdict than the one
-	// before it in the ranking, and maxWriteRank bounds the number of such delays.
-	writeDelay   = 300 * time.Millisecond
-	maxWriteRank = 10
-	// writeRetryInterval is the time between attempts to write a verdict.
-	writeRetryInterval = time.Second
-	// writeTimeout bounds an attempt to write a verdict.
-	writeTimeout = 5 * time.Second
-)
+// writeTimeout bounds an attempt to write a verdict.
+const writeTimeout = 5 * time.Second
 
 // object is a verdict in the store.
 type object struct {
@@ -115,24 +107,18 @@
 		for _, v := range t.Unstored(now) {
 			n := name(service, v.Trait)
 			open[n] = true
-			if x.turn(n, now) {
+			if x.turns.Due(n, now) {
 				wg.Go(func() { x.write(ctx, n, service, v) })
 			}
 		}
 	}
 	for n, o := range x.ended(now) {
 		open[n] = true
-		if x.turn(n, now) {
+		if x.turns.Due(n, now) {
 			wg.Go(func() { x.remove(ctx, n, o) })
 		}
 	}
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	for n := range x.writeAt {
-		if !open[n] {
-			delete(x.writeAt, n)
-		}
-	}
+	x.turns.Keep(func(name string) bool { return open[name] })
 }
 
 // ended returns the stored verdicts whose quarantine has ended.
@@ -152,22 +138,6 @@
 	return out
 }
 
-// turn reports whether this process writes an object now, and if so defers its next turn.
-func (x *Exchange) turn(name string, now time.Time) bool {
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	at, ok := x.writeAt[name]
-	if !ok {
-		at = now.Add(time.Duration(min(x.cfg.Rank(name), maxWriteRank)) * writeDelay)
-		x.writeAt[name] = at
-	}
-	if now.Before(at) {
-		return false
-	}
-	x.writeAt[name] = now.Add(writeRetryInterval)
-	return true
-}
-
 // write writes a verdict. It replaces one that has ended.
 func (x *Exchange) write(ctx context.Context, name string, s slugname.Service, v slugquarantine.Verdict) {
 	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
--- a/internal/membership/slugpeer/table.go
+++ b/internal/membership/slugpeer/table.go
@@ -4,7 +4,6 @@
 	"context"
 	"math/rand/v2"
 	"reflect"
-	"slices"
 	"sync"
 	"time"
 
@@ -149,47 +148,6 @@
 	return t.rows[t.self].row
 }
 
-// Status is a row with what is known about its owner.
-type Status struct {
-	Row
-	// Alive reports that the heartbeat grew recently, so messages from the owner arrive
-	// here, directly or through other processes.
-	Alive bool
-	// HeardLately is set if the heartbeat grew so recently that the owner most likely is not
-	// cut off from this process. A single process may lack it although it is alive.
-	HeardLately bool
-	// LastConfirmed is when the configuration of the owner was last confirmed to be the
-	// newest.
-	LastConfirmed slugclock.Instant
-}
-
-// Statuses returns all rows, ordered by process. The row of this process is included.
-func (t *Table) Statuses() []Status {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	now := time.Now()
-	timeout, partition := t.aliveTimeout(), t.partitionTimeout()
-	out := make([]Status, 0, len(t.rows))
-	for id, state := range t.rows {
-		if state.row.Process == "" {
-			continue
-		}
-		age := now.Sub(state.heartbeatAt)
-		s := Status{Row: state.row, Alive: id == t.self || age < timeout, HeardLately: id == t.self || age < partition, LastConfirmed: state.confirmedAt}
-		if id == t.self {
-			s.LastConfirmed = t.cfg.LastConfirmed()
-		}
-		out = append(out, s)
-	}
-	slices.SortFunc(out, func(a, b Status) int {
-		if a.Process < b.Process {
-			return -1
-		}
-		return 1
-	})
-	return out
-}
-
 // Run exchanges rows with peers periodically until ctx ends.
 func (t *Table) Run(ctx context.Context) error {
 	var wg sync.WaitGroup
@@ -301,43 +259,6 @@
 	return true
 }
 
-// splitByLiveness returns the other processes, separated into live and silent ones.
-func (t *Table) splitByLiveness() (alive, silent []slugmember.Record) {
-	now := time.Now()
-	peers := t.cfg.Peers()
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	timeout := t.aliveTimeout()
-	for _, p := range peers {
-		id := slugmember.IDOf(p.Process)
-		state := t.rows[id]
-		switch {
-		case id == t.self:
-		case state != nil && state.row.Process != "" && now.Sub(state.heartbeatAt) < timeout:
-			alive = append(alive, p)
-		default:
-			silent = append(silent, p)
-		}
-	}
-	return alive, silent
-}
-
-// aliveTimeout returns how long a process counts as alive after its last heartbeat. Heartbeats
-// reach most processes through others, in a few rounds. It grows with the number of rows, because a digest then holds only some of them; t.mu must
-// be held.
-func (t *Table) aliveTimeout() time.Duration {
-	return max(t.partitionTimeout(), aliveRounds*t.cfg.Interval()*time.Duration(t.digests()))
-}
-
-// partitionTimeout returns the age of heartbeats at which most processes being silent shows
-// that this one is cut off; t.mu must be held.
-func (t *Table) partitionTimeout() time.Duration {
-	return baseAliveTimeout * time.Duration(t.digests())
-}
-
-// digests returns the number of digests that hold all rows; t.mu must be held.
-func (t *Table) digests() int { return 1 + len(t.rows)/maxDigestRows }
-
 // exchange sends a digest to a peer and merges the newer rows in its answer. If there are
 // rows that either side still lacks, a second call exchanges them.
 func (t *Table) exchange(ctx context.Context, p slugmember.Record) {
--- a/internal/membership/slugtakeup/resolver.go
+++ b/internal/membership/slugtakeup/resolver.go
@@ -33,6 +33,7 @@
 	"github.com/sassafraslug/sassafraslug/internal/decision/slugorigin"
 	"github.com/sassafraslug/sassafraslug/internal/membership/slugmember"
 	"github.com/sassafraslug/sassafraslug/internal/membership/slugpeer"
+	"github.com/sassafraslug/sassafraslug/internal/membership/slugturn"
 )
 
 const (
@@ -88,17 +89,17 @@
 // Resolver finds the origins of streams. It is safe for concurrent use.
 type Resolver struct {
 	cfg Config
+	// turns are those of changing a list of versions in the store.
+	turns *slugturn.Turns
 
 	mu sync.Mutex
-	// stored holds the lists of versions in the store, and writeAt is when this process
-	// changes one.
-	stored  map[slugname.Service]storedList
-	writeAt map[slugname.Service]time.Time
+	// stored holds the lists of versions in the store.
+	stored map[slugname.Service]storedList
 }
 
 // New returns a Resolver.
 func New(cfg Config) *Resolver {
-	return &Resolver{cfg: cfg, stored: map[slugname.Service]storedList{}, writeAt: map[slugname.Service]time.Time{}}
+	return &Resolver{cfg: cfg, turns: slugturn.New(cfg.Rank), stored: map[slugname.Service]storedList{}}
 }
 
 // Began records that a version of a service began the stream of a request.
--- a/internal/membership/slugtakeup/versions.go
+++ b/internal/membership/slugtakeup/versions.go
@@ -22,14 +22,8 @@
 	// removalLimits is the number of times that streams may last after which a version is
 	// removed from the list. Hosts do not see the last endpoint leave at the same moment.
 	removalLimits = 2
-	// turnDelay is the time by which a process waits longer to change the list than the one
-	// before it in the ranking, and maxTurnRank bounds the number of such delays.
-	turnDelay   = 300 * time.Millisecond
-	maxTurnRank = 10
-	// writeTimeout bounds a change of the list, and writeRetryInterval is the time between
-	// attempts.
-	writeTimeout       = 5 * time.Second
-	writeRetryInterval = time.Second
+	// writeTimeout bounds a change of the list.
+	writeTimeout = 5 * time.Second
 )
 
 // versionList is the list of the software versions of a service in the store. Versions that
@@ -78,12 +72,18 @@
 
 // updateStore lists the versions that serve, and removes those that have left.
 func (r *Resolver) updateStore(ctx context.Context, wg *sync.WaitGroup, now time.Time) {
+	open := map[string]bool{}
 	for _, s := range r.cfg.Memory.Services() {
 		wanted := r.wantedList(s, now)
-		if wanted != nil && r.turn(s, now) {
+		if wanted == nil {
+			continue
+		}
+		open[Prefix+string(s)] = true
+		if r.turns.Due(Prefix+string(s), now) {
 			wg.Go(func() { r.write(ctx, s, wanted) })
 		}
 	}
+	r.turns.Keep(func(name string) bool { return open[name] })
 }
 
 // wantedList returns the list that the store is to have, or nil if it has it.
@@ -108,30 +108,11 @@
 	slices.Sort(wanted)
 	wanted = slices.Compact(wanted)
 	if len(wanted) == 0 || reliable && slices.Equal(wanted, old) {
-		r.mu.Lock()
-		defer r.mu.Unlock()
-		delete(r.writeAt, s)
 		return nil
 	}
 	return wanted
 }
 
-// turn reports whether this process changes a list now, and if so defers its next turn.
-func (r *Resolver) turn(s slugname.Service, now time.Time) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	at, ok := r.writeAt[s]
-	if !ok {
-		at = now.Add(time.Duration(min(r.cfg.Rank(Prefix+string(s)), maxTurnRank)) * turnDelay)
-		r.writeAt[s] = at
-	}
-	if now.Before(at) {
-		return false
-	}
-	r.writeAt[s] = now.Add(writeRetryInterval)
-	return true
-}
-
 // write changes the list of a service.
 func (r *Resolver) write(ctx context.Context, s slugname.Service, versions []slugname.SoftwareVersion) {
 	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
