--- a/internal/decision/slugplacement/limit.go
+++ b/internal/decision/slugplacement/limit.go
@@ -52,6 +52,9 @@
 	return changed
 }
 
+// Share returns the place of this host among all hosts that share the limit of the endpoint.
+func (c *Choice) Share() slugpermit.Share { return c.p.cfg.Share() }
+
 // Limited returns the endpoints that have a rate limit.
 func (p *Placer) Limited() []slugname.Endpoint {
 	p.mu.Lock()
--- a/internal/request/slugdispatch/plain.go
+++ b/internal/request/slugdispatch/plain.go
@@ -159,6 +159,8 @@
 		d.cfg.Log.Emit(slugevent.LimitUnreadable, fields)
 	case !c.RecordLimit(head.Limit, sentAt, time.Now()):
 	case head.Limit.Stated:
+		share := c.Share()
+		fields["rank"], fields["hosts"] = share.Rank, share.Hosts
 		d.cfg.Log.Emit(slugevent.EndpointLimited, fields)
 	default:
 		d.cfg.Log.Emit(slugevent.EndpointUnlimited, fields)
