Reserve both retries of a continuation before its prompt is processed

What callers saw: streams that ended without their last event although their prompt had just been processed once more. Cause: a continuation took a retry from the budget for its prompt, and another one for its response after that; where the second was refused, the prompt was processed in vain, and two streams that held one retry each both failed. Change: a round of prefill and decode takes all retries that it needs from the budget at once, or none, and gives back those that it did not use.

--- a/internal/decision/slugbudget/budget.go
+++ b/internal/decision/slugbudget/budget.go
@@ -16,6 +16,7 @@
 package slugbudget
 
 import (
+	"slices"
 	"sync"
 	"time"
 )
@@ -62,16 +63,35 @@
 }
 
 // TryRetry records a retry and returns true if the budget allows one.
-func (b *Budget) TryRetry(now time.Time) bool {
+func (b *Budget) TryRetry(now time.Time) bool { return b.TryRetries(1, now) }
+
+// TryRetries records n retries and returns true if the budget allows them all; otherwise it
+// records none.
+func (b *Budget) TryRetries(n int, now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.left(now) < 1 {
+	if b.left(now) < float64(n) {
 		return false
 	}
-	b.retries = append(b.retries, now)
+	for range n {
+		b.retries = append(b.retries, now)
+	}
 	return true
 }
 
+// Return takes back n retries that were recorded at the given time and not used.
+func (b *Budget) Return(n int, recordedAt time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.retries = slices.DeleteFunc(b.retries, func(at time.Time) bool {
+		if n == 0 || !at.Equal(recordedAt) {
+			return false
+		}
+		n--
+		return true
+	})
+}
+
 // Left returns the number of retries that the budget currently allows.
 func (b *Budget) Left(now time.Time) float64 {
 	b.mu.Lock()
--- a/internal/decision/slugbudget/budget_test.go
+++ b/internal/decision/slugbudget/budget_test.go
@@ -67,3 +67,18 @@
 	b.SetExtra(4)
 	assert.Equal(t, b.Left(start), 2.0)
 }
+
+// TestRetriesAreTakenInPart guards against some of the retries that belong together being
+// taken where the budget does not allow all, and against losing those that are returned.
+func TestRetriesAreTakenInPart(t *testing.T) {
+	b := New(Config{Window: 10 * time.Second})
+	b.SetExtra(3)
+	assert.Assert(t, b.TryRetries(2, start))
+	later := start.Add(time.Second)
+	assert.Assert(t, !b.TryRetries(2, later))
+	assert.Equal(t, b.Left(later), 1.0)
+	b.Return(1, start)
+	assert.Assert(t, b.TryRetries(2, later))
+	b.Return(1, start.Add(time.Minute))
+	assert.Equal(t, b.Left(later), 0.0)
+}
--- a/internal/request/slugdispatch/dispatcher.go
+++ b/internal/request/slugdispatch/dispatcher.go
@@ -15,6 +15,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"sync/atomic"
@@ -37,6 +38,19 @@
 // The caller's connection must be closed so that the response does not look complete.
 var ErrTruncated = errors.New("answer is cut")
 
+// truncated is ErrTruncated with its cause, which it does not wrap: a refusal among the causes
+// is no response to the caller any more.
+type truncated struct {
+	error
+	cause error
+}
+
+// Unwrap returns ErrTruncated.
+func (e truncated) Unwrap() error { return e.error }
+
+// Error implements error.
+func (e truncated) Error() string { return fmt.Sprintf("%s: %s", e.error, e.cause) }
+
 // ErrCallerDisconnected means that the caller disconnected before anything was written.
 var ErrCallerDisconnected = errors.New("caller disconnected")
 
@@ -149,6 +163,8 @@
 	possibleRuns int
 	// sends is the number of attempts that may have reached an endpoint.
 	sends int
+	// reserved are the retries taken from the budget for the next attempts.
+	reserved reservation
 	// prefillAccepted is set once an endpoint has processed the prompt.
 	prefillAccepted bool
 	// decodeSent is set once a decode request has been sent.
@@ -374,7 +390,7 @@
 	var refusal *slugrefusal.Refusal
 	switch {
 	case d.headerWritten:
-		return errors.CombineErrors(ErrTruncated, cause)
+		return truncated{ErrTruncated, cause}
 	case ctx.Err() != nil && !errors.Is(context.Cause(ctx), errDeadline):
 		return ErrCallerDisconnected
 	case d.possibleRuns == 0 && errors.As(cause, &refusal):
@@ -411,19 +427,6 @@
 	return longest
 }
 
-// tryRetry reports whether the request may be sent once more, and if so takes the retry
-// from the budget. A request that may have run is not sent again if endpoints crashed
-// repeatedly under requests with something in common with it.
-func (d *dispatch) tryRetry(now time.Time) bool {
-	if d.possibleRuns > 0 && d.quarantine.Suspected(d.subject, now) {
-		return false
-	}
-	return d.remaining() > minRetryTime && d.budget.TryRetry(now)
-}
-
-// minRetryTime is the remaining time that a retry needs at least.
-const minRetryTime = 60 * time.Millisecond
-
 // logAttemptFailure logs a failed attempt. interrupted reports that the endpoint broke off
 // the attempt; the parts of the prompt tell which of them the lost requests had in common.
 func (d *dispatch) logAttemptFailure(c *slugplacement.Choice, stage string, interrupted bool, cause error) {
--- a/internal/request/slugdispatch/stream.go
+++ b/internal/request/slugdispatch/stream.go
@@ -66,10 +66,14 @@
 			// The prompt would be processed in vain.
 			return d.callerError(ctx, noRetry(errors.CombineErrors(last, errNoEndpoint)))
 		}
+		if !d.reserveRetries(time.Now()) {
+			return d.callerError(ctx, noRetry(errors.Wrap(last, errRetryBudget.Error())))
+		}
 		prefilled, err := d.prefill(ctx)
 		if err == nil {
 			err = d.decode(ctx, prefilled)
 		}
+		d.returnRetries()
 		if err == nil {
 			return nil
 		}
@@ -104,7 +108,7 @@
 		if !ok {
 			return nil, noRetry(errors.CombineErrors(last, errNoEndpoint))
 		}
-		if d.prefillAccepted && !d.tryRetry(time.Now()) {
+		if d.prefillAccepted && !d.useRetry(&d.reserved.prompt) {
 			c.End(slugplacement.Abandoned, time.Now())
 			return nil, noRetry(errors.CombineErrors(last, errRetryBudget))
 		}
@@ -318,7 +322,7 @@
 	if prefilled != nil {
 		near = prefilled.choice.DataCentre
 	}
-	if d.decodeSent && !d.tryRetry(time.Now()) {
+	if d.decodeSent && !d.useRetry(&d.reserved.response) {
 		d.releaseCache(prefilled)
 		return noRetry(errRetryBudget)
 	}
