Keep a silent engine until another one has begun to respond

What callers saw: streams that ended with 200 and without their last event, or with 502, while a sound engine wrote nothing for a second or two and went on; on the route that must not be repeated none did. Cause: an attempt was canceled after a fixed time without an event, and only then did the dispatcher find out whether the retry budget, an engine, the software version and the time allowed another one: what lives was given up before its replacement was in hand.

Change: beside a silent attempt a standby chooses an engine with free capacity that responds, reserves both retries, has the prompt processed and sends the request; the silent attempt is canceled when the other engine responds, or after 250 ms without a rejection, so that two engines never work on one stream for long. If anything is missing, the attempt goes on, and the standby tries again. An event of the silent engine ends the preparation. The time until the first event counts as silence only from three times the usual on, since it includes the prompt where a service has no prefill engines.

Event 427 says why a silent engine is waited for, 402 names both engines.

--- a/internal/base/slugevent/event.go
+++ b/internal/base/slugevent/event.go
@@ -109,6 +109,7 @@
 	NoticeUnreadable
 	EndpointReturned
 	StreamTakenUp
+	StreamKept
 )
 
 var descriptions = map[Event]Description{
@@ -183,6 +184,7 @@
 	NoticeUnreadable:        {logrus.WarnLevel, "time to wait that an endpoint states cannot be read", "check the endpoint; it is avoided for a moment only, as without a time"},
 	EndpointReturned:        {logrus.InfoLevel, "endpoint that said that it is leaving has started again", "none"},
 	StreamTakenUp:           {logrus.InfoLevel, "caller takes up a stream", "none; without a softwareVersion the request is refused: the stream began at one of several versions, and the hosts that knew which have failed"},
+	StreamKept:              {logrus.InfoLevel, "response of a silent endpoint is waited for", "check the endpoint if this persists; the field reason says why no other one takes over"},
 	QuarantineUnreadable:    {logrus.ErrorLevel, "quarantine in the store cannot be decoded", "find out who wrote the object named in the fields, and remove it"},
 	ConnectionSilent:        {logrus.WarnLevel, "connection stopped responding", "check the network between the hosts"},
 	UsageWriteFailed:        {logrus.WarnLevel, "usage record could not be written", "check the store; totals are kept and written later"},
--- a/internal/decision/slugplacement/learn.go
+++ b/internal/decision/slugplacement/learn.go
@@ -79,6 +79,7 @@
 func (c *Choice) Event(now time.Time) {
 	c.p.mu.Lock()
 	defer c.p.mu.Unlock()
+	c.state.heardAt = now
 	if !c.eventSeen {
 		c.eventSeen = true
 		c.p.firstEvents.Add(now.Sub(c.startedAt), now)
--- a/internal/decision/slugplacement/placer.go
+++ b/internal/decision/slugplacement/placer.go
@@ -160,6 +160,9 @@
 	limitedAt time.Time
 	// lastPrefillAt is when this process last saw a prompt processed there.
 	lastPrefillAt time.Time
+	// heardAt is when this process last received an event of a response from there, or began
+	// to wait for one.
+	heardAt time.Time
 }
 
 // awayEndpoint is the state of an endpoint that has been no choice since a time.
@@ -351,16 +354,42 @@
 func (p *Placer) Decode(j Job, near slugname.DataCentre, exclude []slugname.Endpoint, now time.Time) (*Choice, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	return p.assign(p.bestDecode(j, near, p.candidates(slugplan.RoleDecode, j.Version, exclude, now), now), slugplan.RoleDecode, now)
+}
+
+// Spare chooses, like Decode, an engine for a response that is still expected elsewhere. It
+// has free capacity, and if this process waits for any response of it, an event has arrived
+// from there within maxSilence.
+func (p *Placer) Spare(j Job, near slugname.DataCentre, exclude []slugname.Endpoint, maxSilence time.Duration, now time.Time) (*Choice, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	candidates := slices.DeleteFunc(p.candidates(slugplan.RoleDecode, j.Version, exclude, now), func(s *endpointState) bool {
+		return !s.hasRoom(j) || s.own.Streams > 0 && now.Sub(s.heardAt) > maxSilence
+	})
+	return p.assign(p.bestDecode(j, near, candidates, now), slugplan.RoleDecode, now)
+}
+
+// Lists reports whether an endpoint is listed in the given incarnation.
+func (p *Placer) Lists(e slugname.Endpoint, incarnation int64) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.byName[e]
+	return s != nil && s.Incarnation == incarnation
+}
+
+// bestDecode returns the best choice for a response, or nil if there are no candidates. The
+// caller must hold p.mu.
+func (p *Placer) bestDecode(j Job, near slugname.DataCentre, candidates []*endpointState, now time.Time) *Choice {
 	var best *Choice
 	median := p.medianSlowness(slugplan.RoleDecode, now)
-	for _, s := range p.candidates(slugplan.RoleDecode, j.Version, exclude, now) {
+	for _, s := range candidates {
 		c := &Choice{Endpoint: s.Endpoint, p: p, state: s, job: j}
 		c.score = p.scoreDecode(s, j, near, median, now)
 		if best == nil || c.score < best.score {
 			best = c
 		}
 	}
-	return p.assign(best, slugplan.RoleDecode, now)
+	return best
 }
 
 const (
@@ -385,13 +414,18 @@
 	if s.DataCentre != near {
 		d += crossDataCentrePenalty
 	}
-	tokens := s.own.CacheTokens + s.others.CacheTokens + j.Tokens + j.Output
-	if streams >= s.Slots || s.CacheTokens > 0 && float64(tokens) > maxCacheShare*float64(s.CacheTokens) {
+	if !s.hasRoom(j) {
 		d += noRoomPenalty
 	}
 	return d
 }
 
+// hasRoom reports whether an engine has a free slot and free cache for another response.
+func (s *endpointState) hasRoom(j Job) bool {
+	tokens := s.own.CacheTokens + s.others.CacheTokens + j.Tokens + j.Output
+	return s.own.Streams+s.others.Streams < s.Slots && (s.CacheTokens == 0 || float64(tokens) <= maxCacheShare*float64(s.CacheTokens))
+}
+
 // assign adds the work to the chosen endpoint and records the demand. It reports false
 // if there is no choice. The caller must hold p.mu.
 func (p *Placer) assign(c *Choice, stage slugplan.Role, now time.Time) (*Choice, bool) {
@@ -399,6 +433,9 @@
 		return nil, false
 	}
 	c.stage, c.startedAt = stage, now
+	if stage != slugplan.RolePrefill && c.state.own.Streams == 0 {
+		c.state.heardAt = now
+	}
 	c.state.addWork(c, 1)
 	if stage == slugplan.RolePrefill {
 		p.demand.add(c.nominal, now)
--- a/internal/request/slugdispatch/events.go
+++ b/internal/request/slugdispatch/events.go
@@ -82,7 +82,8 @@
 
 // relayStream sends the events of a response to the caller as they arrive, except those
 // that the caller already has.
-func (d *dispatch) relayStream(e *slugsend.Exchange, c *slugplacement.Choice, w *watchdog, silence *silenceWatch) error {
+func (d *dispatch) relayStream(a *decodeAttempt, s *standby) error {
+	e, c := a.exchange, a.choice
 	if err := d.checkResponse(e); err != nil {
 		return err
 	}
@@ -92,7 +93,7 @@
 	if d.headerWritten && !sameFormat(e.Response.Header, d.w.Header()) {
 		return errors.Wrapf(errForeignEvent, "content type %q", e.Response.Header.Get("Content-Type"))
 	}
-	from := resumption{d.headerWritten, d.lastEvent, mediaType(e.Response.Header) == eventStream}
+	from := resumption{d.headerWritten, a.after, mediaType(e.Response.Header) == eventStream}
 	events := eventReader{bufio.NewReader(e.Response.Body)}
 	for {
 		ev, err := events.next()
@@ -103,13 +104,14 @@
 			return errors.Wrap(err, "read event")
 		}
 		now := time.Now()
-		w.Event()
-		silence.Event(now)
+		s.Heard()
+		a.silence.Event(now)
 		c.Event(now)
 		d.countStart()
 		if err := d.relayEvent(e, c, ev, from); err != nil {
 			return err
 		}
+		s.Wait(d)
 	}
 }
 
