--- a/internal/request/slugdispatch/stream.go
+++ b/internal/request/slugdispatch/stream.go
@@ -20,15 +20,6 @@
 const (
 	// stallCheckInterval is the time between checks whether an endpoint has stalled.
 	stallCheckInterval = 250 * time.Millisecond
-	// firstEventTimeout bounds the time from the start of a decode request to its first
-	// event. After it, an idempotent request is retried at another endpoint.
-	firstEventTimeout = 900 * time.Millisecond
-	// gapTimeoutFactor is the multiple of the route's maximum gap between events after
-	// which a silent stream continues at another endpoint.
-	gapTimeoutFactor = 3
-	// minGapTimeout is the minimum time after which a silent stream continues at another
-	// endpoint.
-	minGapTimeout = 900 * time.Millisecond
 	// maxHandleBytes bounds the response to a prefill request.
 	maxHandleBytes = 64 << 10
 	// releaseTimeout bounds a request to delete a KV cache.
@@ -66,10 +57,14 @@
 			// The prompt would be processed in vain.
 			return d.callerError(ctx, noRetry(errors.CombineErrors(last, errNoEndpoint)))
 		}
+		if !d.reserveRetries(time.Now()) {
+			return d.callerError(ctx, noRetry(errors.Wrap(last, errRetryBudget.Error())))
+		}
 		prefilled, err := d.prefill(ctx)
 		if err == nil {
 			err = d.decode(ctx, prefilled)
 		}
+		d.returnRetries()
 		if err == nil {
 			return nil
 		}
@@ -104,7 +99,7 @@
 		if !ok {
 			return nil, noRetry(errors.CombineErrors(last, errNoEndpoint))
 		}
-		if d.prefillAccepted && !d.tryRetry(time.Now()) {
+		if d.prefillAccepted && !d.useRetry(&d.reserved.prompt) {
 			c.End(slugplacement.Abandoned, time.Now())
 			return nil, noRetry(errors.CombineErrors(last, errRetryBudget))
 		}
@@ -302,169 +297,3 @@
 	}
 	return d.cfg.Codec.DecodeHandle(b)
 }
-
-// decode has the response generated from the KV cache of a prefill, which may be nil, and
-// relays it.
-func (d *dispatch) decode(ctx context.Context, prefilled *prefillResult) error {
-	if refusal := d.reauthorize(); refusal != nil && !d.headerWritten && d.possibleRuns == 0 {
-		d.releaseCache(prefilled)
-		return noRetry(refusal)
-	}
-	if err := d.stopQuarantined(); err != nil {
-		d.releaseCache(prefilled)
-		return err
-	}
-	near := d.call.Prompt.DataCentre
-	if prefilled != nil {
-		near = prefilled.choice.DataCentre
-	}
-	if d.decodeSent && !d.tryRetry(time.Now()) {
-		d.releaseCache(prefilled)
-		return noRetry(errRetryBudget)
-	}
-	exclude := slices.Clone(d.excluded)
-	var last error
-	for range maxSends {
-		c, ok := d.placer.Decode(d.job(), near, exclude, time.Now())
-		if !ok {
-			break
-		}
-		sent, err := d.attemptDecode(ctx, c, prefilled)
-		if err == nil || sent {
-			return err
-		}
-		// Nothing was sent, so that another engine can use the KV cache.
-		last = err
-		exclude = append(exclude, c.Name)
-		if ctx.Err() != nil {
-			break
-		}
-	}
-	d.releaseCache(prefilled)
-	return noRetry(errors.CombineErrors(last, errNoEndpoint))
-}
-
-// attemptDecode has the response generated at one endpoint and relays it. sent reports
-// whether the request may have reached the endpoint; if not, the KV cache is kept.
-func (d *dispatch) attemptDecode(ctx context.Context, c *slugplacement.Choice, prefilled *prefillResult) (sent bool, err error) {
-	if err := checkReady(c); err != nil {
-		c.End(slugplacement.Abandoned, time.Now())
-		return false, err
-	}
-	d.endpoints = append(d.endpoints, c.Name)
-	t := d.target(c)
-	if prefilled != nil {
-		t.CacheSource = d.cfg.Codec.CacheSource(prefilled.choice.Address, prefilled.handle.ID)
-	}
-	requestCtx := ctx
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	watchdog := d.watchEvents(cancel)
-	defer watchdog.Stop()
-	c.Sent(time.Now())
-	run := d.begin(c)
-	silence := d.watchSilence(c, run)
-	defer silence.Stop()
-	e, err := d.open(ctx, c, run, d.cfg.Codec.EncodeRun(d.call, t))
-	if e.Sent {
-		d.sends++
-		d.decodeSent = true
-	}
-	if err == nil {
-		err = d.relayStream(e, c, watchdog, silence)
-	}
-	c.End(d.placementOutcome(requestCtx, err), time.Now())
-	if err == nil {
-		// A prefill alone does not show that an engine survives the request.
-		recordServed(run, e)
-		return true, nil
-	}
-	e.Abort()
-	interrupted := d.reportInterruption(ctx, c, run, e.Sent, err)
-	if interrupted {
-		d.countStart() // The request most likely began to run before the failure.
-	}
-	d.logAttemptFailure(c, "decode", interrupted, err)
-	return e.Sent, d.afterDecodeFailure(ctx, c, prefilled, e.Sent, err)
-}
-
-// afterDecodeFailure records a failed attempt and returns its error, marked with
-// errNoRetry if there must not be another attempt.
-func (d *dispatch) afterDecodeFailure(ctx context.Context, c *slugplacement.Choice, prefilled *prefillResult, sent bool, err error) error {
-	if !sent {
-		return err
-	}
-	if errors.Is(err, errNotRun) {
-		d.releaseCache(prefilled)
-		d.exclude(c.Name)
-		return err
-	}
-	d.possibleRuns++
-	d.exclude(c.Name)
-	if !d.route.Idempotent() || d.possibleRuns >= d.route.MaxAttempts || !d.resumable() {
-		return noRetry(err)
-	}
-	d.cfg.Log.Emit(slugevent.StreamContinued, slugevent.Fields{"request": d.call.ID, "after": d.lastEvent, "endpoint": c.Name, "reason": context.Cause(ctx)})
-	return err
-}
-
-// resumable reports whether the next response can go on where the last one ended: nothing
-// was relayed yet, or the last event has a number.
-func (d *dispatch) resumable() bool {
-	_, numbered := eventNumber(d.lastEvent)
-	return !d.headerWritten || numbered
-}
-
-// releaseCache deletes, in the background, a KV cache that will not be used.
-func (d *dispatch) releaseCache(prefilled *prefillResult) {
-	if prefilled == nil {
-		return
-	}
-	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
-		defer cancel()
-		// There is no retry: endpoints expire unused caches on their own.
-		e, err := d.cfg.Open(ctx, d.cfg.Codec.EncodeRelease(prefilled.choice.Address, prefilled.handle.ID))
-		if err != nil {
-			d.logAttemptFailure(prefilled.choice, "release", false, err)
-			return
-		}
-		d.cfg.Noticed(d.service.Name, prefilled.choice.Endpoint, d.cfg.Codec.DecodeHead(e.Response))
-		_, _ = io.Copy(io.Discard, io.LimitReader(e.Response.Body, maxHandleBytes))
-		_ = e.Response.Body.Close()
-	}()
-}
-
-// watchEvents returns a watchdog that cancels an attempt if its events are late. If no
-// other attempt may follow, the watchdog never fires.
-func (d *dispatch) watchEvents(cancel context.CancelCauseFunc) *watchdog {
-	w := &watchdog{gapTimeout: max(minGapTimeout, gapTimeoutFactor*d.route.Gap)}
-	if !d.route.Idempotent() || d.possibleRuns+1 >= d.route.MaxAttempts {
-		return w
-	}
-	w.timer = time.AfterFunc(firstEventTimeout, func() { cancel(errEventTimeout) })
-	return w
-}
-
-// errEventTimeout is the cancellation cause of an attempt whose events are late.
-var errEventTimeout = errors.New("timed out waiting for an event")
-
-// watchdog cancels an attempt whose events are late. Without a timer it never fires.
-type watchdog struct {
-	timer      *time.Timer
-	gapTimeout time.Duration
-}
-
-// Event restarts the timer after an event.
-func (w *watchdog) Event() {
-	if w.timer != nil {
-		w.timer.Reset(w.gapTimeout)
-	}
-}
-
-// Stop stops the timer.
-func (w *watchdog) Stop() {
-	if w.timer != nil {
-		w.timer.Stop()
-	}
-}
