Keep a silent engine until the request has reached the other one

What callers saw: a stream that ended without its last event although its engine went on after 1.8 s, where the other engine could not be connected to. Evidence: TestStreamIsCutBesideUnreachableEngine, "unexpected EOF" on the code before (event 402 while the dial was still in progress, then 413); whole now. Change: the time begins when the request has a connection. A dial that fails ends the preparation, and the silent engine goes on.

--- a/internal/connection/slugsend/sender.go
+++ b/internal/connection/slugsend/sender.go
@@ -71,6 +71,8 @@
 	// Repeatable allows sending the request more than once. Repeatable requests use
 	// pooled connections.
 	Repeatable bool
+	// Sent is called as soon as the request has a connection; it may be nil.
+	Sent func()
 }
 
 // New returns a Sender.
@@ -164,8 +166,11 @@
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(i httptrace.GotConnInfo) {
 			mu.Lock()
-			defer mu.Unlock()
 			e.Sent, e.Reused, e.conn = true, i.Reused, i.Conn
+			mu.Unlock()
+			if request.Sent != nil {
+				request.Sent()
+			}
 		},
 	})
 	r, err := s.newHTTPRequest(ctx, request)
--- a/internal/request/slugdispatch/decode.go
+++ b/internal/request/slugdispatch/decode.go
@@ -64,6 +64,8 @@
 	exchange  *slugsend.Exchange
 	// after is the ID of the event after which the endpoint resumes the stream.
 	after string
+	// onSent is called as soon as the request has a connection; it may be nil.
+	onSent func()
 }
 
 // attemptDecode has the response generated at one endpoint and relays it; if the endpoint
@@ -113,7 +115,9 @@
 	a.choice.Sent(time.Now())
 	a.run = d.begin(a.choice)
 	a.silence = d.watchSilence(a.choice, a.run)
-	a.exchange, err = d.open(ctx, a.choice, a.run, d.cfg.Codec.EncodeRun(d.call, t))
+	request := d.cfg.Codec.EncodeRun(d.call, t)
+	request.Sent = a.onSent
+	a.exchange, err = d.open(ctx, a.choice, a.run, request)
 	if a.exchange.Sent {
 		d.sends++
 		d.decodeSent = true
--- a/internal/request/slugdispatch/standby.go
+++ b/internal/request/slugdispatch/standby.go
@@ -267,9 +267,12 @@
 	f := s.fork
 	attemptCtx, a := f.newDecodeAttempt(s.ctx, c, prefilled)
 	stop := context.AfterFunc(ctx, func() { a.cancel(context.Cause(ctx)) })
-	overlap := time.AfterFunc(maxOverlap, func() { s.replace(events) })
+	// Until the request has a connection, nothing works on it but the silent endpoint.
+	a.onSent = func() {
+		overlap := time.AfterFunc(maxOverlap, func() { s.replace(attemptCtx, events) })
+		context.AfterFunc(attemptCtx, func() { overlap.Stop() })
+	}
 	err := f.openDecode(attemptCtx, a)
-	overlap.Stop()
 	f.reserved.response = !a.exchange.Sent
 	if err == nil {
 		err = f.checkResponse(a.exchange)
@@ -289,11 +292,12 @@
 	return nil, err
 }
 
-// replace cancels the silent attempt if no event has arrived meanwhile.
-func (s *standby) replace(events int) {
+// replace cancels the silent attempt if no event has arrived meanwhile, and the attempt with
+// the given context, which is to replace it, has not ended.
+func (s *standby) replace(ctx context.Context, events int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.events == events {
+	if s.events == events && ctx.Err() == nil {
 		s.attempt.cancel(errReplaced)
 	}
 }
