Send no prepared request to an engine that began to leave

What engines saw: a response that was to take over a silent one was requested at an engine 1.4 s after it had begun to leave. Cause: the standby chooses the engine before the prompt is processed, which may take seconds in a queue, and did not check after that whether it still takes requests; a round without a standby chooses after the prompt. Evidence: TestPreparedRequestReachesLeavingEngine, 1 request at the leaving engine on the code before, none now. Change: after the prompt, an engine that is no choice any more ends the preparation; the silent engine goes on, and the next preparation chooses anew.

--- a/internal/request/slugdispatch/standby.go
+++ b/internal/request/slugdispatch/standby.go
@@ -226,6 +226,11 @@
 		return nil, errNoReplacement
 	}
 	prefilled, err := f.prefillFor(ctx, c)
+	if err == nil && !f.placer.Lists(c.Name, c.Incarnation) {
+		// The endpoint began to leave while the prompt was processed.
+		f.releaseCache(prefilled)
+		err = errNoReplacement
+	}
 	if err != nil {
 		c.End(slugplacement.Abandoned, time.Now())
 		return nil, err
