Keep a silent engine that is leaving if no other one has capacity

What callers saw: a stream that ended without its last event although its engine, which was leaving, went on after 1.8 s. Cause: an engine without free capacity may take over if the silent one "has certainly ended", which was concluded from its not being a choice for new requests. Engines that are leaving or are to change their role are no choice either, but complete their responses; the queue of the other engine then did not move within 250 ms, and the live attempt was canceled for it. Change: what counts is whether the silent engine is registered in its incarnation, whatever its state. Still open: an engine that serves on after its entry was removed.

--- a/internal/daemon/slughost/host.go
+++ b/internal/daemon/slughost/host.go
@@ -12,6 +12,7 @@
 	"context"
 	"expvar"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -212,12 +213,20 @@
 	h.dispatcher = slugdispatch.New(slugdispatch.Config{
 		Table: h.follower.Table, Fresh: h.configFresh,
 		ConfigurationAge: func() time.Duration { return slugclock.Since(h.follower.LastConfirmed()) },
-		Placer:           h.placer, Budget: h.retryBudget, Quarantine: h.quarantines.Of, EndpointFailed: h.endpointFailed, Noticed: h.endpointNoticed, Codec: h.adapter.Codec, Open: h.sender.Open, Announce: h.announce, WithdrawAnnouncement: h.withdrawAnnouncement,
+		Placer:           h.placer, Budget: h.retryBudget, Quarantine: h.quarantines.Of, EndpointFailed: h.endpointFailed, Noticed: h.endpointNoticed, Registered: h.registered, Codec: h.adapter.Codec, Open: h.sender.Open, Announce: h.announce, WithdrawAnnouncement: h.withdrawAnnouncement,
 		Origin: h.findOrigin, StreamBegan: h.streamBegan, Started: h.usageCounter.Count, Ended: h.counters.Record, Log: h.log,
 	})
 	return nil
 }
 
+// registered reports whether an endpoint is registered in the given incarnation, even if it
+// takes no new requests.
+func (h *Host) registered(s slugname.Service, name slugname.Endpoint, incarnation int64) bool {
+	return slices.ContainsFunc(h.registry.Endpoints(s), func(e slugregistry.Endpoint) bool {
+		return e.Name == name && int64(e.Incarnation) == incarnation
+	})
+}
+
 // configFresh reports whether the configuration was confirmed recently enough to serve
 // requests with keys.
 func (h *Host) configFresh() bool {
--- a/internal/request/slugdispatch/dispatcher.go
+++ b/internal/request/slugdispatch/dispatcher.go
@@ -91,6 +91,9 @@
 	// Noticed is called with what a response says about the endpoint that gave it; it may be
 	// nil. The endpoint is the one to which the request was sent.
 	Noticed func(s slugname.Service, e slugplacement.Endpoint, h ResponseHead)
+	// Registered reports whether an endpoint is registered in an incarnation, even if it takes
+	// no new requests; nil means that all are.
+	Registered func(s slugname.Service, e slugname.Endpoint, incarnation int64) bool
 	// Codec encodes requests to endpoints and decodes their responses.
 	Codec Codec
 	// Announce announces a prompt to the owner of the chosen endpoint, and returns the
@@ -131,6 +134,9 @@
 	if cfg.Noticed == nil {
 		cfg.Noticed = func(slugname.Service, slugplacement.Endpoint, ResponseHead) {}
 	}
+	if cfg.Registered == nil {
+		cfg.Registered = func(slugname.Service, slugname.Endpoint, int64) bool { return true }
+	}
 	return &Dispatcher{cfg: cfg}
 }
 
--- a/internal/request/slugdispatch/standby.go
+++ b/internal/request/slugdispatch/standby.go
@@ -239,12 +239,13 @@
 }
 
 // spare chooses the endpoint that is to take over. An endpoint without capacity may do so
-// only if the silent one has certainly ended.
+// only if the silent one is not registered any more. One that is leaving, or is to change its
+// role, still completes its responses.
 func (s *standby) spare(now time.Time) (*slugplacement.Choice, bool) {
 	f, silent := s.fork, s.attempt.choice
 	near := f.call.Prompt.DataCentre
 	c, ok := f.placer.Spare(f.job(), near, f.excluded, max(minSpareSilence, f.route.Gap), now)
-	if !ok && !f.placer.Lists(silent.Name, silent.Incarnation) {
+	if !ok && !f.cfg.Registered(f.service.Name, silent.Name, silent.Incarnation) {
 		return f.placer.Decode(f.job(), near, f.excluded, now)
 	}
 	return c, ok
