Leave an event of a replaced engine to the one that took over

What callers could see: a stream that ended without its last event, or that two software versions wrote. Cause: an event that the silent engine sent just as it was replaced was still taken. Change: once the silent attempt was canceled, its events are dropped. The endpoint that takes over sends them, since its request says which event the caller has.

--- a/internal/request/slugdispatch/events.go
+++ b/internal/request/slugdispatch/events.go
@@ -104,7 +104,9 @@
 			return errors.Wrap(err, "read event")
 		}
 		now := time.Now()
-		s.Heard()
+		if !s.Heard() {
+			return errReplaced
+		}
 		a.silence.Event(now)
 		c.Event(now)
 		d.countStart()
--- a/internal/request/slugdispatch/standby.go
+++ b/internal/request/slugdispatch/standby.go
@@ -78,7 +78,9 @@
 	// done is closed at the end of the preparation in progress.
 	done  chan struct{}
 	ended bool
-	ready *continuation
+	// replaced is set once the silent attempt was canceled for another one.
+	replaced bool
+	ready    *continuation
 	// reason is why the last preparation failed, for the log.
 	reason string
 }
@@ -133,19 +135,25 @@
 }
 
 // Heard records that an event arrived, which makes a preparation unnecessary. The time in
-// which the caller takes the event does not count as silence.
-func (s *standby) Heard() {
+// which the caller takes the event does not count as silence. It returns false if the attempt
+// was replaced before: the event is then that of the endpoint that takes over, whose software
+// version may be another one.
+func (s *standby) Heard() bool {
 	if s.timer == nil {
-		return
+		return true
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.replaced {
+		return false
+	}
 	s.events++
 	s.waiting = false
 	s.timer.Stop()
 	if s.abandon != nil {
 		s.abandon(errEventArrived)
 	}
+	return true
 }
 
 // Wait records that the request waits for the next event.
@@ -192,6 +200,12 @@
 	}
 	next.preparedIn = time.Since(startedAt)
 	s.ready = next
+	s.cancelSilent()
+}
+
+// cancelSilent cancels the silent attempt. The caller must hold s.mu.
+func (s *standby) cancelSilent() {
+	s.replaced = true
 	s.attempt.cancel(errReplaced)
 }
 
@@ -304,7 +318,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.events == events && ctx.Err() == nil {
-		s.attempt.cancel(errReplaced)
+		s.cancelSilent()
 	}
 }
 
