Count an engine as silent only while an event is expected of it

What callers saw, where few engines were left: a stream at a dead engine went on later than it could. Cause: an engine may take over only if it is not silent itself, but one counted as silent while nothing was to come from it: during the processing of the prompt of a request that was not sent yet, and while a caller did not take the last event, which may last until the deadline. Change: the placer counts the requests that wait for an event.

--- a/internal/decision/slugplacement/learn.go
+++ b/internal/decision/slugplacement/learn.go
@@ -19,6 +19,7 @@
 		return
 	}
 	c.ended = true
+	c.setAwaiting(false, now)
 	c.state.addWork(c, -1)
 	switch o {
 	case Served:
@@ -80,12 +81,36 @@
 	c.p.mu.Lock()
 	defer c.p.mu.Unlock()
 	c.state.heardAt = now
+	c.setAwaiting(false, now)
 	if !c.eventSeen {
 		c.eventSeen = true
 		c.p.firstEvents.Add(now.Sub(c.startedAt), now)
 	}
 }
 
+// Await records that the request waits for the next event.
+func (c *Choice) Await(now time.Time) {
+	c.p.mu.Lock()
+	defer c.p.mu.Unlock()
+	c.setAwaiting(true, now)
+}
+
+// setAwaiting sets whether the request waits for an event. The caller must hold p.mu.
+func (c *Choice) setAwaiting(awaiting bool, now time.Time) {
+	if c.awaiting == awaiting || c.stage != slugplan.RoleDecode {
+		return
+	}
+	c.awaiting = awaiting
+	if !awaiting {
+		c.state.awaited--
+		return
+	}
+	if c.state.awaited == 0 {
+		c.state.heardAt = now
+	}
+	c.state.awaited++
+}
+
 // FirstEventTime returns the usual time from the start of a decode request to its first
 // event, or 0 if it has not been measured.
 func (p *Placer) FirstEventTime(now time.Time) time.Duration {
--- a/internal/decision/slugplacement/placer.go
+++ b/internal/decision/slugplacement/placer.go
@@ -160,8 +160,10 @@
 	limitedAt time.Time
 	// lastPrefillAt is when this process last saw a prompt processed there.
 	lastPrefillAt time.Time
-	// heardAt is when this process last received an event of a response from there, or began
-	// to wait for one.
+	// awaited is the number of requests of this process that wait for an event from there.
+	awaited int
+	// heardAt is when this process last received an event from there, or began to wait for
+	// one.
 	heardAt time.Time
 }
 
@@ -245,7 +247,9 @@
 	ended   bool
 	// eventSeen is set after the first event of a response.
 	eventSeen bool
-	wait      time.Duration
+	// awaiting is set while the request waits for an event.
+	awaiting bool
+	wait     time.Duration
 	// score is Predicted plus penalties and preferences; the lowest score is chosen.
 	score time.Duration
 }
@@ -271,12 +275,13 @@
 	return late && !c.state.lastPrefillAt.After(c.startedAt)
 }
 
-// Sent records that the prompt is being sent now. Announcements may have taken some time
-// since the endpoint was chosen.
+// Sent records that the request is being sent now. Announcements, or the processing of its
+// prompt, may have taken some time since the endpoint was chosen.
 func (c *Choice) Sent(now time.Time) {
 	c.p.mu.Lock()
 	defer c.p.mu.Unlock()
 	c.startedAt = now
+	c.setAwaiting(true, now)
 }
 
 // StartedAt returns when the prompt was sent, or when the endpoint was chosen if it has not
@@ -358,13 +363,13 @@
 }
 
 // Spare chooses, like Decode, an engine for a response that is still expected elsewhere. It
-// has free capacity, and if this process waits for any response of it, an event has arrived
-// from there within maxSilence.
+// has free capacity, and if any request of this process waits for an event from there, one has
+// arrived within maxSilence.
 func (p *Placer) Spare(j Job, near slugname.DataCentre, exclude []slugname.Endpoint, maxSilence time.Duration, now time.Time) (*Choice, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	candidates := slices.DeleteFunc(p.candidates(slugplan.RoleDecode, j.Version, exclude, now), func(s *endpointState) bool {
-		return !s.hasRoom(j) || s.own.Streams > 0 && now.Sub(s.heardAt) > maxSilence
+		return !s.hasRoom(j) || s.awaited > 0 && now.Sub(s.heardAt) > maxSilence
 	})
 	return p.assign(p.bestDecode(j, near, candidates, now), slugplan.RoleDecode, now)
 }
@@ -433,9 +438,6 @@
 		return nil, false
 	}
 	c.stage, c.startedAt = stage, now
-	if stage != slugplan.RolePrefill && c.state.own.Streams == 0 {
-		c.state.heardAt = now
-	}
 	c.state.addWork(c, 1)
 	if stage == slugplan.RolePrefill {
 		p.demand.add(c.nominal, now)
--- a/internal/request/slugdispatch/events.go
+++ b/internal/request/slugdispatch/events.go
@@ -113,6 +113,7 @@
 		if err := d.relayEvent(e, c, ev, from); err != nil {
 			return err
 		}
+		c.Await(time.Now())
 		s.Wait(d)
 	}
 }
