End an abandoned attempt of a standby as canceled

Found by reading, without a test, since the moments are between two statements. If the stream ended without an event, or its caller left, right after the endpoint that was to take over had responded, nobody took or ended that attempt: its place at the endpoint stayed taken in the placer, and its silence was reported every 500 ms for the rest of the process. Where the cancellation ran in its own goroutine after the attempt was recorded, a sound endpoint counted as failed and as crashed by the request. Change: a preparation whose context was canceled is never handed over, and its attempt is canceled before its end is recorded.

--- a/internal/request/slugdispatch/standby.go
+++ b/internal/request/slugdispatch/standby.go
@@ -190,9 +190,9 @@
 	defer s.mu.Unlock()
 	defer close(s.done)
 	s.abandon = nil
-	if err == nil && s.events != events {
-		s.fork.abandonDecode(next, errEventArrived)
-		err = errEventArrived
+	if err == nil && ctx.Err() != nil {
+		err = context.Cause(ctx)
+		s.fork.abandonDecode(next, err)
 	}
 	if err != nil {
 		s.keep(err)
@@ -301,7 +301,10 @@
 		err = errors.Newf("endpoint responded with status %d", a.exchange.Response.StatusCode)
 	}
 	if !stop() {
+		// The function may still be about to run. Without the cancellation the endpoint would
+		// count as failed.
 		err = context.Cause(ctx)
+		a.cancel(err)
 	}
 	if err == nil {
 		return &continuation{decodeAttempt: a, ctx: attemptCtx}, nil
