Attribute the time of short prompts to the call, not to their tokens

What callers saw: 503 "the first event is expected after 20.077s, which exceeds the deadline" (event 400, code overloaded) in an idle system, and about 5 s beside silent prefill engines. Cause: prompts that are equal are cached except for one token, so that the fit had measured calls of one token only. Equal measurements do not tell the fixed time from that of the tokens; the regression gave all of it to the tokens, 20 ms each, and predicted 20 s for the 1000 tokens of an engine that had nothing cached. The wait of other prompts was multiplied likewise.

Evidence: TestCachedPromptsPredictUncached failed before: 19.997 s, 19.997 s, 4.999 s and 1.250 s predicted for 1000 tokens after 28 prompts of 20 ms with 0, 1, 4 and 16 tokens that are not cached.

Change: terms that measurements do not tell apart are still chosen by shrinkage, but the shrinkage of the tokens and of their pairs grows as the measured prompts become shorter than what an engine processes in one pass. For longer prompts the fit is the same as before, as the tests of pace, release and slow engines show.

--- a/internal/decision/slugpace/pace_test.go
+++ b/internal/decision/slugpace/pace_test.go
@@ -1,6 +1,7 @@
 package slugpace
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -148,6 +149,25 @@
 	assert.Assert(t, got > 60*ms && got < 80*ms, "%s", got)
 }
 
+// TestCachedPromptsPredictUncached guards against a prediction of many seconds for a prompt
+// that is not cached, when all prompts so far were cached except for a few tokens: the time
+// of their calls was divided by these tokens.
+func TestCachedPromptsPredictUncached(t *testing.T) {
+	for _, uncached := range []int{0, 1, 4, 16} {
+		t.Run(fmt.Sprintf("%d uncached", uncached), func(t *testing.T) {
+			m, now := New(), start
+			for range 28 {
+				now = now.Add(50 * ms)
+				m.Observe(Sample{Tokens: 1000, Cached: 1000 - uncached, Took: 20 * ms}, now)
+			}
+			assert.Assert(t, m.Measured(now))
+			same, whole := m.Work(1000, 1000-uncached)+m.Fixed(), m.Work(1000, 0)+m.Fixed()
+			assert.Check(t, same > 19*ms && same < 21*ms, "%s", same)
+			assert.Check(t, whole > same && whole < 200*ms, "%s: %+v", whole, m.own)
+		})
+	}
+}
+
 func BenchmarkObserve(b *testing.B) {
 	m, e, now := New(), newEngine(50), start
 	for b.Loop() {
--- a/internal/decision/slugpace/regression.go
+++ b/internal/decision/slugpace/regression.go
@@ -32,9 +32,24 @@
 	smallError = 0.05
 )
 
-// shrinkage pulls terms towards 0 that the measurements do not determine, such as the
-// fixed time if all prompts have one length. Its values are fractions of the total weight.
-var shrinkage = [terms]float64{termFixed: 0.01, termTokens: 1e-6, termPairs: 0.01}
+const (
+	// fewTokens is the number of tokens below which the time of a call is mostly fixed: an
+	// engine processes so few in one pass, whose time hardly depends on their number.
+	fewTokens = 64
+	// fewPairs are the pairs of fewTokens in a typical prompt.
+	fewPairs = fewTokens * typicalPrompt
+	// loose and tight are the fractions of the total weight with which terms are pulled
+	// towards 0.
+	loose, tight = 1e-6, 0.01
+)
+
+// shrinkage returns how much each term is pulled towards 0, which decides among terms that
+// the measurements do not tell apart. If all prompts have one length, their time belongs to
+// the tokens, unless these are so few that longer prompts would seem to take forever.
+func shrinkage(tokens, pairs float64) [terms]float64 {
+	few, short := fewTokens/tokens, fewPairs/pairs
+	return [terms]float64{termFixed: tight, termTokens: loose + tight*few*few, termPairs: tight * max(1, short*short)}
+}
 
 // leastAbsolute fits the model by minimizing absolute errors, with iteratively reweighted
 // least squares. No term may be negative. It reports false if there is no such fit.
@@ -103,8 +118,9 @@
 			}
 		}
 	}
+	pull := shrinkage(scale[termTokens], scale[termPairs])
 	for i := range a {
-		a[i][i] += shrinkage[i] * total
+		a[i][i] += pull[i] * total
 	}
 	least := math.Inf(1)
 	for _, subset := range subsets {
