Keep a stalled prefill engine until another one can take the prompt

What callers saw: 503 for streams whose prompt was with a sound prefill engine that wrote nothing for two seconds and went on. Cause: watchStall canceled the attempt after max(1.5 s, four times the prediction); whether the retry budget allowed another one, and whether any other engine was left, was found out afterwards.

Evidence: TestStreamsFailWhilePrefillEnginesPause failed before with a single prefill engine: 11 of 240 streams refused in a pause of 2 s, 31 in one of 2.5 s; with 1, 2 or 3 of several engines paused no stream failed before either. None is refused now in 20 combinations (1 of 1, 2 of 2, and 1, 2, 3 of 3 engines, for 1, 1.6, 2 and 2.5 s); at most two prompts are processed twice in a run.

Change: the check of a stalled attempt first chooses another engine, of which this host waits for nothing or which has completed a prompt lately, that meets the deadline, and takes the retry from the budget. Only then is the attempt canceled, and the prompt goes to that engine. If anything is missing, the attempt goes on, event 427 says why, and the check is repeated.

TestPlainRequestsEndWhileEndpointsPause passes before and after: plain requests on safe and unsafe routes all end with an answer beside endpoints that pause for 1 to 2 s, at the latest at their timeout of 1 s, and none of the unsafe ones runs twice.

--- a/internal/decision/slugplacement/announce.go
+++ b/internal/decision/slugplacement/announce.go
@@ -90,6 +90,7 @@
 		return nil, false
 	}
 	best.stage, best.startedAt = slugplan.RolePrefill, now
+	best.state.expect(now)
 	best.state.addWork(best, 1)
 	return best, true
 }
--- a/internal/decision/slugplacement/learn.go
+++ b/internal/decision/slugplacement/learn.go
@@ -62,7 +62,7 @@
 		return
 	}
 	c.state.cache.addAll(c.job.Parts)
-	c.state.lastPrefillAt = now
+	c.state.lastPrefillAt, c.state.heardAt = now, now
 	p, took := c.p, now.Sub(c.startedAt)
 	c.state.recordDuration(took, c.wait+c.nominal+p.cfg.Pace.Fixed(), now)
 	if c.FetchFrom == "" {
--- a/internal/decision/slugplacement/placer.go
+++ b/internal/decision/slugplacement/placer.go
@@ -160,8 +160,10 @@
 	limitedAt time.Time
 	// lastPrefillAt is when this process last saw a prompt processed there.
 	lastPrefillAt time.Time
-	// heardAt is when this process last received an event of a response from there, or began
-	// to wait for one.
+	// prompts is the number of prompts of this process that are being processed there.
+	prompts int
+	// heardAt is when this process last received a processed prompt or an event of a response
+	// from there, or began to wait for one.
 	heardAt time.Time
 }
 
@@ -369,6 +371,22 @@
 	return p.assign(p.bestDecode(j, near, candidates, now), slugplan.RoleDecode, now)
 }
 
+// SparePrefill chooses, like Prefill, an engine for a prompt that is still being processed
+// elsewhere. If this process waits for any prompt there, one was completed within maxSilence
+// or within the predicted time.
+func (p *Placer) SparePrefill(j Job, exclude []slugname.Endpoint, maxSilence time.Duration, now time.Time) (*Choice, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	exclude = slices.Clone(exclude)
+	for {
+		c := p.bestPrefill(j, exclude, now)
+		if c == nil || c.state.prompts == 0 || now.Sub(c.state.heardAt) <= max(maxSilence, c.Predicted) {
+			return p.assign(c, slugplan.RolePrefill, now)
+		}
+		exclude = append(exclude, c.Name)
+	}
+}
+
 // Lists reports whether an endpoint is listed in the given incarnation.
 func (p *Placer) Lists(e slugname.Endpoint, incarnation int64) bool {
 	p.mu.Lock()
@@ -433,9 +451,7 @@
 		return nil, false
 	}
 	c.stage, c.startedAt = stage, now
-	if stage != slugplan.RolePrefill && c.state.own.Streams == 0 {
-		c.state.heardAt = now
-	}
+	c.state.expect(now)
 	c.state.addWork(c, 1)
 	if stage == slugplan.RolePrefill {
 		p.demand.add(c.nominal, now)
@@ -450,10 +466,18 @@
 	return c, true
 }
 
+// expect records that this process begins to wait for the endpoint, unless it already does.
+func (s *endpointState) expect(now time.Time) {
+	if s.own.Streams == 0 && s.prompts == 0 {
+		s.heardAt = now
+	}
+}
+
 // addWork adds the work of a choice (sign 1) or removes it (sign -1).
 func (s *endpointState) addWork(c *Choice, sign int) {
 	if c.stage == slugplan.RolePrefill {
 		s.own.Prefill += time.Duration(sign) * c.work
+		s.prompts += sign
 		return
 	}
 	s.own.Streams += sign
--- a/internal/request/slugdispatch/stream.go
+++ b/internal/request/slugdispatch/stream.go
@@ -5,7 +5,6 @@
 	"io"
 	"net/http"
 	"slices"
-	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -18,8 +17,6 @@
 )
 
 const (
-	// stallCheckInterval is the time between checks whether an endpoint has stalled.
-	stallCheckInterval = 250 * time.Millisecond
 	// maxHandleBytes bounds the response to a prefill request.
 	maxHandleBytes = 64 << 10
 	// releaseTimeout bounds a request to delete a KV cache.
@@ -91,24 +88,29 @@
 	}
 	exclude := slices.Clone(d.excluded)
 	var last error
+	var next *replacement
+	defer func() { d.dropReplacement(next) }()
+	// retried is set if the retry for the next attempt has been taken.
+	retried := false
 	for range maxSends {
 		if err := d.stopQuarantined(); err != nil {
 			return nil, err
 		}
-		c, ok := d.placer.Prefill(d.job(), exclude, time.Now())
+		c, ok := d.nextPrefill(next, exclude)
+		next = nil
 		if !ok {
 			return nil, noRetry(errors.CombineErrors(last, errNoEndpoint))
 		}
-		if d.prefillAccepted && !d.useRetry(&d.reserved.prompt) {
+		if d.prefillAccepted && !retried && !d.useRetry(&d.reserved.prompt) {
 			c.End(slugplacement.Abandoned, time.Now())
 			return nil, noRetry(errors.CombineErrors(last, errRetryBudget))
 		}
 		c = d.announce(ctx, c, exclude)
-		if refusal := d.refuseOverload(c); refusal != nil {
+		if refusal := d.refuseOverload(c); refusal != nil && !retried {
 			d.cancelChoice(c)
 			return nil, noRetry(refusal)
 		}
-		prefilled, sent, err := d.attemptPrefill(ctx, c)
+		prefilled, sent, err := d.attemptPrefill(ctx, c, exclude, &next)
 		if err == nil {
 			d.prefillAccepted = true
 			return prefilled, nil
@@ -118,13 +120,22 @@
 		if ctx.Err() != nil {
 			return nil, noRetry(err)
 		}
-		if sent && !d.prefillAccepted && !d.tryRetry(time.Now()) {
+		retried = next != nil || retried && !sent
+		if sent && !d.prefillAccepted && !retried && !d.tryRetry(time.Now()) {
 			return nil, noRetry(errors.CombineErrors(err, errRetryBudget))
 		}
 	}
 	return nil, noRetry(last)
 }
 
+// nextPrefill returns the endpoint that replaces a stalled one, or else chooses one.
+func (d *dispatch) nextPrefill(r *replacement, exclude []slugname.Endpoint) (*slugplacement.Choice, bool) {
+	if r != nil {
+		return r.choice, true
+	}
+	return d.placer.Prefill(d.job(), exclude, time.Now())
+}
+
 // maxAnnouncements bounds the endpoints for which one prompt is announced.
 const maxAnnouncements = 3
 
@@ -190,8 +201,9 @@
 }
 
 // attemptPrefill has the prompt processed at one endpoint. sent reports whether the
-// request may have reached the endpoint.
-func (d *dispatch) attemptPrefill(ctx context.Context, c *slugplacement.Choice) (prefilled *prefillResult, sent bool, err error) {
+// request may have reached the endpoint. If the endpoint stalls, next is set to what replaces
+// it, which is none of the excluded endpoints.
+func (d *dispatch) attemptPrefill(ctx context.Context, c *slugplacement.Choice, exclude []slugname.Endpoint, next **replacement) (prefilled *prefillResult, sent bool, err error) {
 	if err := checkReady(c); err != nil {
 		d.cancelChoice(c)
 		return nil, false, err
@@ -199,7 +211,8 @@
 	d.endpoints = append(d.endpoints, c.Name)
 	callCtx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	defer d.watchStall(c, cancel)()
+	stall := d.watchStall(c, exclude, cancel)
+	defer func() { *next = stall.Stop() }()
 	run := d.begin(c)
 	defer d.watchSilence(c, run).Stop()
 	c.Sent(time.Now())
@@ -250,33 +263,6 @@
 	return max(time.Millisecond, d.remaining()-processing)
 }
 
-// errStalled is the cancellation cause of an attempt at a stalled endpoint.
-var errStalled = errors.New("endpoint stalled")
-
-// watchStall cancels an attempt if its endpoint stalls. The returned function stops the
-// checks.
-func (d *dispatch) watchStall(c *slugplacement.Choice, cancel context.CancelCauseFunc) func() {
-	var mu sync.Mutex
-	var timer *time.Timer
-	check := func() {
-		mu.Lock()
-		defer mu.Unlock()
-		if c.Stalled(time.Now()) {
-			cancel(errStalled)
-			return
-		}
-		timer.Reset(stallCheckInterval)
-	}
-	mu.Lock()
-	defer mu.Unlock()
-	timer = time.AfterFunc(stallCheckInterval, check)
-	return func() {
-		mu.Lock()
-		defer mu.Unlock()
-		timer.Stop()
-	}
-}
-
 // readHandle reads the response to a prefill request.
 func (d *dispatch) readHandle(e *slugsend.Exchange) (Handle, error) {
 	head := d.cfg.Codec.DecodeHead(e.Response)
