Count the silence of an engine once, not once a stream

What callers saw: engines that had paused for a second or two got no streams of a host for a long time after that, so that the others carried their load. Cause: each stream that another engine had taken over counted as a failure of the silent one, and the penalty grows with the square of the failures: a dozen streams cost it 17 s, which halve their count only every 3 s. The same held for dials that were not answered and for canceled prompts.

With one failure a stream, TestSilenceOfManyStreamsCountsOnce fails with "the engine is still avoided".

Change: an endpoint that another one replaces, or that does not take a connection in time, has the outcome Silent. It is avoided for 1.5 s, as after repeated failures, and attempts that began before the last counted failure count no more. Attempts that are broken off count as before.

--- a/internal/decision/slugplacement/learn.go
+++ b/internal/decision/slugplacement/learn.go
@@ -25,6 +25,8 @@
 		c.recordServed(now)
 	case Failed:
 		c.state.recordFailure(now)
+	case Silent:
+		c.state.recordSilence(c.startedAt, now)
 	case Full:
 		c.state.avoidUntil = later(c.state.avoidUntil, now.Add(fullAvoidDuration))
 	case WrongEndpoint:
@@ -158,6 +160,15 @@
 	}
 }
 
+// recordSilence counts one failure for all attempts at the endpoint that fell silent together,
+// and avoids it for a time. The caller must hold p.mu.
+func (s *endpointState) recordSilence(startedAt, now time.Time) {
+	if s.failures == 0 || startedAt.After(s.failuresAt) {
+		s.recordFailure(now)
+	}
+	s.avoidUntil = later(s.avoidUntil, now.Add(avoidDuration))
+}
+
 // recentFailures returns the decayed number of failures.
 func (s *endpointState) recentFailures(now time.Time) float64 {
 	if s.failures == 0 {
--- a/internal/decision/slugplacement/placer.go
+++ b/internal/decision/slugplacement/placer.go
@@ -77,6 +77,9 @@
 	// Failed means that the endpoint broke the connection, timed out or sent an invalid
 	// response.
 	Failed
+	// Silent means that the endpoint wrote nothing for so long that another one took over. It
+	// may go on a moment later.
+	Silent
 	// Full means that the endpoint refused for lack of capacity.
 	Full
 	// WrongEndpoint means that a different endpoint responded at the address.
--- a/internal/decision/slugplacement/placer_test.go
+++ b/internal/decision/slugplacement/placer_test.go
@@ -159,6 +159,37 @@
 	assert.Assert(t, requests > 0 && requests < 12, "the failing engine received %d of 400 requests", requests)
 }
 
+// TestSilenceOfManyStreamsCountsOnce guards against an engine that gets no streams for many
+// seconds because it was silent once, for a moment, while it had many of them.
+func TestSilenceOfManyStreamsCountsOnce(t *testing.T) {
+	p := newPlacer(newEngines(1, 2))
+	var silent []*Choice
+	for range 40 {
+		c, ok := p.Decode(newJob("a", 1), "dc-a", nil, start)
+		assert.Assert(t, ok)
+		if c.Name == "e-01" {
+			silent = append(silent, c)
+		}
+	}
+	now := start.Add(time.Second)
+	for i, c := range silent {
+		c.End(Silent, now.Add(time.Duration(i)*10*time.Millisecond))
+	}
+	assert.Assert(t, len(silent) > 10)
+	for range 10 {
+		c, _ := p.Decode(newJob("a", 1), "dc-a", nil, now.Add(avoidDuration/2))
+		assert.Equal(t, c.Name, slugname.Endpoint("e-02"), "a silent engine is chosen")
+		c.End(Abandoned, now)
+	}
+	later := now.Add(3 * failureHalfLife)
+	for range 20 {
+		if c, _ := p.Decode(newJob("a", 1), "dc-a", nil, later); c.Name == "e-01" {
+			return
+		}
+	}
+	t.Fatal("the engine is still avoided")
+}
+
 // TestStalledNeedsIdleEngine guards against treating a late prompt as stalled while its
 // engine completes other prompts.
 func TestStalledNeedsIdleEngine(t *testing.T) {
--- a/internal/request/slugdispatch/decode.go
+++ b/internal/request/slugdispatch/decode.go
@@ -127,7 +127,7 @@
 	defer a.cancel(nil)
 	defer a.silence.Stop()
 	c, e := a.choice, a.exchange
-	c.End(d.decodeOutcome(ctx, err), time.Now())
+	c.End(d.placementOutcome(ctx, e, err), time.Now())
 	if err == nil {
 		// A prefill alone does not show that an engine survives the request.
 		recordServed(a.run, e)
@@ -142,15 +142,6 @@
 	return e.Sent, d.afterDecodeFailure(a, err)
 }
 
-// decodeOutcome classifies the result of an attempt for the placer. A silent endpoint that
-// another one has replaced has failed.
-func (d *dispatch) decodeOutcome(ctx context.Context, err error) slugplacement.Outcome {
-	if err != nil && errors.Is(context.Cause(ctx), errReplaced) {
-		return slugplacement.Failed
-	}
-	return d.placementOutcome(ctx, err)
-}
-
 // afterDecodeFailure records a failed attempt and returns its error, marked with
 // errNoRetry if there must not be another attempt.
 func (d *dispatch) afterDecodeFailure(a *decodeAttempt, err error) error {
--- a/internal/request/slugdispatch/plain.go
+++ b/internal/request/slugdispatch/plain.go
@@ -101,7 +101,7 @@
 	if err == nil {
 		err = d.relayPlain(e, c)
 	}
-	c.End(d.placementOutcome(ctx, err), time.Now())
+	c.End(d.placementOutcome(ctx, e, err), time.Now())
 	if err == nil {
 		recordServed(run, e)
 	} else {
@@ -195,8 +195,10 @@
 	return true
 }
 
-// placementOutcome classifies the result of an attempt for the placer.
-func (d *dispatch) placementOutcome(ctx context.Context, err error) slugplacement.Outcome {
+// placementOutcome classifies the result of an attempt for the placer. An endpoint that another
+// one replaces, or that does not take the connection in time, is silent.
+func (d *dispatch) placementOutcome(ctx context.Context, e *slugsend.Exchange, err error) slugplacement.Outcome {
+	cause := context.Cause(ctx)
 	switch {
 	case err == nil:
 		return slugplacement.Served
@@ -204,8 +206,12 @@
 		return slugplacement.WrongEndpoint
 	case errors.Is(err, errNotRun):
 		return slugplacement.Full
-	case errors.Is(err, errCaller), ctx.Err() != nil && !errors.Is(context.Cause(ctx), errDeadline):
+	case errors.Is(cause, errReplaced), errors.Is(cause, errStalled):
+		return slugplacement.Silent
+	case errors.Is(err, errCaller), cause != nil && !errors.Is(cause, errDeadline):
 		return slugplacement.Abandoned
+	case !e.Sent:
+		return slugplacement.Silent
 	}
 	return slugplacement.Failed
 }
--- a/internal/request/slugdispatch/stream.go
+++ b/internal/request/slugdispatch/stream.go
@@ -224,7 +224,7 @@
 	if err == nil {
 		h, err = d.readHandle(e)
 	}
-	c.End(d.placementOutcome(ctx, err), time.Now())
+	c.End(d.placementOutcome(callCtx, e, err), time.Now())
 	if err != nil {
 		e.Abort()
 		d.logAttemptFailure(c, "prefill", d.reportInterruption(ctx, c, run, e.Sent, err), err)
