Keep a connection between hosts on which other calls are answered

What operators saw: a connection between two hosts closed, and all calls on it failed, because one call got no answer within its time. Cause: the peer counted as unanswering since the start of that call, also if it had answered others meanwhile. Evidence: TestSlowCallClosesAnsweringConnection failed before: 3 s without an answer, where the last one was 1 s old. Change: the time counts from the last answer at the earliest.

--- a/internal/connection/slugtransport/transport.go
+++ b/internal/connection/slugtransport/transport.go
@@ -81,15 +81,18 @@
 	*quic.Conn
 	mu sync.Mutex
 	// unansweredSince is the start of the first call that failed since the last
-	// successful call. It is zero if no call has failed since then.
+	// successful call, or the time of that one if it is later. It is zero if no call has
+	// failed since then.
 	unansweredSince time.Time
+	// answeredAt is the time of the last successful call.
+	answeredAt time.Time
 }
 
 // recordAnswer records that the peer answered a call.
 func (c *connection) recordAnswer() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.unansweredSince = time.Time{}
+	c.unansweredSince, c.answeredAt = time.Time{}, time.Now()
 }
 
 // recordFailure records the failure of a call that started at startedAt. It returns
@@ -99,6 +102,9 @@
 	defer c.mu.Unlock()
 	if c.unansweredSince.IsZero() {
 		c.unansweredSince = startedAt
+		if startedAt.Before(c.answeredAt) {
+			c.unansweredSince = c.answeredAt
+		}
 	}
 	return time.Since(c.unansweredSince)
 }
--- a/internal/connection/slugtransport/transport_test.go
+++ b/internal/connection/slugtransport/transport_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -85,3 +86,18 @@
 		assert.Equal(t, table.Self().Revision, before.Revision)
 	})
 }
+
+// TestSlowCallClosesAnsweringConnection guards against a connection that is closed, with all
+// calls on it, because one call got no answer although the peer answered others meanwhile.
+func TestSlowCallClosesAnsweringConnection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var c connection
+		startedAt := time.Now()
+		time.Sleep(unresponsiveTimeout)
+		c.recordAnswer()
+		time.Sleep(time.Second)
+		assert.Equal(t, c.recordFailure(startedAt), time.Second)
+		time.Sleep(unresponsiveTimeout)
+		assert.Assert(t, c.recordFailure(time.Now()) > unresponsiveTimeout, "the peer has answered nothing since")
+	})
+}
