Let only a second SIGINT end a process that shuts down

What callers saw: requests cut in the middle of a planned stop, if the supervisor repeated SIGTERM. Cause: the second signal of any kind ended the process. Evidence: TestSecondSIGTERMCutsRequests, which fails with the behaviour before. Change: after the first signal only SIGINT, as from a terminal, ends the process at once; a supervisor that wants that has SIGKILL.

--- a/internal/daemon/slugdaemon/daemon.go
+++ b/internal/daemon/slugdaemon/daemon.go
@@ -116,17 +116,27 @@
 	}
 }
 
-// signalContext returns a context that the first SIGTERM or SIGINT cancels. The second
-// signal exits the process.
+// signalContext returns a context that the first SIGTERM or SIGINT cancels. A later SIGINT
+// exits the process.
 func signalContext() context.Context {
 	ctx, cancel := context.WithCancel(context.Background())
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	go func() {
-		<-signals
-		cancel()
-		<-signals
+		awaitInterrupt(signals, cancel)
 		os.Exit(ExitFailure)
 	}()
 	return ctx
 }
+
+// awaitInterrupt calls shutDown at the first signal, and returns at a SIGINT after it. A
+// repeated SIGTERM does not cut the requests that a graceful shutdown lets finish.
+func awaitInterrupt(signals <-chan os.Signal, shutDown func()) {
+	<-signals
+	shutDown()
+	for s := range signals {
+		if s == syscall.SIGINT {
+			return
+		}
+	}
+}
--- a/internal/daemon/slugdaemon/daemon_test.go
+++ b/internal/daemon/slugdaemon/daemon_test.go
@@ -8,6 +8,7 @@
 	"strings"
 	"syscall"
 	"testing"
+	"testing/synctest"
 
 	"github.com/sassafraslug/sassafraslug/internal/base/slugevent"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugsettings"
@@ -70,3 +71,27 @@
 	assert.NilError(t, syscall.Kill(os.Getpid(), syscall.SIGUSR1))
 	<-received
 }
+
+// TestSecondSIGTERMCutsRequests guards against a supervisor that repeats SIGTERM and thereby
+// ends a process that is shutting down, together with its requests.
+func TestSecondSIGTERMCutsRequests(t *testing.T) {
+	for _, first := range []os.Signal{syscall.SIGTERM, syscall.SIGINT} {
+		synctest.Test(t, func(t *testing.T) {
+			signals := make(chan os.Signal)
+			shutDowns, exited := 0, false
+			go func() {
+				awaitInterrupt(signals, func() { shutDowns++ })
+				exited = true
+			}()
+			for _, s := range []os.Signal{first, syscall.SIGTERM, syscall.SIGTERM} {
+				signals <- s
+			}
+			synctest.Wait()
+			assert.Equal(t, shutDowns, 1)
+			assert.Assert(t, !exited)
+			signals <- syscall.SIGINT
+			synctest.Wait()
+			assert.Assert(t, exited)
+		})
+	}
+}
