--- a/internal/decision/slugplacement/learn.go
+++ b/internal/decision/slugplacement/learn.go
@@ -63,7 +63,7 @@
 		return
 	}
 	c.state.cache.addAll(c.job.Parts)
-	c.state.lastPrefillAt = now
+	c.state.lastPrefillAt, c.state.heardAt = now, now
 	p, took := c.p, now.Sub(c.startedAt)
 	c.state.recordDuration(took, c.wait+c.nominal+p.cfg.Pace.Fixed(), now)
 	if c.FetchFrom == "" {
@@ -95,9 +95,10 @@
 	c.setAwaiting(true, now)
 }
 
-// setAwaiting sets whether the request waits for an event. The caller must hold p.mu.
+// setAwaiting sets whether the request waits for its prompt or an event. The caller must hold
+// p.mu.
 func (c *Choice) setAwaiting(awaiting bool, now time.Time) {
-	if c.awaiting == awaiting || c.stage != slugplan.RoleDecode {
+	if c.awaiting == awaiting {
 		return
 	}
 	c.awaiting = awaiting
