--- a/internal/request/slugdispatch/events.go
+++ b/internal/request/slugdispatch/events.go
@@ -104,13 +104,16 @@
 			return errors.Wrap(err, "read event")
 		}
 		now := time.Now()
-		s.Heard()
+		if !s.Heard() {
+			return errReplaced
+		}
 		a.silence.Event(now)
 		c.Event(now)
 		d.countStart()
 		if err := d.relayEvent(e, c, ev, from); err != nil {
 			return err
 		}
+		c.Await(time.Now())
 		s.Wait(d)
 	}
 }
--- a/internal/request/slugdispatch/standby.go
+++ b/internal/request/slugdispatch/standby.go
@@ -78,7 +78,9 @@
 	// done is closed at the end of the preparation in progress.
 	done  chan struct{}
 	ended bool
-	ready *continuation
+	// replaced is set once the silent attempt was canceled for another one.
+	replaced bool
+	ready    *continuation
 	// reason is why the last preparation failed, for the log.
 	reason string
 }
@@ -133,19 +135,25 @@
 }
 
 // Heard records that an event arrived, which makes a preparation unnecessary. The time in
-// which the caller takes the event does not count as silence.
-func (s *standby) Heard() {
+// which the caller takes the event does not count as silence. It returns false if the attempt
+// was replaced before: the event is then that of the endpoint that takes over, whose software
+// version may be another one.
+func (s *standby) Heard() bool {
 	if s.timer == nil {
-		return
+		return true
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.replaced {
+		return false
+	}
 	s.events++
 	s.waiting = false
 	s.timer.Stop()
 	if s.abandon != nil {
 		s.abandon(errEventArrived)
 	}
+	return true
 }
 
 // Wait records that the request waits for the next event.
@@ -182,9 +190,9 @@
 	defer s.mu.Unlock()
 	defer close(s.done)
 	s.abandon = nil
-	if err == nil && s.events != events {
-		s.fork.abandonDecode(next, errEventArrived)
-		err = errEventArrived
+	if err == nil && ctx.Err() != nil {
+		err = context.Cause(ctx)
+		s.fork.abandonDecode(next, err)
 	}
 	if err != nil {
 		s.keep(err)
@@ -192,6 +200,12 @@
 	}
 	next.preparedIn = time.Since(startedAt)
 	s.ready = next
+	s.cancelSilent()
+}
+
+// cancelSilent cancels the silent attempt. The caller must hold s.mu.
+func (s *standby) cancelSilent() {
+	s.replaced = true
 	s.attempt.cancel(errReplaced)
 }
 
@@ -226,6 +240,11 @@
 		return nil, errNoReplacement
 	}
 	prefilled, err := f.prefillFor(ctx, c)
+	if err == nil && !f.placer.Lists(c.Name, c.Incarnation) {
+		// The endpoint began to leave while the prompt was processed.
+		f.releaseCache(prefilled)
+		err = errNoReplacement
+	}
 	if err != nil {
 		c.End(slugplacement.Abandoned, time.Now())
 		return nil, err
@@ -234,12 +253,13 @@
 }
 
 // spare chooses the endpoint that is to take over. An endpoint without capacity may do so
-// only if the silent one has certainly ended.
+// only if the silent one is not registered any more. One that is leaving, or is to change its
+// role, still completes its responses.
 func (s *standby) spare(now time.Time) (*slugplacement.Choice, bool) {
 	f, silent := s.fork, s.attempt.choice
 	near := f.call.Prompt.DataCentre
 	c, ok := f.placer.Spare(f.job(), near, f.excluded, max(minSpareSilence, f.route.Gap), now)
-	if !ok && !f.placer.Lists(silent.Name, silent.Incarnation) {
+	if !ok && !f.cfg.Registered(f.service.Name, silent.Name, silent.Incarnation) {
 		return f.placer.Decode(f.job(), near, f.excluded, now)
 	}
 	return c, ok
@@ -267,9 +287,12 @@
 	f := s.fork
 	attemptCtx, a := f.newDecodeAttempt(s.ctx, c, prefilled)
 	stop := context.AfterFunc(ctx, func() { a.cancel(context.Cause(ctx)) })
-	overlap := time.AfterFunc(maxOverlap, func() { s.replace(events) })
+	// Until the request has a connection, nothing works on it but the silent endpoint.
+	a.onSent = func() {
+		overlap := time.AfterFunc(maxOverlap, func() { s.replace(attemptCtx, events) })
+		context.AfterFunc(attemptCtx, func() { overlap.Stop() })
+	}
 	err := f.openDecode(attemptCtx, a)
-	overlap.Stop()
 	f.reserved.response = !a.exchange.Sent
 	if err == nil {
 		err = f.checkResponse(a.exchange)
@@ -278,7 +301,10 @@
 		err = errors.Newf("endpoint responded with status %d", a.exchange.Response.StatusCode)
 	}
 	if !stop() {
+		// The function may still be about to run. Without the cancellation the endpoint would
+		// count as failed.
 		err = context.Cause(ctx)
+		a.cancel(err)
 	}
 	if err == nil {
 		return &continuation{decodeAttempt: a, ctx: attemptCtx}, nil
@@ -289,12 +315,13 @@
 	return nil, err
 }
 
-// replace cancels the silent attempt if no event has arrived meanwhile.
-func (s *standby) replace(events int) {
+// replace cancels the silent attempt if no event has arrived meanwhile, and the attempt with
+// the given context, which is to replace it, has not ended.
+func (s *standby) replace(ctx context.Context, events int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.events == events {
-		s.attempt.cancel(errReplaced)
+	if s.events == events && ctx.Err() == nil {
+		s.cancelSilent()
 	}
 }
 
