--- a/internal/decision/slugplacement/learn.go
+++ b/internal/decision/slugplacement/learn.go
@@ -26,6 +26,8 @@
 		c.recordServed(now)
 	case Failed:
 		c.state.recordFailure(now)
+	case Silent:
+		c.state.recordSilence(c.startedAt, now)
 	case Full:
 		c.state.avoidUntil = later(c.state.avoidUntil, now.Add(fullAvoidDuration))
 	case WrongEndpoint:
@@ -63,7 +65,7 @@
 		return
 	}
 	c.state.cache.addAll(c.job.Parts)
-	c.state.lastPrefillAt = now
+	c.state.lastPrefillAt, c.state.heardAt = now, now
 	p, took := c.p, now.Sub(c.startedAt)
 	c.state.recordDuration(took, c.wait+c.nominal+p.cfg.Pace.Fixed(), now)
 	if c.FetchFrom == "" {
@@ -95,9 +97,10 @@
 	c.setAwaiting(true, now)
 }
 
-// setAwaiting sets whether the request waits for an event. The caller must hold p.mu.
+// setAwaiting sets whether the request waits for its prompt or an event. The caller must hold
+// p.mu.
 func (c *Choice) setAwaiting(awaiting bool, now time.Time) {
-	if c.awaiting == awaiting || c.stage != slugplan.RoleDecode {
+	if c.awaiting == awaiting {
 		return
 	}
 	c.awaiting = awaiting
@@ -183,6 +186,15 @@
 	}
 }
 
+// recordSilence counts one failure for all attempts at the endpoint that fell silent together,
+// and avoids it for a time. The caller must hold p.mu.
+func (s *endpointState) recordSilence(startedAt, now time.Time) {
+	if s.failures == 0 || startedAt.After(s.failuresAt) {
+		s.recordFailure(now)
+	}
+	s.avoidUntil = later(s.avoidUntil, now.Add(avoidDuration))
+}
+
 // recentFailures returns the decayed number of failures.
 func (s *endpointState) recentFailures(now time.Time) float64 {
 	if s.failures == 0 {
--- a/internal/decision/slugplacement/placer.go
+++ b/internal/decision/slugplacement/placer.go
@@ -77,6 +77,9 @@
 	// Failed means that the endpoint broke the connection, timed out or sent an invalid
 	// response.
 	Failed
+	// Silent means that the endpoint wrote nothing for so long that another one took over. It
+	// may go on a moment later.
+	Silent
 	// Full means that the endpoint refused for lack of capacity.
 	Full
 	// WrongEndpoint means that a different endpoint responded at the address.
@@ -160,10 +163,10 @@
 	limitedAt time.Time
 	// lastPrefillAt is when this process last saw a prompt processed there.
 	lastPrefillAt time.Time
-	// awaited is the number of requests of this process that wait for an event from there.
+	// awaited is the number of requests of this process that wait for a processed prompt or an
+	// event from there.
 	awaited int
-	// heardAt is when this process last received an event from there, or began to wait for
-	// one.
+	// heardAt is when this process last received one from there, or began to wait for one.
 	heardAt time.Time
 }
 
@@ -247,7 +250,7 @@
 	ended   bool
 	// eventSeen is set after the first event of a response.
 	eventSeen bool
-	// awaiting is set while the request waits for an event.
+	// awaiting is set while the request waits for its prompt or an event.
 	awaiting bool
 	wait     time.Duration
 	// score is Predicted plus penalties and preferences; the lowest score is chosen.
@@ -374,6 +377,22 @@
 	return p.assign(p.bestDecode(j, near, candidates, now), slugplan.RoleDecode, now)
 }
 
+// SparePrefill chooses, like Prefill, an engine for a prompt that is still being processed
+// elsewhere. If this process waits for any prompt there, one was completed within maxSilence
+// or within the predicted time.
+func (p *Placer) SparePrefill(j Job, exclude []slugname.Endpoint, maxSilence time.Duration, now time.Time) (*Choice, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	exclude = slices.Clone(exclude)
+	for {
+		c := p.bestPrefill(j, exclude, now)
+		if c == nil || c.state.awaited == 0 || now.Sub(c.state.heardAt) <= max(maxSilence, c.Predicted) {
+			return p.assign(c, slugplan.RolePrefill, now)
+		}
+		exclude = append(exclude, c.Name)
+	}
+}
+
 // Lists reports whether an endpoint is listed in the given incarnation.
 func (p *Placer) Lists(e slugname.Endpoint, incarnation int64) bool {
 	p.mu.Lock()
