Take up streams only as far as observers were current

Callers whose streams began at a new software version, through other hosts, took them up at a host that was cut off from the others or stood still while that version joined.

Cause: what a process had observed counted as complete from its first observation on. A gap, such as a suspension, and a list of endpoints that the store no longer confirmed, did not count against it, no answer of a peer was needed, and the list of versions in the store had no age. A claim about the past rested on knowledge whose age nobody knew.

Change: an observation ends at the instant up to which the watch knows the list of endpoints to be current, and starts anew after a gap. Peers state the span of their observation, the list in the store vouches up to the instant at which it was read, and the spans have to cover the time in which the stream may have begun, up to the question. If only the last moments are missing, the host waits for the next confirmation of its own list, which hosts in touch get each second. While there is none, a host tells peers of its streams as during a release. Observing costs no calls and no messages.

The two tests that expected an observation to last without confirmations (TestObserved after an hour, TestMixed) now confirm each second, and expect the span to end without.

The message has a new field (20); the answer of a process that sends none counts for the versions that it names only.

--- a/internal/base/slugevent/event.go
+++ b/internal/base/slugevent/event.go
@@ -183,7 +183,7 @@
 	EndpointAskedToWait:     {logrus.WarnLevel, "endpoint turned a request away and asks to be left alone", "check the endpoint: it is in need; requests go to others for the time in the field retryAfterMs"},
 	NoticeUnreadable:        {logrus.WarnLevel, "time to wait that an endpoint states cannot be read", "check the endpoint; it is avoided for a moment only, as without a time"},
 	EndpointReturned:        {logrus.InfoLevel, "endpoint that said that it is leaving has started again", "none"},
-	StreamTakenUp:           {logrus.InfoLevel, "caller takes up a stream", "none; without a softwareVersion the request is refused: the stream began at one of several versions, and the hosts that knew which have failed"},
+	StreamTakenUp:           {logrus.InfoLevel, "caller takes up a stream", "none; without a softwareVersion the request is refused: the stream began at one of several versions, and the hosts that knew which have failed, or the hosts that answer were not current all the time"},
 	StreamKept:              {logrus.InfoLevel, "response of a silent endpoint is waited for", "check the endpoint if this persists; the field reason says why no other one takes over"},
 	QuarantineUnreadable:    {logrus.ErrorLevel, "quarantine in the store cannot be decoded", "find out who wrote the object named in the fields, and remove it"},
 	ConnectionSilent:        {logrus.WarnLevel, "connection stopped responding", "check the network between the hosts"},
--- a/internal/daemon/slughost/host.go
+++ b/internal/daemon/slughost/host.go
@@ -304,9 +304,15 @@
 // followEndpoints starts to follow the registry entries of the endpoints.
 func (h *Host) followEndpoints(ctx context.Context, g *errgroup.Group) error {
 	g.Go(func() error {
+		var currentAt slugclock.Instant
 		return h.store.For("endpoints").Watch(ctx, slugstore.Watcher{
 			Prefix: h.adapter.EntryPrefix, NoEnvelope: true, Wait: func() time.Duration { return endpointWatchWait }, BatchDelay: watchBatchDelay,
-			OnChange: h.registry.Apply, OnError: h.registry.WatchFailed, SharedWatch: h.sharedWatches.SharedWatch(h.adapter.EntryPrefix, endpointWatchWait),
+			OnCurrent: func(at slugclock.Instant) { currentAt = at },
+			OnChange: func(objects []slugstore.Object) {
+				h.registry.Apply(objects)
+				h.observeAllVersions(currentAt)
+			},
+			OnError: h.registry.WatchFailed, SharedWatch: h.sharedWatches.SharedWatch(h.adapter.EntryPrefix, endpointWatchWait),
 		})
 	})
 	g.Go(func() error {
--- a/internal/daemon/slughost/join.go
+++ b/internal/daemon/slughost/join.go
@@ -58,8 +58,10 @@
 		Self: h.member.Self(), Call: transport.Call, Peers: h.member.Records, LastConfirmed: h.follower.LastConfirmed,
 		RevisionConfirmed: h.follower.ObservePeer, Bundle: h.follower.Encoded, Fanout: exchangeFanout, Interval: h.exchangeInterval,
 		Follow: h.sharedWatches.Serve, UsageReported: h.usageAggregate.Update, Announce: h.handleAnnouncement,
-		Origins:    func(list []slugorigin.Origin) { h.takeUps.Merge(list) },
-		FindOrigin: func(q slugpeer.OriginQuery) slugpeer.OriginAnswer { return h.takeUps.Serve(q) },
+		Origins: func(list []slugorigin.Origin) { h.takeUps.Merge(list) },
+		FindOrigin: func(q slugpeer.OriginQuery) (slugpeer.OriginAnswer, *slugpeer.ObservedSpan) {
+			return h.takeUps.Serve(q)
+		},
 		Evidence: func(list []slugpeer.Evidence, compare bool) []slugpeer.Evidence {
 			return h.evidence.Serve(list, compare)
 		},
--- a/internal/daemon/slughost/takeups.go
+++ b/internal/daemon/slughost/takeups.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/sassafraslug/sassafraslug/internal/base/slugclock"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugname"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugstore"
 	"github.com/sassafraslug/sassafraslug/internal/decision/slugplan"
@@ -27,8 +28,11 @@
 func (h *Host) shareOrigins(ctx context.Context, g *errgroup.Group) error {
 	g.Go(func() error { return h.takeUps.Run(ctx) })
 	g.Go(func() error {
+		var currentAt slugclock.Instant
 		return h.store.For("versions").Watch(ctx, slugstore.Watcher{
-			Prefix: slugtakeup.Prefix, Wait: func() time.Duration { return versionsWatchWait }, OnChange: h.takeUps.Apply,
+			Prefix: slugtakeup.Prefix, Wait: func() time.Duration { return versionsWatchWait },
+			OnCurrent:   func(at slugclock.Instant) { currentAt = at },
+			OnChange:    func(objects []slugstore.Object) { h.takeUps.Apply(objects, currentAt) },
 			SharedWatch: h.sharedWatches.SharedWatch(slugtakeup.Prefix, versionsWatchWait),
 		})
 	})
@@ -83,6 +87,16 @@
 	h.origins.Observe(s, versions, now)
 }
 
+// observeAllVersions records which software versions served at an instant, after the list of
+// endpoints was brought up to date.
+func (h *Host) observeAllVersions(currentAt slugclock.Instant) {
+	now := time.Now()
+	for _, s := range h.registry.Services() {
+		h.observeVersions(s, now)
+	}
+	h.origins.Confirm(currentAt)
+}
+
 // findOrigin finds the software version that began the stream of a request.
 func (h *Host) findOrigin(ctx context.Context, s slugname.Service, id slugdispatch.RequestID) slugdispatch.Origin {
 	a := h.takeUps.Find(ctx, s, string(id))
--- a/internal/decision/slugorigin/memory.go
+++ b/internal/decision/slugorigin/memory.go
@@ -13,17 +13,20 @@
 //
 //	m := slugorigin.New()
 //	m.Observe(service, versions, now)
+//	m.Confirm(currentAt)
 //	m.Record(slugorigin.NewKey(service, requestID), version, now.Add(limit), now)
 //	v, ok := m.Find(key, now)
 package slugorigin
 
 import (
+	"context"
 	"maps"
 	"slices"
 	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugclock"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugname"
 )
 
@@ -48,11 +51,21 @@
 type Observation struct {
 	// Versions served within the time asked for.
 	Versions []slugname.SoftwareVersion
-	// Complete is set if the process has observed the service for all of that time.
+	// Complete is set if the process has observed the service for all of that time, and does
+	// so now.
 	Complete bool
 }
 
+// Span is a time in which a process observed all services without interruption.
+type Span struct {
+	From, To slugclock.Instant
+}
+
 const (
+	// MaxGap is the longest time between two confirmations that does not interrupt an
+	// observation. A host may be without a confirmation for so long as it moves to another
+	// watcher. A version that joins and leaves within it may be missed.
+	MaxGap = 3 * time.Second
 	// maxOrigins bounds the streams that are remembered.
 	maxOrigins = 1 << 16
 	// maxLeft bounds the time for which peers may report a stream.
@@ -73,16 +86,18 @@
 	origins map[Key]origin
 	// unshared are the streams that this process began and has told no other of.
 	unshared []Key
-	// seenAt is when each version of a service was last seen, and since when the first one
-	// of any service was.
-	seenAt   map[slugname.Service]map[slugname.SoftwareVersion]time.Time
-	since    time.Time
-	prunedAt time.Time
+	// seenAt is when each version of a service was last seen.
+	seenAt map[slugname.Service]map[slugname.SoftwareVersion]time.Time
+	// span ends at the instant up to which the observed list of endpoints was current.
+	span Span
+	// confirmed is closed at the next confirmation, and then replaced.
+	confirmed chan struct{}
+	prunedAt  time.Time
 }
 
 // New returns an empty Memory.
 func New() *Memory {
-	return &Memory{origins: map[Key]origin{}, seenAt: map[slugname.Service]map[slugname.SoftwareVersion]time.Time{}}
+	return &Memory{origins: map[Key]origin{}, seenAt: map[slugname.Service]map[slugname.SoftwareVersion]time.Time{}, confirmed: make(chan struct{})}
 }
 
 // Record records a stream of this process that may be taken up until a time.
@@ -138,9 +153,6 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.since.IsZero() {
-		m.since = now
-	}
 	seen := m.seenAt[s]
 	if seen == nil {
 		seen = map[slugname.SoftwareVersion]time.Time{}
@@ -156,13 +168,54 @@
 	}
 }
 
+// Confirm records that the versions of all services that were current at an instant have been
+// passed to Observe.
+func (m *Memory) Confirm(at slugclock.Instant) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !at.After(m.span.To) {
+		return
+	}
+	if m.span.To.IsZero() || at.Sub(m.span.To) > MaxGap {
+		m.span.From = at
+	}
+	m.span.To = at
+	close(m.confirmed)
+	m.confirmed = make(chan struct{})
+}
+
+// Span returns the last span of observation, which is zero before the first confirmation.
+func (m *Memory) Span() Span {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.span
+}
+
+// AwaitConfirmation waits until the list of endpoints is known to have been current at an
+// instant, or later, and reports false if ctx ends before.
+func (m *Memory) AwaitConfirmation(ctx context.Context, at slugclock.Instant) bool {
+	for {
+		m.mu.Lock()
+		to, confirmed := m.span.To, m.confirmed
+		m.mu.Unlock()
+		if !at.After(to) {
+			return true
+		}
+		select {
+		case <-confirmed:
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
+
 // Observed returns the versions of a service that were seen within a time before now.
-func (m *Memory) Observed(s slugname.Service, within time.Duration, now time.Time) Observation {
+func (m *Memory) Observed(s slugname.Service, within time.Duration, now slugclock.Instant) Observation {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	o := Observation{Complete: !m.since.IsZero() && now.Sub(m.since) >= within}
+	o := Observation{Complete: !m.span.To.IsZero() && now.Sub(m.span.To) <= MaxGap && now.Sub(m.span.From) >= within}
 	for v, at := range m.seenAt[s] {
-		if now.Sub(at) <= within {
+		if now.Time().Sub(at) <= within {
 			o.Versions = append(o.Versions, v)
 		}
 	}
@@ -178,8 +231,8 @@
 }
 
 // Mixed reports whether streams of any service may have begun at different versions within a
-// time before now.
-func (m *Memory) Mixed(within time.Duration, now time.Time) bool {
+// time before now, as far as this process knows.
+func (m *Memory) Mixed(within time.Duration, now slugclock.Instant) bool {
 	return slices.ContainsFunc(m.Services(), func(s slugname.Service) bool {
 		o := m.Observed(s, within, now)
 		return !o.Complete || len(o.Versions) > 1
--- a/internal/decision/slugorigin/memory_test.go
+++ b/internal/decision/slugorigin/memory_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/sassafraslug/sassafraslug/internal/base/slugclock"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugname"
 	"gotest.tools/v3/assert"
 )
@@ -34,37 +35,62 @@
 }
 
 // Guards against a version that left while its streams can still be taken up, and against a
-// process that takes the versions that it has seen for all, although it has just started.
+// process that takes the versions that it has seen for all, although it has just started, or
+// was not current for a while or still is not.
 func TestObserved(t *testing.T) {
-	m, now := New(), time.Now()
+	m, now := New(), slugclock.Now()
 	assert.Assert(t, !m.Observed("llm", limit, now).Complete)
-	m.Observe("llm", []slugname.SoftwareVersion{"v2", "v1"}, now)
-	for after, want := range map[time.Duration]Observation{
-		0:                    {Versions: []slugname.SoftwareVersion{"v1", "v2"}},
-		limit:                {Versions: []slugname.SoftwareVersion{"v1", "v2"}, Complete: true},
-		limit + time.Second:  {Versions: []slugname.SoftwareVersion{"v2"}, Complete: true},
-		time.Hour + limit*10: {Complete: true},
-	} {
-		if after > 0 && after <= limit+time.Second {
-			m.Observe("llm", []slugname.SoftwareVersion{"v2"}, now.Add(after))
-		}
+	see := func(after time.Duration, versions ...slugname.SoftwareVersion) {
+		m.Observe("llm", versions, now.Add(after).Time())
+		m.Confirm(now.Add(after))
+	}
+	want := func(after time.Duration, want Observation) {
 		assert.DeepEqual(t, m.Observed("llm", limit, now.Add(after)), want)
 	}
+	see(0, "v2", "v1")
+	want(0, Observation{Versions: []slugname.SoftwareVersion{"v1", "v2"}})
+	for after := time.Second; after <= limit+time.Second; after += time.Second {
+		see(after, "v2")
+		if after == limit {
+			want(after, Observation{Versions: []slugname.SoftwareVersion{"v1", "v2"}, Complete: true})
+		}
+	}
+	want(limit+time.Second, Observation{Versions: []slugname.SoftwareVersion{"v2"}, Complete: true})
+	m.Confirm(now)
+	want(limit+time.Second, Observation{Versions: []slugname.SoftwareVersion{"v2"}, Complete: true})
+	last := limit + time.Second
+	want(last+MaxGap, Observation{Versions: []slugname.SoftwareVersion{"v2"}, Complete: true})
+	want(last+MaxGap+time.Millisecond, Observation{Versions: []slugname.SoftwareVersion{"v2"}})
+	see(last+MaxGap+time.Millisecond, "v2")
+	want(last+MaxGap+time.Millisecond, Observation{Versions: []slugname.SoftwareVersion{"v2"}})
+	want(time.Hour+limit*10, Observation{})
 }
 
 // Guards against peers that are told of each stream although there is one version, and that
-// are not told from the moment at which there are two.
+// are not told from the moment at which there are two, or at which this process may have
+// missed one.
 func TestMixed(t *testing.T) {
-	m, now := New(), time.Now()
-	m.Observe("llm", []slugname.SoftwareVersion{"v1"}, now)
+	m, now := New(), slugclock.Now()
+	see := func(versions ...slugname.SoftwareVersion) {
+		m.Observe("llm", versions, now.Time())
+		m.Confirm(now)
+	}
+	see("v1")
 	assert.Assert(t, m.Mixed(limit, now), "the process has just started")
-	now = now.Add(limit)
-	m.Observe("llm", []slugname.SoftwareVersion{"v1"}, now)
+	for range limit / time.Second {
+		now = now.Add(time.Second)
+		see("v1")
+	}
 	assert.Assert(t, !m.Mixed(limit, now))
-	m.Observe("llm", []slugname.SoftwareVersion{"v1", "v2"}, now)
-	m.Observe("desk", []slugname.SoftwareVersion{"v7"}, now)
+	assert.Assert(t, m.Mixed(limit, now.Add(MaxGap+time.Second)), "the list is old")
+	see("v1", "v2")
+	m.Observe("desk", []slugname.SoftwareVersion{"v7"}, now.Time())
 	assert.Assert(t, m.Mixed(limit, now))
-	assert.Assert(t, !m.Mixed(limit, now.Add(limit+time.Second)))
+	for range limit/time.Second + 1 {
+		now = now.Add(time.Second)
+		m.Confirm(now)
+	}
+	assert.Assert(t, !m.Mixed(limit, now))
 }
 
 // Guards against state that grows without bound.
--- a/internal/membership/slugpeer/row.go
+++ b/internal/membership/slugpeer/row.go
@@ -183,6 +183,8 @@
 	// FindOrigin asks which software version began a stream, and Origin is the answer.
 	FindOrigin *OriginQuery  `cbor:"18,keyasint,omitempty"`
 	Origin     *OriginAnswer `cbor:"19,keyasint,omitempty"`
+	// Observed is the time in which the sender of Origin observed which versions serve.
+	Observed *ObservedSpan `cbor:"20,keyasint,omitempty"`
 }
 
 // OriginQuery asks which software version of a service began a stream.
@@ -198,11 +200,19 @@
 	// Version is empty if the process does not know the stream.
 	Version slugname.SoftwareVersion
 	// Versions served while the stream may have begun. Complete is set if the process has
-	// observed the service for all of that time.
+	// observed the service for all of that time; ObservedSpan says up to when.
 	Versions []slugname.SoftwareVersion
 	Complete bool
 }
 
+// ObservedSpan is a time in which a process knew without interruption which endpoints serve.
+type ObservedSpan struct {
+	_ struct{} `cbor:",toarray"`
+	// FromMs and ToMs are the times since its begin, rounded down, and since its end, rounded
+	// up, in milliseconds.
+	FromMs, ToMs uint32
+}
+
 // Evidence holds the entries of one service about requests that may crash endpoints.
 type Evidence struct {
 	_       struct{} `cbor:",toarray"`
--- a/internal/membership/slugpeer/table.go
+++ b/internal/membership/slugpeer/table.go
@@ -50,7 +50,7 @@
 	// Origins merges the streams of a peer, and FindOrigin answers a question for one; they
 	// may be nil.
 	Origins    func([]slugorigin.Origin)
-	FindOrigin func(OriginQuery) OriginAnswer
+	FindOrigin func(OriginQuery) (OriginAnswer, *ObservedSpan)
 	// UsageReported is called with the counts of accounting windows of a peer; it may be nil.
 	UsageReported func(slugname.Process, []WindowCount)
 	// Fanout is the number of live peers called per round; 0 means 2.
@@ -301,8 +301,8 @@
 		return answer
 	}
 	if m.FindOrigin != nil && t.cfg.FindOrigin != nil {
-		found := t.cfg.FindOrigin(*m.FindOrigin)
-		answer.Origin = &found
+		found, observed := t.cfg.FindOrigin(*m.FindOrigin)
+		answer.Origin, answer.Observed = &found, observed
 		return answer
 	}
 	if m.Usage != nil && t.cfg.UsageReported != nil {
--- a/internal/membership/slugtakeup/resolver.go
+++ b/internal/membership/slugtakeup/resolver.go
@@ -4,8 +4,10 @@
 // also tells a few other hosts, chosen by rendezvous hashing, so that the knowledge outlasts
 // the hosts that fail together. A host at which a stream is taken up asks the hosts that rank
 // first for it. If nobody knows the stream, it began at the only version that served
-// throughout the time that streams may last; if there were several, or nobody has observed
-// the service for that long, the version is unknown.
+// throughout the time that streams may last; if there were several, the version is unknown.
+// Hosts answer for the time in which their lists of endpoints were current. The version is
+// unknown too if the hosts that answer do not cover all of that time, up to the question: a
+// host that is cut off, or was suspended, may have missed a version.
 //
 // The store holds one list of versions for each service, which changes when a release begins
 // or has ended. After all hosts have failed, streams that began before go on if the list has
@@ -27,6 +29,7 @@
 	"time"
 
 	"github.com/sassafraslug/sassafraslug/internal/base/slugbackoff"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugclock"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugevent"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugname"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugstore"
@@ -43,10 +46,13 @@
 	// copies is the number of other hosts that are told of a stream, and askedPeers the
 	// number that is asked, which is larger because hosts differ on who is alive.
 	copies, askedPeers = 4, 8
+	// confirmTimeout bounds the wait for a confirmation of the list of endpoints. Hosts in
+	// touch get one each second.
+	confirmTimeout = 2 * time.Second
 	// askTimeout bounds a question to peers, some of which may have failed.
 	askTimeout = 300 * time.Millisecond
 	// confirmations is the number of answers after which a host does not wait for others, if
-	// all agree that there was one version only.
+	// they cover the time in question and agree that there was one version only.
 	confirmations = 2
 	// callTimeout bounds a message about new streams.
 	callTimeout = time.Second
@@ -93,8 +99,9 @@
 	turns *slugturn.Turns
 
 	mu sync.Mutex
-	// stored holds the lists of versions in the store.
-	stored map[slugname.Service]storedList
+	// stored holds the lists of versions in the store as of listedAt.
+	stored   map[slugname.Service]storedList
+	listedAt slugclock.Instant
 }
 
 // New returns a Resolver.
@@ -114,9 +121,9 @@
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	for slugbackoff.Sleep(ctx, spreadInterval) == nil {
-		now := time.Now()
+		now := slugclock.Now()
 		if r.cfg.Memory.Mixed(r.cfg.Limit(), now) {
-			r.spread(ctx, &wg, r.cfg.Memory.Unshared(now))
+			r.spread(ctx, &wg, r.cfg.Memory.Unshared(now.Time()))
 		}
 		r.updateStore(ctx, &wg, now)
 	}
@@ -150,23 +157,34 @@
 func (r *Resolver) Merge(list []slugorigin.Origin) { r.cfg.Memory.Merge(list, time.Now()) }
 
 // Serve answers the question of a peer.
-func (r *Resolver) Serve(q slugpeer.OriginQuery) slugpeer.OriginAnswer {
-	now := time.Now()
-	v, _ := r.cfg.Memory.Find(q.Key, now)
-	o := r.cfg.Memory.Observed(q.Service, r.cfg.Limit(), now)
-	return slugpeer.OriginAnswer{Version: v, Versions: o.Versions, Complete: o.Complete}
+func (r *Resolver) Serve(q slugpeer.OriginQuery) (slugpeer.OriginAnswer, *slugpeer.ObservedSpan) {
+	now := slugclock.Now()
+	v, _ := r.cfg.Memory.Find(q.Key, now.Time())
+	// The stream began up to askTimeout earlier than the question arrived.
+	o := r.cfg.Memory.Observed(q.Service, r.cfg.Limit()+askTimeout, now)
+	return slugpeer.OriginAnswer{Version: v, Versions: o.Versions, Complete: o.Complete}, encodeSpan(r.cfg.Memory.Span(), now)
 }
 
 // Find returns the version that began the stream of a request.
 func (r *Resolver) Find(ctx context.Context, s slugname.Service, requestID string) Answer {
 	q := slugpeer.OriginQuery{Service: s, Key: slugorigin.NewKey(s, requestID)}
-	own := r.Serve(q)
-	if own.Version != "" {
-		return Answer{own.Version, SourceOwn, own.Versions}
+	e := evidence{service: s, asked: slugclock.Now(), limit: r.cfg.Limit()}
+	r.addOwn(&e)
+	if v, ok := r.cfg.Memory.Find(q.Key, e.asked.Time()); ok {
+		return Answer{v, SourceOwn, e.versions}
+	}
+	if a := r.askPeers(ctx, q, &e); a.Version != "" {
+		return Answer{a.Version, SourcePeer, a.Versions}
 	}
-	listed, reliable := r.listed(s)
-	answer := Answer{Source: SourceUnknown, Versions: union(own.Versions, listed)}
-	complete := own.Complete || reliable
+	if r.complete(ctx, &e) && len(e.versions) == 1 {
+		return Answer{e.versions[0], SourceOnlyVersion, e.versions}
+	}
+	return Answer{Source: SourceUnknown, Versions: e.versions}
+}
+
+// askPeers adds what peers have observed to e, and returns the answer of one that knows the
+// stream, if any.
+func (r *Resolver) askPeers(ctx context.Context, q slugpeer.OriginQuery, e *evidence) slugpeer.OriginAnswer {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	peers := r.cfg.Peers(subject(q.Key), askedPeers)
@@ -178,18 +196,45 @@
 			continue
 		}
 		if a.Version != "" {
-			return Answer{a.Version, SourcePeer, a.Versions}
+			return a.OriginAnswer
 		}
-		complete = complete || a.Complete
-		answer.Versions = union(answer.Versions, a.Versions)
-		if confirmed++; confirmed >= confirmations && complete && len(answer.Versions) == 1 {
+		e.add(a.Versions, a.span)
+		if confirmed++; confirmed >= confirmations && e.complete() && len(e.versions) == 1 {
 			break
 		}
 	}
-	if complete && len(answer.Versions) == 1 {
-		answer.Version, answer.Source = answer.Versions[0], SourceOnlyVersion
+	return slugpeer.OriginAnswer{}
+}
+
+// addOwn adds what this process has observed, and what the store lists, to e.
+func (r *Resolver) addOwn(e *evidence) {
+	now := slugclock.Now()
+	span := r.cfg.Memory.Span()
+	e.add(r.cfg.Memory.Observed(e.service, e.limit+now.Sub(e.asked), now).Versions, span)
+	listed, at, reliable := r.listed(e.service)
+	if !reliable {
+		at = slugclock.Instant{}
+	}
+	e.add(listed, slugorigin.Span{To: at})
+}
+
+// complete reports whether e covers the time in which the stream may have begun. If only the
+// last moments are missing, it waits until the list of endpoints is known to be current.
+func (r *Resolver) complete(ctx context.Context, e *evidence) bool {
+	own := r.cfg.Memory.Span()
+	switch {
+	case e.complete():
+		return true
+	case len(e.versions) != 1 || own.From.After(e.covered()) || e.asked.Sub(own.To) > slugorigin.MaxGap:
+		return false
 	}
-	return answer
+	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
+	defer cancel()
+	if !r.cfg.Memory.AwaitConfirmation(ctx, e.asked) {
+		return false
+	}
+	r.addOwn(e)
+	return e.complete()
 }
 
 // union returns the versions in either list.
@@ -197,17 +242,24 @@
 	return slices.Compact(slices.Sorted(slices.Values(slices.Concat(a, b))))
 }
 
+// peerAnswer is the answer of a peer.
+type peerAnswer struct {
+	slugpeer.OriginAnswer
+	span slugorigin.Span
+}
+
 // ask asks peers for a stream. The channel yields one answer for each, nil if there is none.
-func (r *Resolver) ask(ctx context.Context, peers []slugmember.Record, q slugpeer.OriginQuery) <-chan *slugpeer.OriginAnswer {
-	answers := make(chan *slugpeer.OriginAnswer, len(peers))
+func (r *Resolver) ask(ctx context.Context, peers []slugmember.Record, q slugpeer.OriginQuery) <-chan *peerAnswer {
+	answers := make(chan *peerAnswer, len(peers))
 	for _, p := range peers {
 		go func() {
+			sent := slugclock.Now()
 			m, err := r.cfg.Call(ctx, p, slugpeer.Message{Protocol: slugpeer.Protocol, FindOrigin: &q})
-			if err != nil {
+			if err != nil || m.Origin == nil {
 				answers <- nil
 				return
 			}
-			answers <- m.Origin
+			answers <- &peerAnswer{*m.Origin, decodeSpan(m.Observed, sent, slugclock.Now())}
 		}()
 	}
 	return answers
--- a/internal/membership/slugtakeup/resolver_test.go
+++ b/internal/membership/slugtakeup/resolver_test.go
@@ -9,6 +9,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/sassafraslug/sassafraslug/internal/base/slugclock"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugevent"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugname"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugstore"
@@ -84,8 +85,8 @@
 				peer.Merge(m.Origins)
 				return slugpeer.Message{}, nil
 			}
-			a := peer.Serve(*m.FindOrigin)
-			return slugpeer.Message{Origin: &a}, nil
+			a, observed := peer.Serve(*m.FindOrigin)
+			return slugpeer.Message{Origin: &a, Observed: observed}, nil
 		},
 	})
 	c.resolvers[self] = r
@@ -105,13 +106,20 @@
 // observe lets all processes see versions.
 func (c *cluster) observe(versions ...slugname.SoftwareVersion) {
 	for _, r := range c.resolvers {
-		r.cfg.Memory.Observe("llm", versions, time.Now())
+		see(r, versions...)
 	}
 }
 
+// see lets a process see versions in a list that is current.
+func see(r *Resolver, versions ...slugname.SoftwareVersion) {
+	r.cfg.Memory.Observe("llm", versions, time.Now())
+	r.cfg.Memory.Confirm(slugclock.Now())
+}
+
 // Guards against a version that is guessed, and against one that is not found although a
 // process knows it.
 func TestFind(t *testing.T) {
+	t.Cleanup(slugclock.IgnoreSuspensions())
 	for _, test := range []struct {
 		name string
 		// play returns the process at which the stream is taken up.
@@ -127,17 +135,17 @@
 		}, Answer{"v1", SourceOnlyVersion, []slugname.SoftwareVersion{"v1"}}, 0},
 		{"one version, the process has just started", func(c *cluster) *Resolver {
 			r := c.add("new")
-			r.cfg.Memory.Observe("llm", []slugname.SoftwareVersion{"v1"}, time.Now())
+			see(r, "v1")
 			return r
 		}, Answer{"v1", SourceOnlyVersion, []slugname.SoftwareVersion{"v1"}}, 0},
 		{"one version, all processes have just started", func(c *cluster) *Resolver {
 			c.fail(c.order...)
 			r := c.add("new")
-			r.cfg.Memory.Observe("llm", []slugname.SoftwareVersion{"v1"}, time.Now())
+			see(r, "v1")
 			return r
 		}, Answer{"", SourceUnknown, []slugname.SoftwareVersion{"v1"}}, askTimeout},
 		{"a peer has seen another version", func(c *cluster) *Resolver {
-			c.resolvers["b"].cfg.Memory.Observe("llm", []slugname.SoftwareVersion{"v2"}, time.Now())
+			see(c.resolvers["b"], "v2")
 			c.fail("c", "d")
 			return c.resolvers["a"]
 		}, Answer{"", SourceUnknown, []slugname.SoftwareVersion{"v1", "v2"}}, askTimeout},
--- a/internal/membership/slugtakeup/versions.go
+++ b/internal/membership/slugtakeup/versions.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugclock"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugevent"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugname"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugstore"
@@ -42,10 +43,11 @@
 	version slugstore.Version
 }
 
-// Apply takes over the lists of versions from the store.
-func (r *Resolver) Apply(objects []slugstore.Object) {
+// Apply takes over the lists of versions from the store as of an instant.
+func (r *Resolver) Apply(objects []slugstore.Object, currentAt slugclock.Instant) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.listedAt = currentAt
 	for _, o := range objects {
 		s := slugname.Service(strings.TrimPrefix(o.Name, Prefix))
 		delete(r.stored, s)
@@ -61,17 +63,17 @@
 	}
 }
 
-// listed returns the versions of a service that the store lists, and whether the list can be
-// relied on.
-func (r *Resolver) listed(s slugname.Service) ([]slugname.SoftwareVersion, bool) {
+// listed returns the versions of a service that the store lists as of an instant, and whether
+// the list can be relied on.
+func (r *Resolver) listed(s slugname.Service) (versions []slugname.SoftwareVersion, at slugclock.Instant, reliable bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	list, ok := r.stored[s]
-	return list.Versions, ok && len(list.Versions) > 0 && list.Era == r.cfg.Store.Era()
+	return list.Versions, r.listedAt, ok && len(list.Versions) > 0 && list.Era == r.cfg.Store.Era()
 }
 
 // updateStore lists the versions that serve, and removes those that have left.
-func (r *Resolver) updateStore(ctx context.Context, wg *sync.WaitGroup, now time.Time) {
+func (r *Resolver) updateStore(ctx context.Context, wg *sync.WaitGroup, now slugclock.Instant) {
 	open := map[string]bool{}
 	for _, s := range r.cfg.Memory.Services() {
 		wanted := r.wantedList(s, now)
@@ -79,7 +81,7 @@
 			continue
 		}
 		open[Prefix+string(s)] = true
-		if r.turns.Due(Prefix+string(s), now) {
+		if r.turns.Due(Prefix+string(s), now.Time()) {
 			wg.Go(func() { r.write(ctx, s, wanted) })
 		}
 	}
@@ -87,10 +89,10 @@
 }
 
 // wantedList returns the list that the store is to have, or nil if it has it.
-func (r *Resolver) wantedList(s slugname.Service, now time.Time) []slugname.SoftwareVersion {
+func (r *Resolver) wantedList(s slugname.Service, now slugclock.Instant) []slugname.SoftwareVersion {
 	present := r.cfg.Memory.Observed(s, presentTime, now).Versions
 	lately := r.cfg.Memory.Observed(s, removalLimits*r.cfg.Limit(), now)
-	old, reliable := r.listed(s)
+	old, _, reliable := r.listed(s)
 	if !reliable && !lately.Complete {
 		return nil
 	}
