Introduce a new host to the watchers before it follows

Cause: a host took itself for the only one until periodic exchanges had told it of its peers, 1.2 s apart at 150 hosts, and watched the store meanwhile: by a trace of 1,101 watches of 150 hosts in their first 3 s, records 408 (each new record ends the watches of all), endpoints 263, configuration 159, lists of versions 150, quarantines 121. When a peer was followed by its record alone, it refused the call, since it had not read the caller's record yet.

Change: a host publishes its record, then lists those of the others, and exchanges rows with the highest-ranked watchers of its data centre by these records and two more (slugintroduction). A refused call is repeated every 150 ms; each process is called once only, and only the latest one of a host, so that records of killed processes cost little. Watches list at once as before and choose whom to follow when the introductions have ended, after 0.8 s at the latest. The choice of watchers is unchanged: only processes that were heard of count. The list of live processes is found anew after an introduction. The publication no longer polls for the era of the store, and the quarantines no longer wait for peers on their own.

Why it works: the watchers by the records rank above the new host, so with two of them heard of it is not a watcher. Records published before the own one are all seen, so that of hosts which start together only the highest-ranked watch.

--- a/internal/base/slugstore/era.go
+++ b/internal/base/slugstore/era.go
@@ -54,6 +54,9 @@
 	return s.current.since
 }
 
+// EraKnown returns a channel that is closed when the first response has shown the era.
+func (s *Store) EraKnown() <-chan struct{} { return s.eraKnown }
+
 // observeEra records the era of a response. It returns ErrStale if the response is from an
 // older era than an earlier one.
 func (s *Store) observeEra(e Era) error {
@@ -61,6 +64,9 @@
 	old := s.current
 	if !old.known || e > old.era {
 		s.current = eraState{era: e, known: true, since: time.Now()}
+		if !old.known {
+			close(s.eraKnown)
+		}
 	}
 	s.mu.Unlock()
 	switch {
--- a/internal/base/slugstore/store.go
+++ b/internal/base/slugstore/store.go
@@ -136,6 +136,8 @@
 	lastResponse, lastFailure time.Time
 	// current is the newest era of the store.
 	current eraState
+	// eraKnown is closed when current is known.
+	eraKnown chan struct{}
 }
 
 // New returns a Store.
@@ -150,6 +152,7 @@
 		callBackoff:  slugbackoff.New(slugbackoff.Config{Base: retryBaseDelay, Cap: maxRetryDelay, Ratio: retriesPerCall, Burst: 50}),
 		watchBackoff: slugbackoff.New(slugbackoff.Config{Base: retryBaseDelay, Cap: maxWatchRetryDelay}),
 		seenVersions: map[string]Version{},
+		eraKnown:     make(chan struct{}),
 	}}
 }
 
--- a/internal/daemon/slughost/crashes.go
+++ b/internal/daemon/slughost/crashes.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/sassafraslug/sassafraslug/internal/base/slugbackoff"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugevent"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugname"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugstore"
@@ -28,9 +27,6 @@
 	// quarantineWatchWait is how long one watch call for the quarantines waits. Peers report
 	// new quarantines sooner.
 	quarantineWatchWait = 10 * time.Second
-	// quarantineWatchDelay is the longest time that a new process waits for the first news of
-	// its peers before it watches the quarantines, so that it can follow one of them.
-	quarantineWatchDelay = time.Second
 )
 
 // probes limits how often endpoints are probed.
@@ -139,11 +135,6 @@
 func (h *Host) followQuarantines(ctx context.Context, g *errgroup.Group) error {
 	g.Go(func() error { return h.evidence.Run(ctx) })
 	g.Go(func() error {
-		for waited := time.Duration(0); len(h.livePeers()) < 2 && waited < quarantineWatchDelay; waited += livePeersMaxAge {
-			if slugbackoff.Sleep(ctx, livePeersMaxAge) != nil {
-				return nil
-			}
-		}
 		return h.store.For("quarantines").Watch(ctx, slugstore.Watcher{
 			Prefix: slugevidence.Prefix, Wait: func() time.Duration { return quarantineWatchWait }, OnChange: h.evidence.Apply,
 			SharedWatch: h.sharedWatches.SharedWatch(slugevidence.Prefix, quarantineWatchWait),
--- a/internal/daemon/slughost/host.go
+++ b/internal/daemon/slughost/host.go
@@ -41,6 +41,7 @@
 	"github.com/sassafraslug/sassafraslug/internal/fleet/slugroles"
 	"github.com/sassafraslug/sassafraslug/internal/membership/slugconfigfollower"
 	"github.com/sassafraslug/sassafraslug/internal/membership/slugevidence"
+	"github.com/sassafraslug/sassafraslug/internal/membership/slugintroduction"
 	"github.com/sassafraslug/sassafraslug/internal/membership/slugmember"
 	"github.com/sassafraslug/sassafraslug/internal/membership/slugowner"
 	"github.com/sassafraslug/sassafraslug/internal/membership/slugpeer"
@@ -83,6 +84,9 @@
 	lookupMaxAge = 2 * time.Second
 	// publishRetryInterval is the time between attempts to publish the membership record.
 	publishRetryInterval = 200 * time.Millisecond
+	// publishWait is how long a new process waits for its first attempt to publish its record
+	// before it reads those of the others.
+	publishWait = 300 * time.Millisecond
 	// callTimeout limits the time of a push to peers, and of the removal of the membership
 	// record during a shutdown.
 	callTimeout = time.Second
@@ -111,6 +115,7 @@
 	member         *slugmember.Member
 	table          *slugpeer.Table
 	sharedWatches  *watchSharing
+	introducer     *slugintroduction.Introducer
 	follower       *slugconfigfollower.Follower
 	registry       *slugregistry.Registry
 	sender         *slugsend.Sender
--- a/internal/daemon/slughost/join.go
+++ b/internal/daemon/slughost/join.go
@@ -7,6 +7,7 @@
 	"expvar"
 	"maps"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/sassafraslug/sassafraslug/internal/base/slugbackoff"
@@ -20,6 +21,7 @@
 	"github.com/sassafraslug/sassafraslug/internal/decision/slugplan"
 	"github.com/sassafraslug/sassafraslug/internal/fleet/slugregistry"
 	"github.com/sassafraslug/sassafraslug/internal/membership/slugconfigfollower"
+	"github.com/sassafraslug/sassafraslug/internal/membership/slugintroduction"
 	"github.com/sassafraslug/sassafraslug/internal/membership/slugmember"
 	"github.com/sassafraslug/sassafraslug/internal/membership/slugowner"
 	"github.com/sassafraslug/sassafraslug/internal/membership/slugpeer"
@@ -32,7 +34,7 @@
 const processIDBytes = 4
 
 // join creates the components that connect this process to the cluster. It sends nothing.
-func (h *Host) join(_ context.Context, _ *errgroup.Group) error {
+func (h *Host) join(ctx context.Context, _ *errgroup.Group) error {
 	h.newStore()
 	transport, err := h.network.Peers(h.settings.PeersListen, h.log)
 	if err != nil {
@@ -41,7 +43,7 @@
 	h.transport = transport
 	h.sharedWatches = newWatchSharing(h)
 	h.member = slugmember.New(slugmember.Config{
-		Self: h.newRecord(), Store: h.store.For("members"), Changed: h.divideLimits, BatchDelay: watchBatchDelay, Wait: memberWatchWait,
+		Self: h.newRecord(), Store: h.store.For("members"), Changed: h.recordsChanged, BatchDelay: watchBatchDelay, Wait: memberWatchWait,
 		SharedWatch: h.sharedWatches.SharedWatch(slugmember.Prefix, memberWatchWait),
 	})
 	transport.SetLookup(h.member.ByCertificate)
@@ -64,6 +66,11 @@
 			return h.evidence.Serve(list, compare)
 		},
 	})
+	h.introducer = slugintroduction.New(slugintroduction.Config{
+		Self: h.member.Self(), Listed: h.member.Listed, Records: h.member.Records, Alive: h.table.Alive, Call: h.introduce,
+	})
+	// Watches that wait for the introduction end also if the exchange never starts.
+	context.AfterFunc(ctx, h.introducer.End)
 	h.evidence = h.newEvidence()
 	h.takeUps = h.newTakeUps()
 	return nil
@@ -110,6 +117,21 @@
 	}
 }
 
+// introduce exchanges rows with a peer, which then counts as alive at once.
+func (h *Host) introduce(ctx context.Context, p slugmember.Record) error {
+	err := h.table.Exchange(ctx, p)
+	h.liveMu.Lock()
+	defer h.liveMu.Unlock()
+	h.liveAt = time.Time{}
+	return err
+}
+
+// recordsChanged applies changes of the membership records.
+func (h *Host) recordsChanged() {
+	h.divideLimits()
+	h.introducer.RecordsChanged()
+}
+
 // divideLimits divides the fixed part of the retry budgets, and the rate limits of
 // endpoints, evenly among the known hosts.
 func (h *Host) divideLimits() {
@@ -136,8 +158,19 @@
 
 // exchange publishes the membership record and starts to exchange state with peers.
 func (h *Host) exchange(ctx context.Context, g *errgroup.Group) error {
-	g.Go(func() error { return h.publish(ctx) })
-	g.Go(func() error { return h.member.Run(ctx) })
+	published := make(chan struct{})
+	g.Go(func() error { return h.publish(ctx, sync.OnceFunc(func() { close(published) })) })
+	g.Go(func() error {
+		// Of processes that start together, each then reads the records of those that
+		// published before it.
+		select {
+		case <-published:
+		case <-time.After(publishWait):
+		case <-ctx.Done():
+		}
+		return h.member.Run(ctx)
+	})
+	g.Go(func() error { return h.introducer.Run(ctx) })
 	g.Go(func() error { return h.transport.Serve(ctx, h.table.Serve) })
 	g.Go(func() error { return h.table.Run(ctx) })
 	g.Go(func() error {
@@ -156,16 +189,18 @@
 }
 
 // publish keeps the membership record in the store until ctx is cancelled: it writes it at
-// the start, and again after the store has lost it.
-func (h *Host) publish(ctx context.Context) error {
-	for h.store.EraSeenAt().IsZero() {
-		// The record tells the era in which this process has started.
-		if slugbackoff.Sleep(ctx, eraPollInterval) != nil {
-			return nil
-		}
+// the start, and again after the store has lost it. tried is called after each attempt.
+func (h *Host) publish(ctx context.Context, tried func()) error {
+	// The record tells the era in which this process has started.
+	select {
+	case <-h.store.EraKnown():
+	case <-ctx.Done():
+		return nil
 	}
 	for ctx.Err() == nil {
-		if err := h.member.Publish(ctx); err != nil {
+		err := h.member.Publish(ctx)
+		tried()
+		if err != nil {
 			h.log.Error(slugevent.StoreUnavailable, err, slugevent.Fields{"step": "publish record"})
 			_ = slugbackoff.Sleep(ctx, publishRetryInterval)
 			continue
--- a/internal/daemon/slughost/restored.go
+++ b/internal/daemon/slughost/restored.go
@@ -20,9 +20,9 @@
 	furtherAnswersTimeout = 200 * time.Millisecond
 	// askRetryInterval is the time between calls to a peer that gives no answer.
 	askRetryInterval = 50 * time.Millisecond
-	// eraPollInterval is how often a new process checks whether it has learned the era of the
-	// store from the response to another call.
-	eraPollInterval = 10 * time.Millisecond
+	// listedPollInterval is how often a new process checks whether it has read the records of
+	// the others.
+	listedPollInterval = 10 * time.Millisecond
 )
 
 // configsOfPeers returns the encoded configurations of processes that were running before
@@ -31,7 +31,7 @@
 	ctx, cancel := context.WithTimeout(ctx, askPeersTimeout)
 	defer cancel()
 	for !h.member.Listed() {
-		if slugbackoff.Sleep(ctx, eraPollInterval) != nil {
+		if slugbackoff.Sleep(ctx, listedPollInterval) != nil {
 			return nil
 		}
 	}
--- a/internal/daemon/slughost/share.go
+++ b/internal/daemon/slughost/share.go
@@ -98,9 +98,13 @@
 // sourceChooser returns a function that chooses the source of a watch, given the number of
 // consecutive failures. A nil source is the store itself, which the chosen watchers use.
 // Other processes try the watchers of their own data centre first, then the store, and
-// then the watchers of other data centres. wait is how long calls to the store wait.
+// then the watchers of other data centres. A new process waits until it has been introduced to
+// the watchers. wait is how long calls to the store wait.
 func (w *watchSharing) sourceChooser(wait time.Duration) func(failures int) *slugstore.Source {
 	return func(failures int) *slugstore.Source {
+		if failures == 0 {
+			<-w.host.introducer.Done()
+		}
 		near, far := w.watchers()
 		if slices.Contains(near, w.host.member.Self().Process) {
 			return nil
--- a/internal/membership/slugpeer/liveness.go
+++ b/internal/membership/slugpeer/liveness.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/sassafraslug/sassafraslug/internal/base/slugclock"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugname"
 	"github.com/sassafraslug/sassafraslug/internal/membership/slugmember"
 )
 
@@ -49,6 +50,15 @@
 	return out
 }
 
+// Alive reports whether the heartbeat of a process grew recently.
+func (t *Table) Alive(p slugname.Process) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	id := slugmember.IDOf(p)
+	state := t.rows[id]
+	return id == t.self || state != nil && state.row.Process != "" && time.Since(state.heartbeatAt) < t.aliveTimeout()
+}
+
 // splitByLiveness returns the other processes, separated into live and silent ones.
 func (t *Table) splitByLiveness() (alive, silent []slugmember.Record) {
 	now := time.Now()
--- a/internal/membership/slugpeer/table.go
+++ b/internal/membership/slugpeer/table.go
@@ -197,7 +197,8 @@
 	group, ctx := errgroup.WithContext(ctx)
 	for _, p := range chosen {
 		group.Go(func() error {
-			t.exchange(ctx, p)
+			// A peer that does not answer is noticed by its silence.
+			_ = t.Exchange(ctx, p)
 			return nil
 		})
 	}
@@ -259,26 +260,27 @@
 	return true
 }
 
-// exchange sends a digest to a peer and merges the newer rows in its answer. If there are
+// Exchange sends a digest to a peer and merges the newer rows in its answer. If there are
 // rows that either side still lacks, a second call exchanges them.
-func (t *Table) exchange(ctx context.Context, p slugmember.Record) {
+func (t *Table) Exchange(ctx context.Context, p slugmember.Record) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	requestSentAt := slugclock.Now()
 	answer, err := t.cfg.Call(ctx, p, Message{Protocol: Protocol, Digest: t.digest(), Rows: t.rowsFor([]slugmember.ID{t.self})})
 	if err != nil {
-		return
+		return err
 	}
 	t.mergeMessage(answer, requestSentAt)
 	t.reportClock(p.Process, answer, requestSentAt)
 	rows, want := t.compareDigest(answer.Digest)
 	rows = append(rows, t.rowsFor(answer.Want)...)
 	if len(rows)+len(want) == 0 {
-		return
+		return nil
 	}
 	if answer, err = t.cfg.Call(ctx, p, Message{Protocol: Protocol, Rows: rows, Want: want}); err == nil {
 		t.mergeMessage(answer, slugclock.Instant{})
 	}
+	return err
 }
 
 // Serve answers a message from a process.
--- a/internal/membership/slugwatcher/choice.go
+++ b/internal/membership/slugwatcher/choice.go
@@ -26,9 +26,9 @@
 	// processesPerWatcher is the number of processes in a data centre per watcher: each
 	// process that follows costs its watcher a few messages a second.
 	processesPerWatcher = 32
-	// minWatchers is the smallest number of watchers in the whole system, so that changes
+	// MinWatchers is the smallest number of watchers in the whole system, so that changes
 	// still spread while one watcher is cut off and has not noticed it.
-	minWatchers = 2
+	MinWatchers = 2
 )
 
 // Candidate is a live process that may be chosen as a watcher.
@@ -52,7 +52,7 @@
 	for _, c := range usable {
 		byDataCentre[c.DataCentre] = append(byDataCentre[c.DataCentre], c.Process)
 	}
-	minPerDataCentre := (minWatchers + len(byDataCentre) - 1) / max(1, len(byDataCentre))
+	minPerDataCentre := (MinWatchers + len(byDataCentre) - 1) / max(1, len(byDataCentre))
 	for candidateDC, processes := range byDataCentre {
 		watchers := chooseWatchers(processes, minPerDataCentre)
 		if candidateDC == dc {
@@ -65,6 +65,12 @@
 	return near, far
 }
 
+// Ranked returns the watchers of a data centre with the given processes if it is the only one,
+// followed by those that take the places of up to spares of them.
+func Ranked(processes []slugname.Process, spares int) []slugname.Process {
+	return slugmember.HighestRanked(rankSubject, processes, len(chooseWatchers(processes, MinWatchers))+spares)
+}
+
 // chooseWatchers returns the watchers of one data centre: one for every
 // processesPerWatcher of its processes, rounded up, and at least minimum as far as there
 // are processes.
