Return to a replaced engine if the other one rejects late

What callers saw: a stream cut although its silent engine would have gone on 350 ms later. Cause: an engine that was to take over rejected the request after more than 250 ms, when the silent one had been given up; that one must not be tried again, and there was no other. Change: if no other engine is left, one whose silent attempt was canceled gets the request once more, with the retries that it needs.

--- a/internal/request/slugdispatch/decode.go
+++ b/internal/request/slugdispatch/decode.go
@@ -8,6 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugevent"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugname"
 	"github.com/sassafraslug/sassafraslug/internal/connection/slugsend"
 	"github.com/sassafraslug/sassafraslug/internal/decision/slugplacement"
 	"github.com/sassafraslug/sassafraslug/internal/decision/slugquarantine"
@@ -35,7 +36,7 @@
 	exclude := slices.Clone(d.excluded)
 	var last error
 	for range maxSends {
-		c, ok := d.placer.Decode(d.job(), near, exclude, time.Now())
+		c, ok := d.chooseDecode(near, exclude)
 		if !ok {
 			break
 		}
@@ -54,6 +55,19 @@
 	return noRetry(errors.CombineErrors(last, errNoEndpoint))
 }
 
+// chooseDecode chooses the endpoint that generates the response. If there is no other, an
+// endpoint whose silent attempt was canceled gets the request once more: it may have paused
+// only, and the one that was to replace it did not run the request.
+func (d *dispatch) chooseDecode(near slugname.DataCentre, exclude []slugname.Endpoint) (*slugplacement.Choice, bool) {
+	c, ok := d.placer.Decode(d.job(), near, exclude, time.Now())
+	if ok || len(d.replaced) == 0 {
+		return c, ok
+	}
+	exclude = slices.DeleteFunc(slices.Clone(exclude), func(n slugname.Endpoint) bool { return slices.Contains(d.replaced, n) })
+	d.replaced = nil
+	return d.placer.Decode(d.job(), near, exclude, time.Now())
+}
+
 // decodeAttempt is an attempt to have the response generated at one endpoint.
 type decodeAttempt struct {
 	choice    *slugplacement.Choice
@@ -153,6 +167,9 @@
 		return err
 	}
 	d.exclude(a.choice.Name)
+	if errors.Is(err, errReplaced) {
+		d.replaced = append(d.replaced, a.choice.Name)
+	}
 	if errors.Is(err, errNotRun) {
 		d.releaseCache(a.prefilled)
 		return err
--- a/internal/request/slugdispatch/dispatcher.go
+++ b/internal/request/slugdispatch/dispatcher.go
@@ -165,6 +165,8 @@
 
 	// excluded holds the endpoints that must not be tried again.
 	excluded []slugname.Endpoint
+	// replaced holds those of them whose attempts were canceled because they were silent.
+	replaced []slugname.Endpoint
 	// possibleRuns is the number of endpoints at which the request may have run.
 	possibleRuns int
 	// sends is the number of attempts that may have reached an endpoint.
