Let an engine without a known time to the first event read its prompt

What callers saw: 504 at 5 s for streams that would have begun at 4.2 s. Cause: where a service has no prefill engines, the time to the first event includes the prompt; without a measurement an engine counted as silent after 0.9 s, and another one had to begin anew. Change: as long as no usual time is known, only an engine that is not registered any more is replaced before its first event. Once one is known, three times that applies, as before.

--- a/internal/request/slugdispatch/standby.go
+++ b/internal/request/slugdispatch/standby.go
@@ -41,6 +41,9 @@
 // errNoReplacement means that no endpoint can take a stream over.
 var errNoReplacement = errors.New("no other endpoint responds and has capacity")
 
+// errPromptUnmeasured means that the usual time to the first event is not known.
+var errPromptUnmeasured = errors.New("the endpoint may be processing the prompt")
+
 // continuation is an attempt that can take a stream over.
 type continuation struct {
 	*decodeAttempt
@@ -232,6 +235,9 @@
 	if !f.resumable() || f.possibleRuns >= f.route.MaxAttempts || s.sendsBefore+f.sends >= maxSends {
 		return nil, errNoReplacement
 	}
+	if s.mayProcessPrompt(events) {
+		return nil, errPromptUnmeasured
+	}
 	if err := f.stopQuarantined(); err != nil {
 		return nil, err
 	}
@@ -252,6 +258,13 @@
 	return s.begin(ctx, c, prefilled, events)
 }
 
+// mayProcessPrompt reports whether the silent endpoint may be processing the prompt, for which
+// no usual time is known. Another endpoint would have to begin anew.
+func (s *standby) mayProcessPrompt(events int) bool {
+	f, silent := s.fork, s.attempt
+	return events == 0 && silent.prefilled == nil && f.placer.FirstEventTime(time.Now()) == 0 && f.cfg.Registered(f.service.Name, silent.choice.Name, silent.choice.Incarnation)
+}
+
 // spare chooses the endpoint that is to take over. An endpoint without capacity may do so
 // only if the silent one is not registered any more. One that is leaving, or is to change its
 // role, still completes its responses.
