Count a prompt that was given up as unanswered, not as broken off

What callers saw: nothing yet; sound prompts were suspected. Cause: the attempt that is canceled at a stalled prefill engine was judged by the context of the request, which goes on, so that it counted as broken off by the engine. If the engine went on and ended within 6 s, as planned or not, it had crashed under these prompts (event 405), and enough such engines quarantine a shared part.

Evidence: TestPausedPrefillEngineIsBlamedWhenItEnds failed before: two of three prefill engines pause for 2.5 s and their entries go 1.5 s later; all three hosts logged event 405.

Change: the attempt is judged by its own context. One that this host canceled counts as unanswered, which a later sign of life of the engine clears.

--- a/internal/request/slugdispatch/stream.go
+++ b/internal/request/slugdispatch/stream.go
@@ -227,7 +227,7 @@
 	c.End(d.placementOutcome(callCtx, e, err), time.Now())
 	if err != nil {
 		e.Abort()
-		d.logAttemptFailure(c, "prefill", d.reportInterruption(ctx, c, run, e.Sent, err), err)
+		d.logAttemptFailure(c, "prefill", d.reportInterruption(callCtx, c, run, e.Sent, err), err)
 		return nil, e.Sent, err
 	}
 	d.cfg.Log.Emit(slugevent.EndpointChosen, slugevent.Fields{
