--- a/internal/membership/slugtakeup/outofstep_test.go
+++ b/internal/membership/slugtakeup/outofstep_test.go
@@ -210,3 +210,25 @@
 		assert.Equal(t, c.resolvers["a"].Find(ctx, "llm", "other").Source, SourceUnknown)
 	})
 }
+
+// TestStreamIsNotToldAsVersionLeaves guards against a stream that peers are not told of, because
+// one version is left, while their answers still count the other.
+func TestStreamIsNotToldAsVersionLeaves(t *testing.T) {
+	t.Cleanup(slugclock.IgnoreSuspensions())
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := background(t)
+		defer stop()
+		c := newCluster(5)
+		c.observeFrom(ctx, 0, 10500*time.Millisecond, []slugname.SoftwareVersion{"v1"}, c.order...)
+		c.observeFrom(ctx, 0, time.Hour, []slugname.SoftwareVersion{"v2"}, c.order...)
+		for _, r := range c.resolvers {
+			go func() { _ = r.Run(ctx) }()
+		}
+		// v1 was last seen at 10 s.
+		time.Sleep(10*time.Second + limit + spreadInterval/2)
+		c.resolvers["b"].Began("llm", "id", "v2")
+		time.Sleep(spreadInterval)
+		c.fail("b")
+		assert.Equal(t, c.resolvers["a"].Find(ctx, "llm", "id").Version, slugname.SoftwareVersion("v2"))
+	})
+}
--- a/internal/membership/slugtakeup/resolver.go
+++ b/internal/membership/slugtakeup/resolver.go
@@ -122,7 +122,7 @@
 	defer wg.Wait()
 	for slugbackoff.Sleep(ctx, spreadInterval) == nil {
 		now := slugclock.Now()
-		if r.cfg.Memory.Mixed(r.cfg.Limit(), now) {
+		if r.cfg.Memory.Mixed(r.window(), now) {
 			r.spread(ctx, &wg, r.cfg.Memory.Unshared(now.Time()))
 		}
 		r.updateStore(ctx, &wg, now)
@@ -130,6 +130,10 @@
 	return nil
 }
 
+// window returns the time for which peers are told, and asked, of the versions of a service.
+// It exceeds the limit of streams by the time that a question takes.
+func (r *Resolver) window() time.Duration { return r.cfg.Limit() + askTimeout }
+
 // subject returns the subject for which peers are ranked for a stream.
 func subject(k slugorigin.Key) string { return fmt.Sprintf("%016x", uint64(k)) }
 
@@ -160,8 +164,7 @@
 func (r *Resolver) Serve(q slugpeer.OriginQuery) (slugpeer.OriginAnswer, *slugpeer.ObservedSpan) {
 	now := slugclock.Now()
 	v, _ := r.cfg.Memory.Find(q.Key, now.Time())
-	// The stream began up to askTimeout earlier than the question arrived.
-	o := r.cfg.Memory.Observed(q.Service, r.cfg.Limit()+askTimeout, now)
+	o := r.cfg.Memory.Observed(q.Service, r.window(), now)
 	return slugpeer.OriginAnswer{Version: v, Versions: o.Versions, Complete: o.Complete}, encodeSpan(r.cfg.Memory.Span(), now)
 }
 
