Send no usage messages without usage

Cause: each host sent its usage figures to the collectors every 10 ms per host also when it had none.

Change: nothing is sent while there are no counts. The receiver ignored such messages, so nothing else changes.

--- a/internal/daemon/slughost/usage.go
+++ b/internal/daemon/slughost/usage.go
@@ -46,11 +46,14 @@
 	return max(minUsageInterval, time.Duration(len(h.member.Records()))*usageIntervalPerProcess)
 }
 
-// sendUsage sends the usage figures of this process to all collectors once.
+// sendUsage sends the usage figures of this process, if it has any, to all collectors once.
 func (h *Host) sendUsage(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, usageTimeout)
 	defer cancel()
 	m := slugpeer.Message{Protocol: slugpeer.Protocol, Usage: h.usageCounter.Windows()}
+	if len(m.Usage) == 0 {
+		return
+	}
 	var g errgroup.Group
 	for _, r := range h.collectors() {
 		g.Go(func() error {
--- a/internal/standin/slugmesh/mesh.go
+++ b/internal/standin/slugmesh/mesh.go
@@ -48,6 +48,8 @@
 	// changed is closed and replaced on every change of a partition.
 	changed  chan struct{}
 	lastPort int
+	// emptyMessages counts the messages between processes that carried nothing.
+	emptyMessages int
 }
 
 // New returns an empty network.
--- a/internal/standin/slugmesh/peer.go
+++ b/internal/standin/slugmesh/peer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"reflect"
 	"sync"
 
 	"github.com/cockroachdb/errors"
@@ -87,6 +88,7 @@
 	if !ok {
 		return slugpeer.Message{}, errors.Newf("call %s: the peer does not know the calling process", to.PeerAddress)
 	}
+	p.mesh.countEmpty(m)
 	request, err := p.transcode(m)
 	if err != nil {
 		return request, err
@@ -94,6 +96,23 @@
 	return p.transcode(handle(from.Process, request))
 }
 
+// countEmpty counts a message that carries nothing.
+func (m *Mesh) countEmpty(message slugpeer.Message) {
+	if !reflect.DeepEqual(message, slugpeer.Message{Protocol: message.Protocol}) {
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.emptyMessages++
+}
+
+// EmptyMessages returns the number of messages between processes that carried nothing.
+func (m *Mesh) EmptyMessages() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.emptyMessages
+}
+
 // transcode encodes a message as CBOR, adds its size to the bytes of the calling peer and
 // decodes it again.
 func (p *peer) transcode(m slugpeer.Message) (slugpeer.Message, error) {
