--- /dev/null
+++ b/internal/operate/slugcheck/lost.go
@@ -0,0 +1,51 @@
+package slugcheck
+
+import "time"
+
+// readSlack is the time after its last byte by which a request counts as read if its
+// connection is closed only then. It is the slack that the platform states for requests that
+// cross the close of a connection.
+const readSlack = 200 * time.Millisecond
+
+// lost finds requests that were read and got no response, and streams that were cut, at hosts
+// that were not killed. Silence of an endpoint is no excuse.
+func (o *Observation) lost() (out []Broken) {
+	arrivals := o.arrivals()
+	for _, a := range o.Attempts {
+		took := a.EndedAt.Sub(a.SentAt)
+		switch {
+		case a.End == TimedOut && a.Status == 0 && !o.out(a, false):
+			out = append(out, a.broken(Lost, "no response at the time limit"))
+		case a.End != Closed || took >= a.Limit || o.out(a, true):
+		case a.Status == 0 && (len(arrivals[a.ID]) > 0 || took > readSlack):
+			out = append(out, a.broken(Lost, "no response, received by %d endpoints", len(arrivals[a.ID])))
+		case a.Status != 0 && !o.brokenOff(a, arrivals[a.ID]):
+			out = append(out, a.broken(Lost, "response cut after event %d of %d, received by %d endpoints", a.After+len(a.Events), a.Last, len(arrivals[a.ID])))
+		}
+	}
+	return out
+}
+
+// out reports whether the host of an attempt was killed during the attempt or, unless
+// killedOnly is true, stopped.
+func (o *Observation) out(a Attempt, killedOnly bool) bool {
+	for _, x := range o.Outages {
+		if x.Host == a.Host && (x.Killed || !killedOnly) && !x.From.After(a.EndedAt) && !x.To.Before(a.SentAt) {
+			return true
+		}
+	}
+	return false
+}
+
+// brokenOff reports whether a connection on which an endpoint received the request was reset
+// before the attempt ended.
+func (o *Observation) brokenOff(a Attempt, arrivals []Arrival) bool {
+	for _, x := range arrivals {
+		for _, b := range o.Breaks {
+			if b.Connection == x.Connection && !b.At.Before(x.At) && !b.At.After(a.EndedAt) {
+				return true
+			}
+		}
+	}
+	return false
+}
