--- a/internal/operate/slugcheck/observation.go
+++ b/internal/operate/slugcheck/observation.go
@@ -72,8 +72,9 @@
 	Host int
 	// SentAt is when the last byte was sent.
 	SentAt, EndedAt time.Time
-	// Limit is the shorter of the caller's and the route's time limit.
-	Limit time.Duration
+	// Deadline is the end of the caller's time limit, which is no later than that of the
+	// route.
+	Deadline time.Time
 	// Status is the status of the response; 0 means that there was none.
 	Status int
 	// EchoedID is the ID that the response bears, and Signature that of its endpoint.
@@ -105,14 +106,19 @@
 	At         time.Time
 }
 
-// Outage is a span in which a host did not run because of the soak.
+// Outage is a span in which a host did not run because of the soak, or in which the soak itself
+// was held up by the machine.
 type Outage struct {
+	// Host is the number of the host, or AllHosts.
 	Host     int
 	From, To time.Time
 	// Killed is true if the process was killed, and false if it was stopped for a while.
 	Killed bool
 }
 
+// AllHosts is the host of an Outage in which the machine held up the soak.
+const AllHosts = -1
+
 // Exit is the end of a process that the soak did not cause.
 type Exit struct {
 	Process string
--- a/internal/operate/slugfaultproxy/proxy.go
+++ b/internal/operate/slugfaultproxy/proxy.go
@@ -123,8 +123,8 @@
 // Reset resets a share of the connections, and of the new ones for d.
 func (p *Proxy) Reset(d time.Duration, share float64) {
 	p.inject(fault{time.Now().Add(d), share, func(l *link) {
-		l.reset()
 		p.breaks = append(p.breaks, Break{l.server.LocalAddr().String(), time.Now()})
+		l.reset()
 	}})
 }
 
