--- a/internal/operate/slugcheck/check_test.go
+++ b/internal/operate/slugcheck/check_test.go
@@ -54,6 +54,8 @@
 		{"closed late", Observation{Attempts: []Attempt{with(plain(Safe), func(a *Attempt) { a.End, a.Status = Closed, 0 })}}, Lost},
 		{"no response at all", Observation{Attempts: []Attempt{with(plain(Safe), func(a *Attempt) { a.End, a.Status, a.EndedAt = TimedOut, 0, at(4*time.Second) })}}, Lost},
 		{"stream cut", Observation{Attempts: []Attempt{with(stream(Resumable), cut)}, Arrivals: []Arrival{arrival}}, Lost},
+		{"closed late, stopped later", Observation{Attempts: []Attempt{with(plain(Safe), func(a *Attempt) { a.End, a.Status = Closed, 0 })}, Outages: []Outage{{0, at(250 * time.Millisecond), at(time.Second), false}, {0, at(500 * time.Millisecond), at(800 * time.Millisecond), false}}}, Lost},
+		{"read before a stop", Observation{Attempts: []Attempt{with(plain(Safe), unread)}, Arrivals: []Arrival{arrival}, Outages: []Outage{{0, at(-time.Second), at(time.Second), false}}}, Lost},
 		{"stream cut shortly before its time limit", Observation{Attempts: []Attempt{with(stream(Once), func(a *Attempt) { cut(a); a.EndedAt = a.Deadline.Add(-responseMargin - time.Millisecond) })}, Arrivals: []Arrival{arrival}}, Lost},
 		{"stream cut beside the reset of another connection", Observation{Attempts: []Attempt{with(stream(Resumable), cut)}, Arrivals: []Arrival{arrival}, Breaks: []Break{{"d", at(20 * time.Millisecond)}}}, Lost},
 		{"stream cut while its host is stopped", Observation{Attempts: []Attempt{with(stream(Once), cut)}, Arrivals: []Arrival{arrival}, Outages: []Outage{{0, at(0), at(time.Second), false}}}, Lost},
@@ -85,6 +87,7 @@
 	for i, o := range []Observation{
 		{Attempts: []Attempt{plain(Safe), plain(Unsafe), stream(Resumable), stream(Once)}, Arrivals: []Arrival{arrival}},
 		{Attempts: []Attempt{with(plain(Safe), unread)}},
+		{Attempts: []Attempt{with(plain(Safe), func(a *Attempt) { a.End, a.Status = Closed, 0 })}, Outages: []Outage{{0, at(-time.Second), at(900 * time.Millisecond), false}}},
 		{Attempts: []Attempt{with(stream(Once), cut)}, Arrivals: []Arrival{arrival}, Breaks: []Break{{"c", at(20 * time.Millisecond)}}},
 		{Attempts: []Attempt{with(stream(Once), cut)}, Arrivals: []Arrival{arrival}, Outages: []Outage{{0, at(500 * time.Millisecond), at(2 * time.Second), true}}},
 		{Attempts: []Attempt{with(stream(Once), func(a *Attempt) { cut(a); a.EndedAt = a.Deadline.Add(-responseMargin) })}, Arrivals: []Arrival{arrival}},
