Tidy: three comments that the change had left behind

A second SIGTERM no longer ends a process; the standby gives the silent attempt up after maxOverlap too; an attempt of the soak has no field Signature.

--- a/internal/operate/slugcheck/observation.go
+++ b/internal/operate/slugcheck/observation.go
@@ -77,7 +77,7 @@
 	Deadline time.Time
 	// Status is the status of the response; 0 means that there was none.
 	Status int
-	// EchoedID is the ID that the response bears, and Signature that of its endpoint.
+	// EchoedID is the ID that the response bears.
 	EchoedID RequestID
 	// Signed reports whether the response bears the signature of an endpoint.
 	Signed bool
--- a/internal/operate/slugprocess/process.go
+++ b/internal/operate/slugprocess/process.go
@@ -149,7 +149,7 @@
 		p.mu.Unlock()
 		return false, nil
 	}
-	// A second SIGTERM would end the process at once.
+	// One SIGTERM begins the shutdown.
 	if !r.terminated {
 		r.terminated = true
 		err = r.signal(syscall.SIGTERM)
--- a/internal/request/slugdispatch/standby.go
+++ b/internal/request/slugdispatch/standby.go
@@ -53,8 +53,9 @@
 }
 
 // standby prepares, beside an attempt whose endpoint is silent, the attempt that replaces it.
-// The silent attempt is canceled only when the other endpoint has begun to respond, since it
-// may have paused for a moment only, and go on when nothing can replace it.
+// The silent attempt is canceled only when the other endpoint has begun to respond, or has had
+// the request for maxOverlap without rejecting it, since it may have paused for a moment only,
+// and go on when nothing can replace it.
 type standby struct {
 	ctx     context.Context
 	attempt *decodeAttempt
