--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -19,6 +19,8 @@
 	"upgrade":   upgrade,
 	"poison":    poison,
 	"error-end": errorEnd,
+	"resend":    resend,
+	"ids":       ids,
 }
 
 func main() { os.Exit(run()) }
