--- a/review/standin/caller.go
+++ b/review/standin/caller.go
@@ -33,6 +33,33 @@
 	method, path, body string
 	header             map[string]string
 	limit              time.Duration
+	// gap is the time without an event after which the requester leaves; 0 means none.
+	gap time.Duration
+}
+
+// nextRead returns the time until which the requester waits for the next bytes.
+func (q request) nextRead(deadline time.Time) time.Time {
+	until := deadline.Add(200 * time.Millisecond)
+	if gap := time.Now().Add(q.gap); q.gap > 0 && gap.Before(until) {
+		return gap
+	}
+	return until
+}
+
+// read reads a body.
+func (q request) read(c net.Conn, body io.Reader, deadline time.Time) (out []byte, err error) {
+	b := make([]byte, 32<<10)
+	for {
+		_ = c.SetReadDeadline(q.nextRead(deadline))
+		n, err := body.Read(b)
+		out = append(out, b[:n]...)
+		if err == io.EOF {
+			return out, nil
+		}
+		if err != nil {
+			return out, err
+		}
+	}
 }
 
 // requesters send requests to hosts.
@@ -102,6 +129,7 @@
 		_ = ch.Close()
 		return a
 	}
+	_ = ch.SetReadDeadline(q.nextRead(deadline))
 	resp, err := http.ReadResponse(ch.r, &http.Request{Method: q.method})
 	if err != nil {
 		a.err = err.Error()
@@ -109,7 +137,7 @@
 		return a
 	}
 	a.status, a.signed = resp.StatusCode, resp.Header.Get("X-Server-Signature") != ""
-	body, err := io.ReadAll(resp.Body)
+	body, err := q.read(ch, resp.Body, deadline)
 	a.body = string(body)
 	if err != nil {
 		a.err = err.Error()
--- a/review/standin/poison.go
+++ b/review/standin/poison.go
@@ -87,7 +87,7 @@
 			return false, err
 		}
 	}
-	g.store.Put("config", "main", configuration(7, []route{{"/pufi791/", "stream", "dele69a", 3000, 1, false}}))
+	g.store.Put("config", "main", configuration(7, []route{{"/pufi791/", "stream", "dele69a", 3000, 1, false}}, "dele69a"))
 	store, err := g.serve(g.store)
 	if err != nil {
 		return false, err
--- a/review/standin/replica.go
+++ b/review/standin/replica.go
@@ -178,7 +178,7 @@
 		handle := fmt.Sprintf("%s-%d", p.name, p.handles)
 		p.mu.Unlock()
 		writeJSON(w, map[string]any{"kv_handle": handle, "tokens": 1000, "version": 1})
-	case p.stage != "":
+	case p.stage != "" || p.events > 0:
 		if !p.begin(r) {
 			return
 		}
--- a/review/standin/rig.go
+++ b/review/standin/rig.go
@@ -11,6 +11,7 @@
 	"os/exec"
 	"path/filepath"
 	"regexp"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -348,8 +349,8 @@
 }
 
 // configuration returns a configuration in the form of PROTOCOL.md, without scaling, so that
-// the system orders no replicas.
-func configuration(version int, routes []route) map[string]any {
+// the system orders no replicas. The services named in engines have model engines.
+func configuration(version int, routes []route, engines ...string) map[string]any {
 	var list []any
 	services := map[string]bool{}
 	for i, r := range routes {
@@ -358,7 +359,7 @@
 			"target_latency_ms": 600, "priority": 1, "service": r.service, "max_attempts": r.attempts, "public": false,
 			"sticky_sessions": r.kind == "stream", "resumable": r.resumable, "target_gap_ms": 400,
 		})
-		services[r.service] = r.kind == "stream"
+		services[r.service] = slices.Contains(engines, r.service)
 	}
 	var serviceList []any
 	for name, engine := range services {
--- a/review/standin/upgrade.go
+++ b/review/standin/upgrade.go
@@ -40,7 +40,7 @@
 			return false, err
 		}
 	}
-	g.store.Put("config", "main", configuration(7, []route{{"/lohu930/", "stream", "dele69a", 5000, 2, true}}))
+	g.store.Put("config", "main", configuration(7, []route{{"/lohu930/", "stream", "dele69a", 5000, 2, true}}, "dele69a"))
 	store, err := g.serve(g.store)
 	if err != nil {
 		return false, err
