--- a/review/standin/caller.go
+++ b/review/standin/caller.go
@@ -21,6 +21,7 @@
 	sentAt   time.Time
 	endedAt  time.Time
 	host     string
+	kept     bool
 	status   int
 	signed   bool
 	complete bool
@@ -79,20 +80,20 @@
 func newRequesters(g *rig) *requesters { return &requesters{g: g, kept: map[string][]*channel{}} }
 
 // channelTo returns a kept channel to a host, or a new one.
-func (c *requesters) channelTo(address string, fresh bool) (*channel, error) {
+func (c *requesters) channelTo(address string, fresh bool) (ch *channel, kept bool, err error) {
 	c.mu.Lock()
 	if list := c.kept[address]; len(list) > 0 && !fresh {
 		ch := list[len(list)-1]
 		c.kept[address] = list[:len(list)-1]
 		c.mu.Unlock()
-		return ch, nil
+		return ch, true, nil
 	}
 	c.mu.Unlock()
 	conn, err := net.DialTimeout("tcp", address, time.Second)
 	if err != nil {
-		return nil, err
+		return nil, false, err
 	}
-	return &channel{conn, bufio.NewReader(conn)}, nil
+	return &channel{conn, bufio.NewReader(conn)}, false, nil
 }
 
 func (c *requesters) keep(address string, ch *channel) {
@@ -109,7 +110,8 @@
 	c.attempts = append(c.attempts, a)
 	c.mu.Unlock()
 	defer func() { a.endedAt = time.Now() }()
-	ch, err := c.channelTo(h.callers, fresh)
+	ch, kept, err := c.channelTo(h.callers, fresh)
+	a.kept = kept
 	if err != nil {
 		a.err = "no connection"
 		return a
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -21,6 +21,7 @@
 	"error-end": errorEnd,
 	"resend":    resend,
 	"ids":       ids,
+	"silence":   silence,
 }
 
 func main() { os.Exit(run()) }
