--- a/review/standin/caller.go
+++ b/review/standin/caller.go
@@ -4,6 +4,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -21,6 +22,7 @@
 	sentAt   time.Time
 	endedAt  time.Time
 	host     string
+	key      string
 	kept     bool
 	status   int
 	signed   bool
@@ -38,6 +40,9 @@
 	gap time.Duration
 }
 
+// key returns the API key that the request carries.
+func (q request) key() string { return cmp.Or(q.header["X-Key"], apiKey) }
+
 // nextRead returns the time until which the requester waits for the next bytes.
 func (q request) nextRead(deadline time.Time) time.Time {
 	until := deadline.Add(200 * time.Millisecond)
@@ -106,7 +111,7 @@
 func (c *requesters) send(h *host, q request, deadline time.Time, fresh bool) *attempt {
 	c.mu.Lock()
 	c.n++
-	a := &attempt{id: fmt.Sprintf("%016x", 0x1c41d07be2a30000+int64(c.n)), sentAt: time.Now(), host: h.name}
+	a := &attempt{id: fmt.Sprintf("%016x", 0x1c41d07be2a30000+int64(c.n)), sentAt: time.Now(), host: h.name, key: q.key()}
 	c.attempts = append(c.attempts, a)
 	c.mu.Unlock()
 	defer func() { a.endedAt = time.Now() }()
@@ -118,8 +123,11 @@
 	}
 	_ = ch.SetDeadline(deadline.Add(200 * time.Millisecond))
 	var b strings.Builder
-	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s\r\nX-Key: %s\r\nX-Deadline-Ms: %d\r\n", q.method, q.path, routeHost, a.id, apiKey, time.Until(deadline).Milliseconds()+1)
+	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s\r\nX-Key: %s\r\nX-Deadline-Ms: %d\r\n", q.method, q.path, routeHost, a.id, q.key(), time.Until(deadline).Milliseconds()+1)
 	for k, v := range q.header {
+		if k == "X-Key" {
+			continue
+		}
 		fmt.Fprintf(&b, "%s: %s\r\n", k, v)
 	}
 	if q.body != "" || q.method != http.MethodGet {
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -18,6 +18,7 @@
 var cases = map[string]func(g *rig, trouble bool) (broken bool, err error){
 	"upgrade":   upgrade,
 	"poison":    poison,
+	"copy-key":  copyKey,
 	"error-end": errorEnd,
 	"resend":    resend,
 	"ids":       ids,
