Relay failures whole or cut, and bound those without end

Cause: relayErrorResponse took the end of io.LimitReader for the end of the response. The same function read the failure to its end or the time limit even where another attempt followed.

Change: failures share the relay of plain responses: whole up to 256 KiB, as they arrive beyond that, with the declared length, and cut where the endpoint's are cut. slugsend bounds the body of each failure to 4 MiB and 2 s, and closes the connection beyond that; before anything is relayed, another attempt or a 502 follows. slugbody reads a body up to a size and fails if it is longer; the handle of a prefill and slugsend.Get use it.

It works since a response is declared complete only after its end was read.

--- a/internal/connection/slugsend/sender.go
+++ b/internal/connection/slugsend/sender.go
@@ -22,6 +22,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugbody"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugfault"
 )
 
@@ -159,7 +160,8 @@
 }
 
 // Open sends a request and waits for the response headers. The Exchange is never nil,
-// even if there is an error.
+// even if there is an error. Reading the body of a failure, which has a status of 400 or
+// more, fails if that is longer than 4 MiB or takes longer than 2 s.
 func (s *Sender) Open(ctx context.Context, request Request) (*Exchange, error) {
 	var mu sync.Mutex
 	e := &Exchange{}
@@ -192,6 +194,9 @@
 	// completes after Do has returned.
 	snapshot := *e
 	snapshot.Response = resp
+	if resp != nil {
+		snapshot.boundFailure()
+	}
 	return &snapshot, slugfault.Wrap(err, "send request", r.URL.Host)
 }
 
@@ -227,13 +232,13 @@
 	return r, nil
 }
 
-// maxDocumentBytes limits how much of a response Get reads.
-const maxDocumentBytes = 4 << 20
+// maxDocument limits the response that Get reads.
+const maxDocument slugbody.Limit = 4 << 20
 
 // ErrStatus means that an endpoint answered Get with a status other than 200.
 var ErrStatus = errors.New("unexpected status")
 
-// Get fetches url and returns the response body, cut off at maxDocumentBytes.
+// Get fetches url and returns the response body. A body that exceeds maxDocument is an error.
 func (s *Sender) Get(ctx context.Context, url string) ([]byte, error) {
 	resp, _, err := s.Send(ctx, Request{Method: http.MethodGet, URL: url, Repeatable: true})
 	if err != nil {
@@ -243,6 +248,6 @@
 	if resp.StatusCode != http.StatusOK {
 		return nil, slugfault.Wrap(errors.Wrapf(ErrStatus, "%d", resp.StatusCode), "get document", url)
 	}
-	b, err := io.ReadAll(io.LimitReader(resp.Body, maxDocumentBytes))
+	b, err := maxDocument.ReadAll(resp.Body)
 	return b, slugfault.Wrap(err, "read document", url)
 }
--- a/internal/connection/slugtransport/transport.go
+++ b/internal/connection/slugtransport/transport.go
@@ -28,6 +28,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/fxamacker/cbor/v2"
 	"github.com/quic-go/quic-go"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugbody"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugevent"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugfault"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugname"
@@ -38,8 +39,8 @@
 const (
 	// applicationProtocol is the ALPN protocol name.
 	applicationProtocol = "sassafraslug/1"
-	// maxMessageBytes limits how much of an incoming message is read.
-	maxMessageBytes = 64 << 20
+	// maxMessage limits the size of an incoming message.
+	maxMessage slugbody.Limit = 64 << 20
 	// idleTimeout closes connections without traffic.
 	idleTimeout = 15 * time.Second
 	// unresponsiveTimeout is how long all calls on a connection may fail before it is
@@ -345,7 +346,7 @@
 }
 
 func (t *Transport) read(r io.Reader) (slugpeer.Message, error) {
-	b, err := io.ReadAll(io.LimitReader(r, maxMessageBytes))
+	b, err := maxMessage.ReadAll(r)
 	if err != nil {
 		return slugpeer.Message{}, err
 	}
--- a/internal/request/slugchat/attempt.go
+++ b/internal/request/slugchat/attempt.go
@@ -1,10 +1,8 @@
 package slugchat
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -29,8 +27,6 @@
 	reconnectTimeout = 3 * time.Second
 	// cancelTimeout bounds the call that cancels a request at an endpoint.
 	cancelTimeout = 2 * time.Second
-	// maxErrorBytes bounds the error text that is read from an endpoint.
-	maxErrorBytes = 1 << 10
 )
 
 // errCallerDisconnected means that the caller disconnected or does not read.
@@ -186,7 +182,7 @@
 // errorResponse handles a response with a status other than 200.
 func (a *attempt) errorResponse(e *slugsend.Exchange) (slugpick.Outcome, bool, *slugrefusal.Refusal) {
 	resp := e.Response
-	text, _ := io.ReadAll(io.LimitReader(resp.Body, maxErrorBytes))
+	text := e.ErrorText()
 	_ = resp.Body.Close()
 	switch e.Refusal(string(a.call.ID)) {
 	case slugsend.DoubtfulRefusal:
@@ -194,12 +190,12 @@
 		return slugpick.OutcomeFailed, true, slugrefusal.MayHaveRun(slugrefusal.CodeEndpointFailed, "refusal of the endpoint may belong to another request")
 	case slugsend.NoRefusal:
 		a.mayHaveRun = true
-		return slugpick.OutcomeFailed, false, slugrefusal.MayHaveRun(slugrefusal.CodeEndpointFailed, "endpoint responded with status %d: %s", resp.StatusCode, bytes.TrimSpace(text))
+		return slugpick.OutcomeFailed, false, slugrefusal.MayHaveRun(slugrefusal.CodeEndpointFailed, "endpoint responded with status %d: %s", resp.StatusCode, text)
 	}
 	if resp.StatusCode < http.StatusInternalServerError {
-		return slugpick.OutcomeNotRun, false, a.markRan(slugrefusal.NotRun(slugrefusal.CodeRequestMalformed, "endpoint rejected the request: %s", bytes.TrimSpace(text)), nil)
+		return slugpick.OutcomeNotRun, false, a.markRan(slugrefusal.NotRun(slugrefusal.CodeRequestMalformed, "endpoint rejected the request: %s", text), nil)
 	}
-	return slugpick.OutcomeNotRun, true, slugrefusal.NotRun(slugrefusal.CodeEndpointRefused, "endpoint did not run the request: %s", bytes.TrimSpace(text)).WithRetryAfter(time.Second)
+	return slugpick.OutcomeNotRun, true, slugrefusal.NotRun(slugrefusal.CodeEndpointRefused, "endpoint did not run the request: %s", text).WithRetryAfter(time.Second)
 }
 
 // relay writes the events of one connection to the caller. It returns nil after the
--- a/internal/request/slugdispatch/decode.go
+++ b/internal/request/slugdispatch/decode.go
@@ -218,7 +218,8 @@
 			return
 		}
 		d.cfg.Noticed(d.service.Name, prefilled.choice.Endpoint, d.cfg.Codec.DecodeHead(e.Response))
-		_, _ = io.Copy(io.Discard, io.LimitReader(e.Response.Body, maxHandleBytes))
+		// A connection whose response has not ended is closed.
+		_, _ = io.Copy(io.Discard, maxHandle.Reader(e.Response.Body))
 		_ = e.Response.Body.Close()
 	}()
 }
--- a/internal/request/slugdispatch/events.go
+++ b/internal/request/slugdispatch/events.go
@@ -223,15 +223,12 @@
 // may follow.
 func (d *dispatch) relayErrorResponse(e *slugsend.Exchange) error {
 	d.countStart()
-	body, err := io.ReadAll(io.LimitReader(e.Response.Body, maxBufferedResponseBytes))
-	if err != nil {
-		return errors.Wrap(err, "read error response")
-	}
 	if d.headerWritten || d.route.Idempotent() && d.possibleRuns+1 < d.route.MaxAttempts {
 		return errors.Newf("endpoint responded with status %d", e.Response.StatusCode)
 	}
-	_ = e.Response.Body.Close()
-	d.writeHeader(e.Response, len(body))
-	_, err = callerWriter{d.w}.Write(body)
-	return err
+	b, err := bufferResponse(e.Response)
+	if err != nil {
+		return err
+	}
+	return d.relayResponse(b)
 }
--- a/internal/request/slugdispatch/plain.go
+++ b/internal/request/slugdispatch/plain.go
@@ -1,11 +1,8 @@
 package slugdispatch
 
 import (
-	"bytes"
 	"context"
-	"io"
 	"net/http"
-	"strconv"
 	"syscall"
 	"time"
 
@@ -44,10 +41,6 @@
 	return errors.Mark(noRetry(errors.Wrap(err, step)), errCaller)
 }
 
-// maxBufferedResponseBytes bounds the part of a response that is read before anything is
-// written to the caller. If reading fails within it, the request can still be retried.
-const maxBufferedResponseBytes = 256 << 10
-
 // plain serves a request that is relayed as a single response, not as a stream of events.
 func (d *dispatch) plain(ctx context.Context) error {
 	if refusal := d.fixVersion(ctx); refusal != nil {
@@ -237,43 +230,18 @@
 	return nil
 }
 
-// relayPlain relays a response, buffered up to maxBufferedResponseBytes.
+// relayPlain relays the response of an attempt.
 func (d *dispatch) relayPlain(e *slugsend.Exchange, c *slugplacement.Choice) error {
 	if err := d.checkResponse(e); err != nil {
 		return err
 	}
 	d.countStart()
-	buffered, err := io.ReadAll(io.LimitReader(e.Response.Body, maxBufferedResponseBytes))
+	b, err := bufferResponse(e.Response)
 	if err != nil {
-		return errors.Wrap(err, "read response")
+		return err
 	}
 	d.recordStart(c)
-	if len(buffered) == maxBufferedResponseBytes {
-		return d.relayUnbuffered(e, buffered)
-	}
-	_ = e.Response.Body.Close()
-	d.writeHeader(e.Response, len(buffered))
-	d.timeToFirst = time.Since(d.call.Received)
-	_, err = callerWriter{d.w}.Write(buffered)
-	return err
-}
-
-// relayUnbuffered relays a response that is too large to be buffered.
-func (d *dispatch) relayUnbuffered(e *slugsend.Exchange, buffered []byte) error {
-	d.writeHeader(e.Response, -1)
-	d.timeToFirst = time.Since(d.call.Received)
-	_, err := io.Copy(callerWriter{d.w}, io.MultiReader(bytes.NewReader(buffered), e.Response.Body))
-	return errors.Wrap(err, "relay response")
-}
-
-// writeHeader writes the status and headers of a response; a length of -1 means unknown.
-func (d *dispatch) writeHeader(resp *http.Response, length int) {
-	d.headerWritten = true
-	d.cfg.Codec.CopyHeader(d.w.Header(), resp.Header)
-	if length >= 0 {
-		d.w.Header().Set("Content-Length", strconv.Itoa(length))
-	}
-	d.w.WriteHeader(resp.StatusCode)
+	return d.relayResponse(b)
 }
 
 // exclude keeps an endpoint from being tried again for this request.
--- a/internal/request/slugdispatch/stream.go
+++ b/internal/request/slugdispatch/stream.go
@@ -2,12 +2,12 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugbody"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugevent"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugname"
 	"github.com/sassafraslug/sassafraslug/internal/connection/slugsend"
@@ -17,8 +17,8 @@
 )
 
 const (
-	// maxHandleBytes bounds the response to a prefill request.
-	maxHandleBytes = 64 << 10
+	// maxHandle bounds the response to a prefill request.
+	maxHandle slugbody.Limit = 64 << 10
 	// releaseTimeout bounds a request to delete a KV cache.
 	releaseTimeout = time.Second
 	// maxSends is the number of attempts sent to endpoints after which a request starts no
@@ -276,7 +276,7 @@
 	case head.Status != http.StatusOK:
 		return Handle{}, errors.Newf("prefill request failed with status %d", head.Status)
 	}
-	b, err := io.ReadAll(io.LimitReader(e.Response.Body, maxHandleBytes))
+	b, err := maxHandle.ReadAll(e.Response.Body)
 	_ = e.Response.Body.Close()
 	if err != nil {
 		return Handle{}, errors.Wrap(err, "read handle")
--- a/internal/request/slugplaincall/send.go
+++ b/internal/request/slugplaincall/send.go
@@ -21,8 +21,6 @@
 	// maxBufferedBytes bounds the part of a response that is read before the status is
 	// written to the caller. If reading fails within it, the call can still be retried.
 	maxBufferedBytes = 1 << 20
-	// maxErrorBytes bounds the error text that is read from an endpoint.
-	maxErrorBytes = 1 << 10
 )
 
 // errDoubtfulRefusal means that an endpoint refused a request, but perhaps another one.
@@ -80,10 +78,10 @@
 		e.Abort()
 		return x.sendFailed(true, errDoubtfulRefusal)
 	case slugsend.CertainRefusal:
-		text, _ := io.ReadAll(io.LimitReader(resp.Body, maxErrorBytes))
+		text := e.ErrorText()
 		// A refusal that is written once more must not meet another request.
 		e.Abort()
-		refusal := slugrefusal.NotRun(slugrefusal.CodeEndpointRefused, "endpoint did not run the call: %s", strings.TrimSpace(string(text)))
+		refusal := slugrefusal.NotRun(slugrefusal.CodeEndpointRefused, "endpoint did not run the call: %s", text)
 		return slugpick.OutcomeNotRun, true, x.markRan(refusal.WithRetryAfter(time.Second))
 	}
 	if answer != nil {
