Read bodies up to a limit without taking that for their end

No caller was seen to suffer from it.

A refusal whose body is too long still counts as what its status says, and errors quote 200 bytes of it instead of up to 16 MiB.

TestLongResponseToCommand failed before: a report with 1 MiB of spaces and a stray brace behind it was believed.

--- a/internal/authority/slugorder/engine.go
+++ b/internal/authority/slugorder/engine.go
@@ -14,7 +14,6 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"io"
 	"net"
 	"net/http"
 	"time"
@@ -22,6 +21,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/sassafraslug/sassafraslug/internal/authority/slugjournal"
 	"github.com/sassafraslug/sassafraslug/internal/authority/sluglease"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugbody"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugfault"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugname"
 	"github.com/sassafraslug/sassafraslug/internal/connection/slugsend"
@@ -94,8 +94,8 @@
 	// orderUserTimeout is the TCP user timeout: how long sent bytes may stay
 	// unacknowledged before the connection is closed.
 	orderUserTimeout = 2 * time.Second
-	// maxResponseBytes bounds the size of a response body.
-	maxResponseBytes = 1 << 20
+	// maxResponse bounds the size of a response body.
+	maxResponse slugbody.Limit = 1 << 20
 )
 
 // Config configures a Client.
@@ -148,14 +148,17 @@
 		return nil, err
 	}
 	defer func() { _ = resp.Body.Close() }()
-	b, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes))
+	b, err := maxResponse.ReadAll(resp.Body)
 	switch {
-	case err != nil:
+	case err != nil && !errors.Is(err, slugbody.ErrTooLong):
 		return nil, err
+	// A refusal holds even if its body is too long.
 	case resp.StatusCode == http.StatusPreconditionFailed:
 		return nil, ErrFenced
 	case resp.StatusCode >= http.StatusBadRequest && resp.StatusCode < http.StatusInternalServerError:
-		return nil, errors.Wrapf(ErrRefused, "status %d: %s", resp.StatusCode, bytes.TrimSpace(b))
+		return nil, errors.Wrapf(ErrRefused, "status %d: %s", resp.StatusCode, slugbody.Excerpt(b))
+	case err != nil:
+		return nil, err
 	case resp.StatusCode != http.StatusOK:
 		return nil, errors.Newf("status %d", resp.StatusCode)
 	}
--- a/internal/authority/slugplatformapi/client.go
+++ b/internal/authority/slugplatformapi/client.go
@@ -12,19 +12,19 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"net/url"
 
 	"github.com/cockroachdb/errors"
 	"github.com/sassafraslug/sassafraslug/internal/authority/slugledger"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugbody"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugfault"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugname"
 	"github.com/sassafraslug/sassafraslug/internal/version/slugmanifest"
 )
 
-// maxResponseBytes bounds the size of a response body.
-const maxResponseBytes = 16 << 20
+// maxResponse bounds the size of a response body.
+const maxResponse slugbody.Limit = 16 << 20
 
 // Errors returned by a Client.
 var (
@@ -128,17 +128,19 @@
 		return err
 	}
 	defer func() { _ = resp.Body.Close() }()
-	b, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes))
-	if err != nil {
-		return err
-	}
+	b, err := maxResponse.ReadAll(resp.Body)
 	switch {
+	case err != nil && !errors.Is(err, slugbody.ErrTooLong):
+		return err
+	// A refusal holds even if its body is too long.
 	case resp.StatusCode == http.StatusPreconditionFailed:
 		return ErrFenced
 	case resp.StatusCode == http.StatusServiceUnavailable && method == http.MethodPost:
 		return ErrNoneAvailable
 	case resp.StatusCode != http.StatusOK:
-		return errors.Newf("status %d: %s", resp.StatusCode, bytes.TrimSpace(b))
+		return errors.Newf("status %d: %s", resp.StatusCode, slugbody.Excerpt(b))
+	case err != nil:
+		return err
 	case result == nil:
 		return nil
 	}
--- a/internal/base/slugstore/backend.go
+++ b/internal/base/slugstore/backend.go
@@ -5,13 +5,13 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"net/url"
 	"strconv"
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugbody"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugfault"
 )
 
@@ -53,8 +53,8 @@
 	Era func() (Era, bool)
 }
 
-// maxResponseBytes limits how much of a response is read.
-const maxResponseBytes = 64 << 20
+// maxResponse limits how much of a response is read.
+const maxResponse slugbody.Limit = 64 << 20
 
 // httpBackend implements this project's own store protocol, see docs/PROTOCOLS.md.
 type httpBackend struct {
@@ -164,7 +164,7 @@
 		return 0, nil, nil, errors.Mark(err, ErrUnavailable)
 	}
 	defer func() { _ = resp.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes))
+	body, err := maxResponse.ReadAll(resp.Body)
 	if err != nil {
 		return 0, nil, nil, errors.Mark(err, ErrUnavailable)
 	}
--- a/internal/daemon/slugoperatorapi/client.go
+++ b/internal/daemon/slugoperatorapi/client.go
@@ -5,12 +5,12 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"net/url"
 	"time"
 
+	"github.com/sassafraslug/sassafraslug/internal/base/slugbody"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugfault"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugstore"
 	"github.com/sassafraslug/sassafraslug/internal/version/slugconfig"
@@ -20,8 +20,8 @@
 // change.
 const callTimeout = 30 * time.Second
 
-// maxResponseBytes limits the size of a response body.
-const maxResponseBytes = 64 << 20
+// maxResponse limits the size of a response body.
+const maxResponse slugbody.Limit = 64 << 20
 
 // Config configures a Client.
 type Config struct {
@@ -93,7 +93,7 @@
 		return slugfault.Wrap(err, "call control", c.cfg.Address)
 	}
 	defer func() { _ = resp.Body.Close() }()
-	b, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes))
+	b, err := maxResponse.ReadAll(resp.Body)
 	if err != nil {
 		return slugfault.Wrap(err, "read response", c.cfg.Address)
 	}
