Bound the memory that a process holds of received bytes

Cause: bounds stood on single messages only, 10 MB on the headers of all clients but one, and what runs at once multiplied them. A page of cache events took many times its size to decode.

Change: slughttp makes all transports, with headers of 64 KiB at most. slugmemory is the budget of a process for bytes of endpoints and for request bodies, 32 MiB. Messages of up to 32 KiB always pass; beyond that a response is relayed without its buffer, an event or a handle fails its attempt, a page of cache events is read again later, and a request body gets 503 as not run. An event is read into one buffer.

It works since the sum is bounded, whatever the number of connections; small messages add 32 KiB for each request in progress at most.

--- a/internal/authority/slugcommand/guard.go
+++ b/internal/authority/slugcommand/guard.go
@@ -4,22 +4,22 @@
 	"context"
 	"net"
 	"net/http"
+
+	"github.com/sassafraslug/sassafraslug/internal/base/slughttp"
 )
 
 // Guarded returns a Do whose connections call check before every write; if check fails,
 // so does the write. A process that was suspended after it decided to send is thus
 // stopped before any bytes leave. Every command uses its own connection.
 func Guarded(dial func(ctx context.Context, network, address string) (net.Conn, error), check func() error) Do {
-	transport := &http.Transport{
-		DisableKeepAlives: true,
-		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			c, err := dial(ctx, network, address)
-			if err != nil {
-				return nil, err
-			}
-			return guardedConn{c, check}, nil
-		},
-	}
+	transport := slughttp.NewTransport(func(ctx context.Context, network, address string) (net.Conn, error) {
+		c, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return guardedConn{c, check}, nil
+	})
+	transport.DisableKeepAlives = true
 	return (&http.Client{Transport: transport}).Do
 }
 
--- a/internal/authority/slugorder/engine.go
+++ b/internal/authority/slugorder/engine.go
@@ -23,6 +23,7 @@
 	"github.com/sassafraslug/sassafraslug/internal/authority/sluglease"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugbody"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugfault"
+	"github.com/sassafraslug/sassafraslug/internal/base/slughttp"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugname"
 	"github.com/sassafraslug/sassafraslug/internal/connection/slugsend"
 	"github.com/sassafraslug/sassafraslug/internal/decision/slugplan"
@@ -115,7 +116,9 @@
 	if cfg.Dial == nil {
 		cfg.Dial = slugsend.NewResetDialer(orderUserTimeout).DialContext
 	}
-	return &Client{client: &http.Client{Transport: &http.Transport{DialContext: cfg.Dial, DisableKeepAlives: true}}}
+	transport := slughttp.NewTransport(cfg.Dial)
+	transport.DisableKeepAlives = true
+	return &Client{client: &http.Client{Transport: transport}}
 }
 
 // ReadInfo reads the description of an engine.
--- a/internal/connection/slugsend/sender.go
+++ b/internal/connection/slugsend/sender.go
@@ -24,6 +24,8 @@
 	"github.com/cockroachdb/errors"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugbody"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugfault"
+	"github.com/sassafraslug/sassafraslug/internal/base/slughttp"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugmemory"
 )
 
 const (
@@ -33,8 +35,6 @@
 	idleTimeout = 10 * time.Second
 	// maxIdlePerHost limits the idle pooled connections to one endpoint.
 	maxIdlePerHost = 32
-	// maxResponseHeaderBytes limits the size of the response headers.
-	maxResponseHeaderBytes = 64 << 10
 )
 
 // NotRunHeader is the response header by which an endpoint declares that it refused
@@ -47,6 +47,8 @@
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 	// Responded is called with each response, before it is returned; it may be nil.
 	Responded func(Response)
+	// Memory is the budget for received bytes; nil means no limit.
+	Memory *slugmemory.Budget
 }
 
 // Sender sends HTTP requests to endpoints. It doesn't follow redirects.
@@ -56,6 +58,7 @@
 	fresh  *http.Client
 	// onResponse is Config.Responded.
 	onResponse func(Response)
+	memory     *slugmemory.Budget
 }
 
 // Request is one request to an endpoint.
@@ -81,23 +84,22 @@
 	if cfg.Dial == nil {
 		cfg.Dial = NewDialer(UserTimeout).DialContext
 	}
-	return &Sender{pooled: newClient(cfg, false), fresh: newClient(cfg, true), onResponse: cfg.Responded}
+	return &Sender{pooled: newClient(cfg, false), fresh: newClient(cfg, true), onResponse: cfg.Responded, memory: cfg.Memory}
 }
 
 func newClient(cfg Config, fresh bool) *http.Client {
+	transport := slughttp.NewTransport(cfg.Dial)
+	transport.DisableKeepAlives, transport.DisableCompression = fresh, true
+	transport.IdleConnTimeout, transport.MaxIdleConnsPerHost = idleTimeout, maxIdlePerHost
 	return &http.Client{
-		Transport: &http.Transport{
-			DialContext:            cfg.Dial,
-			DisableKeepAlives:      fresh,
-			DisableCompression:     true,
-			IdleConnTimeout:        idleTimeout,
-			MaxIdleConnsPerHost:    maxIdlePerHost,
-			MaxResponseHeaderBytes: maxResponseHeaderBytes,
-		},
+		Transport:     transport,
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 }
 
+// Hold returns a part of the memory for received bytes. It must be released.
+func (s *Sender) Hold() *slugmemory.Hold { return s.memory.Hold() }
+
 // CloseIdle closes the idle pooled connections.
 func (s *Sender) CloseIdle() { s.pooled.CloseIdleConnections() }
 
@@ -118,8 +120,12 @@
 	// Reused is set if the connection has served another request before.
 	Reused bool
 	conn   net.Conn
+	memory *slugmemory.Budget
 }
 
+// Hold returns the memory for what is read of the response. It must be released.
+func (e *Exchange) Hold() *slugmemory.Hold { return e.memory.Hold() }
+
 // Refusal says what a response states about whether the request ran.
 type Refusal int
 
@@ -164,7 +170,7 @@
 // more, fails if that is longer than 4 MiB or takes longer than 2 s.
 func (s *Sender) Open(ctx context.Context, request Request) (*Exchange, error) {
 	var mu sync.Mutex
-	e := &Exchange{}
+	e := &Exchange{memory: s.memory}
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(i httptrace.GotConnInfo) {
 			mu.Lock()
@@ -240,14 +246,17 @@
 
 // Get fetches url and returns the response body. A body that exceeds maxDocument is an error.
 func (s *Sender) Get(ctx context.Context, url string) ([]byte, error) {
-	resp, _, err := s.Send(ctx, Request{Method: http.MethodGet, URL: url, Repeatable: true})
+	e, err := s.Open(ctx, Request{Method: http.MethodGet, URL: url, Repeatable: true})
 	if err != nil {
 		return nil, err
 	}
+	resp, hold := e.Response, e.Hold()
+	// The caller decodes the document at once.
+	defer hold.Release()
 	defer func() { _ = resp.Body.Close() }()
 	if resp.StatusCode != http.StatusOK {
 		return nil, slugfault.Wrap(errors.Wrapf(ErrStatus, "%d", resp.StatusCode), "get document", url)
 	}
-	b, err := maxDocument.ReadAll(resp.Body)
+	b, err := hold.ReadAll(maxDocument.Reader(resp.Body))
 	return b, slugfault.Wrap(err, "read document", url)
 }
--- a/internal/connection/slugstream/reader.go
+++ b/internal/connection/slugstream/reader.go
@@ -4,7 +4,7 @@
 //
 // # Usage
 //
-//	r := slugstream.New(resp.Body, requestID, 0)
+//	r := slugstream.New(resp.Body, requestID, 0, hold)
 //	for {
 //		e, err := r.Next()
 //		if err != nil || e.Done {
@@ -21,6 +21,7 @@
 	"strconv"
 
 	"github.com/cockroachdb/errors"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugmemory"
 )
 
 // Errors of a stream. The connection must not be reused after any of them.
@@ -62,18 +63,21 @@
 	// longLine holds a line that is longer than the read buffer.
 	longLine   []byte
 	duplicates int
+	hold       *slugmemory.Hold
 }
 
 var (
 	idField      = []byte("id: ")
 	dataField    = []byte("data: ")
 	terminalData = []byte("[DONE]")
+	lineBreak    = []byte("\n")
 )
 
 // New returns a Reader for the response to requestID. Next returns the events with higher
-// sequence numbers than after, which is 0 for a new stream.
-func New(r io.Reader, requestID string, after int) *Reader {
-	return &Reader{input: bufio.NewReaderSize(r, bufferBytes), requestID: []byte(requestID), lastSequence: after}
+// sequence numbers than after, which is 0 for a new stream. hold is the memory for events that
+// are not complete; the caller releases it.
+func New(r io.Reader, requestID string, after int, hold *slugmemory.Hold) *Reader {
+	return &Reader{input: bufio.NewReaderSize(r, bufferBytes), requestID: []byte(requestID), lastSequence: after, hold: hold}
 }
 
 // Last returns the sequence number of the last event that Next returned.
@@ -130,9 +134,13 @@
 				return 0, ErrTooLong
 			}
 			if lines++; lines > 1 {
-				r.data = append(r.data, '\n')
+				if r.data, err = r.hold.Append(r.data, lineBreak); err != nil {
+					return 0, err
+				}
+			}
+			if r.data, err = r.hold.Append(r.data, line[len(dataField):]); err != nil {
+				return 0, err
 			}
-			r.data = append(r.data, line[len(dataField):]...)
 		}
 	}
 }
@@ -146,7 +154,10 @@
 	}
 	r.longLine = r.longLine[:0]
 	for errors.Is(err, bufio.ErrBufferFull) {
-		r.longLine = append(r.longLine, line...)
+		var grown error
+		if r.longLine, grown = r.hold.Append(r.longLine, line); grown != nil {
+			return nil, grown
+		}
 		if len(r.longLine) > MaxEventBytes {
 			return nil, ErrTooLong
 		}
@@ -158,7 +169,9 @@
 	if err != nil {
 		return nil, err
 	}
-	r.longLine = append(r.longLine, line...)
+	if r.longLine, err = r.hold.Append(r.longLine, line); err != nil {
+		return nil, err
+	}
 	return bytes.TrimRight(r.longLine, "\r\n"), nil
 }
 
--- a/internal/connection/slugstream/reader_test.go
+++ b/internal/connection/slugstream/reader_test.go
@@ -5,9 +5,13 @@
 	"strings"
 	"testing"
 
+	"github.com/sassafraslug/sassafraslug/internal/base/slugmemory"
 	"gotest.tools/v3/assert"
 )
 
+// newHold returns memory for events that no other stream uses.
+func newHold() *slugmemory.Hold { return slugmemory.New(16 << 20).Hold() }
+
 // Guards against passing on events of another request, out of order or twice, and against
 // accepting a stream that was cut off.
 func TestNext(t *testing.T) {
@@ -33,7 +37,7 @@
 		{"too long", "id: r:1\ndata: " + strings.Repeat("a", MaxEventBytes+1) + "\n\n", 0, nil, ErrTooLong},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
-			r := New(strings.NewReader(tt.text), "r", tt.after)
+			r := New(strings.NewReader(tt.text), "r", tt.after, newHold())
 			var data []string
 			for {
 				e, err := r.Next()
@@ -55,7 +59,7 @@
 func FuzzNext(f *testing.F) {
 	f.Add([]byte("id: r:1\ndata: a\n\nid: r:2\ndata: [DONE]\n\n"))
 	f.Fuzz(func(t *testing.T, b []byte) {
-		r := New(bytes.NewReader(b), "r", 0)
+		r := New(bytes.NewReader(b), "r", 0, newHold())
 		for last := 0; ; {
 			e, err := r.Next()
 			if err != nil {
@@ -81,7 +85,7 @@
 
 func BenchmarkNext(b *testing.B) {
 	event := []byte(`data: {"id":"r","object":"chat.completion.chunk","choices":[{"index":0,"delta":{"content":"word "},"finish_reason":null}]}` + "\n\n")
-	r := New(&repeatingReader{block: append([]byte("id: r:1\n"), event...)}, "r", 0)
+	r := New(&repeatingReader{block: append([]byte("id: r:1\n"), event...)}, "r", 0, newHold())
 	b.ReportAllocs()
 	for b.Loop() {
 		r.lastSequence = 0
--- a/internal/daemon/slugcontrol/control.go
+++ b/internal/daemon/slugcontrol/control.go
@@ -21,6 +21,7 @@
 	"github.com/sassafraslug/sassafraslug/internal/authority/slugplatformapi"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugbackoff"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugevent"
+	"github.com/sassafraslug/sassafraslug/internal/base/slughttp"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugname"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugsettings"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugstep"
@@ -145,7 +146,7 @@
 	if err != nil {
 		return err
 	}
-	c.client = &http.Client{Timeout: callTimeout, Transport: &http.Transport{DialContext: c.network.Dial}}
+	c.client = &http.Client{Timeout: callTimeout, Transport: slughttp.NewTransport(c.network.Dial)}
 	c.platform = slugplatformapi.New(slugplatformapi.Config{BaseURL: c.settings.PlatformAddress, Do: c.client.Do})
 	c.intent = slugintent.New(c.Store.For("intents"), c.log)
 	c.duties = slugduties.New(slugduties.Config{
--- a/internal/daemon/sluggate/gate.go
+++ b/internal/daemon/sluggate/gate.go
@@ -22,6 +22,7 @@
 	"github.com/sassafraslug/sassafraslug/internal/base/slugbackoff"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugevent"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugfault"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugmemory"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugname"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugsettings"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugstep"
@@ -171,9 +172,13 @@
 	return err
 }
 
+// maxReceived bounds the bytes received from endpoints that the process holds. Those of callers
+// are bounded by the setting callers.memoryBytes.
+const maxReceived slugmemory.Bytes = 32 << 20
+
 // join creates the sender and the connection to the cluster.
 func (g *Gate) join(_ context.Context, _ *errgroup.Group) error {
-	g.sender = slugsend.New(slugsend.Config{Dial: g.network.Dial, Responded: func(r slugsend.Response) { g.fleet.Responded(r) }})
+	g.sender = slugsend.New(slugsend.Config{Dial: g.network.Dial, Memory: slugmemory.New(maxReceived), Responded: func(r slugsend.Response) { g.fleet.Responded(r) }})
 	node, err := slugnode.New(slugnode.Config{
 		Settings: g.settings, Kind: slugmember.KindGate, Log: g.log, Metrics: g.metrics, Network: g.network,
 		CallersAddress:   slugnode.Advertised(g.settings.CallersAdvertise, g.callers.Address()),
--- a/internal/daemon/slughost/adapter.go
+++ b/internal/daemon/slughost/adapter.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/sassafraslug/sassafraslug/internal/authority/slugcommand"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugmemory"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugname"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugstore"
 	"github.com/sassafraslug/sassafraslug/internal/fleet/slugcachefeed"
@@ -32,8 +33,8 @@
 	// Handlers returns the HTTP handlers for callers and for the platform.
 	Handlers func(Ingress) Handlers
 	// CacheEvents waits for changes to the prompt parts in an engine's cache that follow the
-	// position since.
-	CacheEvents func(ctx context.Context, do slugcommand.Do, address string, since int64, wait time.Duration) (slugcachefeed.Page, error)
+	// position since. It releases the memory for the response.
+	CacheEvents func(ctx context.Context, do slugcommand.Do, hold *slugmemory.Hold, address string, since int64, wait time.Duration) (slugcachefeed.Page, error)
 	// Commands are the commands that the holder of a duty sends to the platform and
 	// to engines.
 	Commands slugcommand.Commands
@@ -51,6 +52,8 @@
 	// hosts.
 	Leaving      func() bool
 	MaxBodyBytes func() int64
+	// Memory is the budget for request bodies.
+	Memory *slugmemory.Budget
 }
 
 // Handlers are the HTTP handlers for callers and for the platform.
--- a/internal/daemon/slughost/caches.go
+++ b/internal/daemon/slughost/caches.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugbackoff"
+	"github.com/sassafraslug/sassafraslug/internal/base/slughttp"
 	"github.com/sassafraslug/sassafraslug/internal/decision/slugplacement"
 	"github.com/sassafraslug/sassafraslug/internal/decision/slugplan"
 	"github.com/sassafraslug/sassafraslug/internal/fleet/slugcachefeed"
@@ -26,14 +27,16 @@
 // engines of a service if an engine allows as many readers as there are hosts, and
 // otherwise only the engines that this process owns.
 func (h *Host) followCaches(ctx context.Context, g *errgroup.Group) error {
-	client := &http.Client{Transport: &http.Transport{DialContext: h.network.DialWithin(dialTimeout), MaxIdleConnsPerHost: eventIdleConnections}}
+	transport := slughttp.NewTransport(h.network.DialWithin(dialTimeout))
+	transport.MaxIdleConnsPerHost = eventIdleConnections
+	client := &http.Client{Transport: transport}
 	read := h.noticing(client.Do)
 	feed := slugcachefeed.New(slugcachefeed.Config{
 		Read: func(ctx context.Context, e slugcachefeed.Engine, since int64, wait time.Duration) (slugcachefeed.Page, error) {
 			if left, leaving := h.notices.Wait(e.Name, e.Incarnation, time.Now()); left > 0 || leaving {
 				return slugcachefeed.Page{}, errUnwanted
 			}
-			return h.adapter.CacheEvents(ctx, read, e.Address, since, wait)
+			return h.adapter.CacheEvents(ctx, read, h.memory.Hold(), e.Address, since, wait)
 		},
 		Apply: h.applyCachePage,
 	})
--- a/internal/daemon/slughost/host.go
+++ b/internal/daemon/slughost/host.go
@@ -22,6 +22,7 @@
 	"github.com/sassafraslug/sassafraslug/internal/base/slugbackoff"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugclock"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugevent"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugmemory"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugname"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugsettings"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugstep"
@@ -99,6 +100,9 @@
 	// retryReserve is the fraction of the retry budget that is never used, because the
 	// windows of different processes do not start at the same time.
 	retryReserve = 0.15
+	// maxReceived bounds the bytes received from endpoints and callers that the process holds,
+	// to a quarter of the 128 MB that a host may use.
+	maxReceived slugmemory.Bytes = 32 << 20
 )
 
 // Host is the host daemon.
@@ -120,6 +124,7 @@
 	follower       *slugconfigfollower.Follower
 	registry       *slugregistry.Registry
 	sender         *slugsend.Sender
+	memory         *slugmemory.Budget
 	quarantines    *slugquarantine.Set
 	evidence       *slugevidence.Exchange
 	notices        *slugnotice.Notices
@@ -172,7 +177,7 @@
 	return &Host{
 		aborted: aborted, abort: abort,
 		settings: s, network: n, adapter: a, log: log, metrics: new(expvar.Map).Init(), counters: slugcounters.New(), plannedRoles: slugroles.New(),
-		owners:         slugowner.New(),
+		owners: slugowner.New(), memory: slugmemory.New(maxReceived),
 		usageAggregate: slugusageaggregate.New(), firstSeen: map[slugname.Endpoint]firstSighting{},
 		placers: map[slugname.Service]*slugplacement.Placer{}, paces: map[slugname.Service]*slugpace.Model{}, publishedPaces: map[slugname.Service]slugpeer.Pace{},
 		retryBudgets: map[slugname.Service]*slugbudget.Budget{}, quarantines: slugquarantine.NewSet(), notices: slugnotice.New(), origins: slugorigin.New(),
@@ -214,7 +219,7 @@
 // build creates the components of the request path.
 func (h *Host) build(_ context.Context, _ *errgroup.Group) error {
 	h.usageCounter = slugusagecounter.New(slugusagecounter.Config{Window: h.settings.UsageWindow, Now: h.clock.Now})
-	h.sender = slugsend.New(slugsend.Config{Dial: h.network.Dial})
+	h.sender = slugsend.New(slugsend.Config{Dial: h.network.Dial, Memory: h.memory})
 	h.dispatcher = slugdispatch.New(slugdispatch.Config{
 		Table: h.follower.Table, Fresh: h.configFresh,
 		ConfigurationAge: func() time.Duration { return slugclock.Since(h.follower.LastConfirmed()) },
--- a/internal/daemon/slughost/join.go
+++ b/internal/daemon/slughost/join.go
@@ -13,6 +13,7 @@
 	"github.com/sassafraslug/sassafraslug/internal/base/slugbackoff"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugclock"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugevent"
+	"github.com/sassafraslug/sassafraslug/internal/base/slughttp"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugname"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugstore"
 	"github.com/sassafraslug/sassafraslug/internal/decision/slugorigin"
@@ -97,7 +98,10 @@
 func (h *Host) newStore() {
 	counts := new(expvar.Map).Init()
 	h.metrics.Set("storeCalls", counts)
-	h.storeClient = &http.Client{Transport: &http.Transport{DialContext: h.network.DialWithin(dialTimeout), MaxIdleConnsPerHost: storeIdleConnections}}
+	h.metrics.Set("receivedBytes", expvar.Func(func() any { return h.memory.Used() }))
+	transport := slughttp.NewTransport(h.network.DialWithin(dialTimeout))
+	transport.MaxIdleConnsPerHost = storeIdleConnections
+	h.storeClient = &http.Client{Transport: transport}
 	address := hostPort(h.settings.PlatformAddress)
 	h.store = slugstore.New(slugstore.Config{
 		BaseURL: address, Backend: h.adapter.Store(address, h.storeClient.Do), Counts: counts,
--- a/internal/daemon/slughost/serve.go
+++ b/internal/daemon/slughost/serve.go
@@ -34,7 +34,7 @@
 func (h *Host) listen(_ context.Context, _ *errgroup.Group) error {
 	handlers := h.adapter.Handlers(Ingress{
 		DataCentre: h.settings.DataCentre, Serve: h.dispatcher.Serve, Addresses: h.addresses, Ready: h.ready,
-		Leaving: h.leaving.Load, MaxBodyBytes: h.maxBodyBytes,
+		Leaving: h.leaving.Load, MaxBodyBytes: h.maxBodyBytes, Memory: h.memory,
 	})
 	var err error
 	open := func(address string, handler http.Handler) *slugserve.Server {
--- a/internal/daemon/slugnode/node.go
+++ b/internal/daemon/slugnode/node.go
@@ -21,6 +21,7 @@
 	"github.com/sassafraslug/sassafraslug/internal/base/slugbackoff"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugclock"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugevent"
+	"github.com/sassafraslug/sassafraslug/internal/base/slughttp"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugname"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugsettings"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugstore"
@@ -95,10 +96,9 @@
 	if n.cfg.Metrics != nil {
 		n.cfg.Metrics.Set("storeCalls", counts)
 	}
-	n.client = &http.Client{Transport: &http.Transport{
-		DialContext:         n.cfg.Network.Dial,
-		MaxIdleConnsPerHost: storeIdleConnections,
-	}}
+	transport := slughttp.NewTransport(n.cfg.Network.Dial)
+	transport.MaxIdleConnsPerHost = storeIdleConnections
+	n.client = &http.Client{Transport: transport}
 	return slugstore.New(slugstore.Config{BaseURL: n.cfg.Settings.PlatformAddress, Do: n.client.Do, Counts: counts})
 }
 
--- a/internal/daemon/slugoperatorapi/client.go
+++ b/internal/daemon/slugoperatorapi/client.go
@@ -12,6 +12,7 @@
 
 	"github.com/sassafraslug/sassafraslug/internal/base/slugbody"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugfault"
+	"github.com/sassafraslug/sassafraslug/internal/base/slughttp"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugstore"
 	"github.com/sassafraslug/sassafraslug/internal/version/slugconfig"
 )
@@ -40,7 +41,9 @@
 
 // New returns a Client. It opens no connection yet.
 func New(cfg Config) *Client {
-	return &Client{cfg: cfg, client: &http.Client{Timeout: callTimeout, Transport: &http.Transport{DialContext: cfg.Dial, DisableKeepAlives: true}}}
+	transport := slughttp.NewTransport(cfg.Dial)
+	transport.DisableKeepAlives = true
+	return &Client{cfg: cfg, client: &http.Client{Timeout: callTimeout, Transport: transport}}
 }
 
 // ResponseError is a response with a status other than 200.
--- a/internal/operate/slugcheck/check_test.go
+++ b/internal/operate/slugcheck/check_test.go
@@ -72,6 +72,7 @@
 		{"unsafe twice", Observation{Attempts: []Attempt{plain(Unsafe)}, Arrivals: []Arrival{arrival, arrival}}, Twice},
 		{"stream twice", Observation{Attempts: []Attempt{stream(Once)}, Arrivals: []Arrival{arrival, arrival}}, Twice},
 		{"refused and ran", Observation{Attempts: []Attempt{refusal}, Arrivals: []Arrival{arrival}}, Refused},
+		{"too much memory", Observation{Memory: []Memory{{"host-0", 100, 100}, {"host-1", 101, 100}}}, MemoryUsed},
 		{"ended by itself", Observation{Exits: []Exit{{"host-0", at(0), "exit status 2"}}}, Ended},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
--- a/internal/operate/slugcheck/observation.go
+++ b/internal/operate/slugcheck/observation.go
@@ -126,6 +126,12 @@
 	Detail  string
 }
 
+// Memory is the most memory that a process used, and that it may use, in bytes.
+type Memory struct {
+	Process     string
+	Peak, Limit int64
+}
+
 // Observation is what callers and endpoints saw during a run, and what the soak did.
 type Observation struct {
 	Attempts []Attempt
@@ -133,6 +139,7 @@
 	Breaks   []Break
 	Outages  []Outage
 	Exits    []Exit
+	Memory   []Memory
 }
 
 // Promise is the name of a promise.
@@ -146,12 +153,14 @@
 	Twice   Promise = "TWICE"
 	Refused Promise = "REFUSED"
 	Ended   Promise = "ENDED"
+	// MemoryUsed is broken by a process that uses more memory than it may.
+	MemoryUsed Promise = "MEMORY"
 )
 
 // Broken is a broken promise.
 type Broken struct {
 	Promise Promise
-	// ID is the request, and empty for Ended.
+	// ID is the request, and empty for Ended and MemoryUsed.
 	ID     RequestID
 	At     time.Time
 	Detail string
@@ -162,7 +171,7 @@
 
 // Check returns all broken promises in order of time.
 func (o *Observation) Check() []Broken {
-	out := slices.Concat(o.lost(), o.mixed(), o.order(), o.twice(), o.refused(), o.ended())
+	out := slices.Concat(o.lost(), o.mixed(), o.order(), o.twice(), o.refused(), o.ended(), o.memory())
 	slices.SortStableFunc(out, func(a, b Broken) int { return a.At.Compare(b.At) })
 	return out
 }
--- a/internal/operate/slugcheck/run.go
+++ b/internal/operate/slugcheck/run.go
@@ -1,6 +1,9 @@
 package slugcheck
 
-import "net/http"
+import (
+	"fmt"
+	"net/http"
+)
 
 // twice finds requests that ran more than once although they may run once.
 func (o *Observation) twice() (out []Broken) {
@@ -33,6 +36,16 @@
 	return false
 }
 
+// memory finds processes that used more memory than they may.
+func (o *Observation) memory() (out []Broken) {
+	for _, m := range o.Memory {
+		if m.Peak > m.Limit {
+			out = append(out, Broken{Promise: MemoryUsed, Detail: fmt.Sprintf("%s: used %d MB, %d allowed", m.Process, m.Peak>>20, m.Limit>>20)})
+		}
+	}
+	return out
+}
+
 // ended finds processes that ended by themselves.
 func (o *Observation) ended() (out []Broken) {
 	for _, x := range o.Exits {
--- a/internal/operate/slugprocess/process.go
+++ b/internal/operate/slugprocess/process.go
@@ -14,6 +14,8 @@
 	"fmt"
 	"os"
 	"os/exec"
+	"strconv"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -114,6 +116,29 @@
 	return PID(p.current.cmd.Process.Pid)
 }
 
+// PeakMemory returns the largest resident memory of the process so far in bytes, or 0 if it
+// doesn't run.
+func (p *Process) PeakMemory() (int64, error) {
+	pid := p.PID()
+	if pid == 0 {
+		return 0, nil
+	}
+	b, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	if errors.Is(err, os.ErrNotExist) || errors.Is(err, syscall.ESRCH) {
+		return 0, nil // It has just ended.
+	}
+	if err != nil {
+		return 0, errors.Wrapf(err, "read the memory of %s", p.cfg.Name)
+	}
+	for line := range strings.Lines(string(b)) {
+		if text, ok := strings.CutPrefix(line, "VmHWM:"); ok {
+			n, err := strconv.ParseInt(strings.TrimSpace(strings.TrimSuffix(strings.TrimSpace(text), "kB")), 10, 64)
+			return n << 10, errors.Wrapf(err, "read the memory of %s", p.cfg.Name)
+		}
+	}
+	return 0, nil // A process that has ended and was not waited for has no memory.
+}
+
 // Exits returns the ends that no signal explains.
 func (p *Process) Exits() []Exit {
 	p.mu.Lock()
--- a/internal/operate/slugschedule/schedule.go
+++ b/internal/operate/slugschedule/schedule.go
@@ -45,6 +45,8 @@
 	Hangup Kind = "hangup"
 	// Configure writes a new configuration to the store.
 	Configure Kind = "configure"
+	// Flood makes endpoints send bytes without end to all calls.
+	Flood Kind = "flood"
 )
 
 // Link is a group of connections.
@@ -123,10 +125,28 @@
 	for at := quiet; at < shape.Duration; at += time.Duration(r.ExpFloat64() * float64(meanSeriesGap)) {
 		s.Faults = append(s.Faults, series(r, shape, at)...)
 	}
+	s.Faults = append(s.Faults, floods(seed, shape)...)
 	slices.SortStableFunc(s.Faults, func(a, b Fault) int { return int(a.At - b.At) })
 	return s
 }
 
+// floods returns the floods of half of the seeds, in which part of the endpoints or all of them
+// send bytes without end. They are drawn apart from the other faults, which are those of the
+// seed without them.
+func floods(seed Seed, shape Shape) (out []Fault) {
+	r := rand.New(rand.NewPCG(uint64(seed), 44))
+	if r.IntN(2) == 0 {
+		return nil
+	}
+	for range 1 + r.IntN(maxSeriesLength) {
+		out = append(out, Fault{
+			At: between(r, quiet, shape.Duration), For: between(r, minSilence, maxFault), Kind: Flood,
+			Link: ToEndpoints, Targets: choose(r, shape.Endpoints, 1+r.IntN(shape.Endpoints)), Share: 1,
+		})
+	}
+	return out
+}
+
 // series returns a series of faults of one kind. The next one may begin before the one before
 // has ended.
 func series(r *rand.Rand, shape Shape, at time.Duration) []Fault {
--- a/internal/operate/slugsystem/bench_test.go
+++ b/internal/operate/slugsystem/bench_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/sassafraslug/sassafraslug/internal/base/slugmemory"
 	"github.com/sassafraslug/sassafraslug/internal/connection/slugstream"
 	"github.com/sassafraslug/sassafraslug/internal/operate/slugdemo"
 	"github.com/sassafraslug/sassafraslug/internal/operate/slugsystem"
@@ -103,7 +104,7 @@
 	}
 	b.ReportAllocs()
 	for b.Loop() {
-		s := slugstream.New(bytes.NewReader(text.Bytes()), "r", 0)
+		s := slugstream.New(bytes.NewReader(text.Bytes()), "r", 0, slugmemory.New(1<<20).Hold())
 		w := slugrelay.New(discardWriter{http.Header{}}, slugrelay.Config{Stream: true, Chat: true})
 		for range events {
 			e, err := s.Next()
--- a/internal/request/slugchat/attempt.go
+++ b/internal/request/slugchat/attempt.go
@@ -202,7 +202,9 @@
 // final event.
 func (a *attempt) relay(resp *http.Response) error {
 	defer func() { _ = resp.Body.Close() }()
-	s := slugstream.New(resp.Body, string(a.call.ID), a.lastSequence)
+	hold := a.cfg.Sender.Hold()
+	defer hold.Release()
+	s := slugstream.New(resp.Body, string(a.call.ID), a.lastSequence, hold)
 	defer func() { a.lastSequence = s.Last() }()
 	for {
 		e, err := s.Next()
--- a/internal/request/slugdispatch/events.go
+++ b/internal/request/slugdispatch/events.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugmemory"
 	"github.com/sassafraslug/sassafraslug/internal/connection/slugsend"
 	"github.com/sassafraslug/sassafraslug/internal/decision/slugplacement"
 )
@@ -46,37 +47,55 @@
 
 // eventReader splits a stream into server-sent events.
 type eventReader struct {
-	buf *bufio.Reader
+	buf  *bufio.Reader
+	hold *slugmemory.Hold
+	// raw holds the current event.
+	raw []byte
+}
+
+// maxKeptBytes is the largest buffer that is kept for the next event.
+const maxKeptBytes = 32 << 10
+
+// newEventReader returns an eventReader of a response. Its hold must be released.
+func newEventReader(e *slugsend.Exchange) *eventReader {
+	return &eventReader{buf: bufio.NewReader(e.Response.Body), hold: e.Hold()}
 }
 
 var errEventTooLong = errors.New("event exceeds the maximum size")
 
-// next returns the next complete event. It returns io.EOF at the end of the stream, and
-// io.ErrUnexpectedEOF if the stream ends inside an event.
+// next returns the next complete event, which is valid until the next call. It returns io.EOF
+// at the end of the stream, and io.ErrUnexpectedEOF if the stream ends inside an event.
 func (r *eventReader) next() (event, error) {
 	e := event{comment: true}
-	var line []byte
+	if r.raw = r.raw[:0]; cap(r.raw) > maxKeptBytes {
+		r.raw = nil
+		r.hold.Release()
+	}
+	lineStart := 0
 	for {
 		part, err := r.buf.ReadSlice('\n')
-		e.raw = append(e.raw, part...)
-		line = append(line, part...)
-		if errors.Is(err, bufio.ErrBufferFull) && len(e.raw) <= maxEventBytes {
+		var grown error
+		r.raw, grown = r.hold.Append(r.raw, part)
+		if grown == nil && errors.Is(err, bufio.ErrBufferFull) && len(r.raw) <= maxEventBytes {
 			continue
 		}
 		switch {
-		case len(e.raw) > maxEventBytes:
+		case grown != nil:
+			return event{}, grown
+		case len(r.raw) > maxEventBytes:
 			return event{}, errEventTooLong
-		case errors.Is(err, io.EOF) && len(e.raw) > 0:
+		case errors.Is(err, io.EOF) && len(r.raw) > 0:
 			return event{}, io.ErrUnexpectedEOF
 		case err != nil:
 			return event{}, err
 		}
-		line = bytes.TrimRight(line, "\r\n")
+		line := bytes.TrimRight(r.raw[lineStart:], "\r\n")
+		lineStart = len(r.raw)
 		if len(line) == 0 {
+			e.raw = r.raw
 			return e, nil
 		}
 		e.addLine(line)
-		line = line[:0]
 	}
 }
 
@@ -94,7 +113,8 @@
 		return errors.Wrapf(errForeignEvent, "content type %q", e.Response.Header.Get("Content-Type"))
 	}
 	from := resumption{d.headerWritten, a.after, mediaType(e.Response.Header) == eventStream}
-	events := eventReader{bufio.NewReader(e.Response.Body)}
+	events := newEventReader(e)
+	defer events.hold.Release()
 	for {
 		ev, err := events.next()
 		if errors.Is(err, io.EOF) {
@@ -226,7 +246,7 @@
 	if d.headerWritten || d.route.Idempotent() && d.possibleRuns+1 < d.route.MaxAttempts {
 		return errors.Newf("endpoint responded with status %d", e.Response.StatusCode)
 	}
-	b, err := bufferResponse(e.Response)
+	b, err := bufferResponse(e)
 	if err != nil {
 		return err
 	}
--- a/internal/request/slugdispatch/plain.go
+++ b/internal/request/slugdispatch/plain.go
@@ -236,7 +236,7 @@
 		return err
 	}
 	d.countStart()
-	b, err := bufferResponse(e.Response)
+	b, err := bufferResponse(e)
 	if err != nil {
 		return err
 	}
--- a/internal/request/slugdispatch/response.go
+++ b/internal/request/slugdispatch/response.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugmemory"
+	"github.com/sassafraslug/sassafraslug/internal/connection/slugsend"
 )
 
 // maxBufferedResponseBytes bounds the part of a response that is read before anything is
@@ -20,20 +22,26 @@
 	beginning []byte
 	// whole is set if the beginning is all of it.
 	whole bool
+	hold  *slugmemory.Hold
 }
 
-// bufferResponse reads a response up to maxBufferedResponseBytes.
-func bufferResponse(r *http.Response) (*bufferedResponse, error) {
-	b, err := io.ReadAll(io.LimitReader(r.Body, maxBufferedResponseBytes))
-	if err != nil {
+// bufferResponse reads a response up to maxBufferedResponseBytes, or less if the memory for
+// that is exhausted.
+func bufferResponse(e *slugsend.Exchange) (*bufferedResponse, error) {
+	hold := e.Hold()
+	b, err := hold.ReadAll(io.LimitReader(e.Response.Body, maxBufferedResponseBytes))
+	exhausted := errors.Is(err, slugmemory.ErrExhausted)
+	if err != nil && !exhausted {
+		hold.Release()
 		return nil, errors.Wrap(err, "read response")
 	}
-	return &bufferedResponse{r, b, len(b) < maxBufferedResponseBytes}, nil
+	return &bufferedResponse{e.Response, b, !exhausted && len(b) < maxBufferedResponseBytes, hold}, nil
 }
 
 // relayResponse relays a response. One that is longer than what is buffered is relayed as it
 // arrives, and is cut for the caller where it is cut here. No other attempt may follow it.
 func (d *dispatch) relayResponse(r *bufferedResponse) error {
+	defer r.hold.Release()
 	defer func() { _ = r.Body.Close() }()
 	length := len(r.beginning)
 	if !r.whole {
--- a/internal/request/slugdispatch/stream.go
+++ b/internal/request/slugdispatch/stream.go
@@ -276,7 +276,9 @@
 	case head.Status != http.StatusOK:
 		return Handle{}, errors.Newf("prefill request failed with status %d", head.Status)
 	}
-	b, err := maxHandle.ReadAll(e.Response.Body)
+	hold := e.Hold()
+	defer hold.Release()
+	b, err := hold.ReadAll(maxHandle.Reader(e.Response.Body))
 	_ = e.Response.Body.Close()
 	if err != nil {
 		return Handle{}, errors.Wrap(err, "read handle")
--- a/internal/request/slugplaincall/send.go
+++ b/internal/request/slugplaincall/send.go
@@ -9,6 +9,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/sassafraslug/sassafraslug/internal/authority/slugclaim"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugmemory"
 	"github.com/sassafraslug/sassafraslug/internal/connection/slugsend"
 	"github.com/sassafraslug/sassafraslug/internal/decision/slugpick"
 	"github.com/sassafraslug/sassafraslug/internal/request/slugadmit"
@@ -84,10 +85,12 @@
 		refusal := slugrefusal.NotRun(slugrefusal.CodeEndpointRefused, "endpoint did not run the call: %s", text)
 		return slugpick.OutcomeNotRun, true, x.markRan(refusal.WithRetryAfter(time.Second))
 	}
+	hold := e.Hold()
+	defer hold.Release()
 	if answer != nil {
-		return x.storeAnswer(resp, answer)
+		return x.storeAnswer(resp, hold, answer)
 	}
-	return x.relay(resp)
+	return x.relay(resp, hold)
 }
 
 // sendFailed handles an attempt without a complete response.
@@ -101,14 +104,24 @@
 	return outcome, !sent || x.route.Idempotent, refusal
 }
 
+// readBeginning reads up to maxBufferedBytes of a response, or less if the memory for that is
+// exhausted. whole reports that there is no more.
+func readBeginning(resp *http.Response, hold *slugmemory.Hold) (beginning []byte, whole bool, err error) {
+	b, err := hold.ReadAll(io.LimitReader(resp.Body, maxBufferedBytes))
+	if errors.Is(err, slugmemory.ErrExhausted) {
+		return b, false, nil
+	}
+	return b, len(b) < maxBufferedBytes, err
+}
+
 // storeAnswer reads a response that is to be stored with its claim. A response that is too
 // large for that is relayed at once.
-func (x *exchange) storeAnswer(resp *http.Response, a *slugclaim.Answer) (slugpick.Outcome, bool, *slugrefusal.Refusal) {
-	b, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedBytes))
+func (x *exchange) storeAnswer(resp *http.Response, hold *slugmemory.Hold, a *slugclaim.Answer) (slugpick.Outcome, bool, *slugrefusal.Refusal) {
+	b, whole, err := readBeginning(resp, hold)
 	if err != nil {
 		return x.sendFailed(true, err)
 	}
-	if len(b) == maxBufferedBytes {
+	if !whole {
 		*a = slugclaim.Answer{Status: resp.StatusCode, Dropped: true}
 		return x.relayBuffered(resp, b)
 	}
@@ -118,11 +131,11 @@
 
 // relay relays a response to the caller, once it is complete or exceeds the buffer.
 // Event streams are not buffered.
-func (x *exchange) relay(resp *http.Response) (slugpick.Outcome, bool, *slugrefusal.Refusal) {
+func (x *exchange) relay(resp *http.Response, hold *slugmemory.Hold) (slugpick.Outcome, bool, *slugrefusal.Refusal) {
 	if isEventStream(resp) {
 		return x.relayBuffered(resp, nil)
 	}
-	buffered, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedBytes))
+	buffered, _, err := readBeginning(resp, hold)
 	if err != nil {
 		return x.sendFailed(true, err)
 	}
--- a/internal/request/slugplaincall/send_test.go
+++ b/internal/request/slugplaincall/send_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/sassafraslug/sassafraslug/internal/authority/slugclaim"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugmemory"
 	"github.com/sassafraslug/sassafraslug/internal/request/slugadmit"
 	"gotest.tools/v3/assert"
 )
@@ -37,7 +38,7 @@
 		w := httptest.NewRecorder()
 		x := &exchange{w: w, call: &slugadmit.Call{ID: "id"}}
 		body := strings.Repeat("x", size)
-		_, retry, refusal := x.storeAnswer(&http.Response{StatusCode: http.StatusOK, Body: io.NopCloser(strings.NewReader(body))}, &answer)
+		_, retry, refusal := x.storeAnswer(&http.Response{StatusCode: http.StatusOK, Body: io.NopCloser(strings.NewReader(body))}, slugmemory.New(16<<20).Hold(), &answer)
 		assert.Assert(t, !retry && refusal == nil)
 		assert.Equal(t, answer.Dropped, dropped)
 		assert.Equal(t, x.statusWritten, dropped)
