Send a stream back to the engine that was silent when its replacement fails

Callers saw streams end with 200 and without their last event: an engine paused for 1.5 s, another one took over and crashed 0.1 s after the first had gone on.

Cause: attempts were counted instead of engines. max_attempts limits the endpoints at which a request runs, and the engine whose silent attempt was canceled is not a further one.

Change: the request remembers at which endpoints it may have run. When no further one is allowed or available, an engine that was replaced for its silence gets the request once more, as it did already after a late rejection, within the retry budget.

TestReplacementFailsInStream failed before for each of three moments of the crash, with an unexpected EOF; the streams are whole now. The other tests of standbys and pauses pass unchanged.

--- a/internal/decision/slugplacement/placer.go
+++ b/internal/decision/slugplacement/placer.go
@@ -365,6 +365,19 @@
 	return p.assign(p.bestDecode(j, near, p.candidates(slugplan.RoleDecode, j.Version, exclude, now), now), slugplan.RoleDecode, now)
 }
 
+// DecodeAt is like Decode, but chooses one of the given endpoints.
+func (p *Placer) DecodeAt(j Job, near slugname.DataCentre, names []slugname.Endpoint, now time.Time) (*Choice, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var others []slugname.Endpoint
+	for _, s := range p.list {
+		if !slices.Contains(names, s.Name) {
+			others = append(others, s.Name)
+		}
+	}
+	return p.assign(p.bestDecode(j, near, p.candidates(slugplan.RoleDecode, j.Version, others, now), now), slugplan.RoleDecode, now)
+}
+
 // Spare chooses, like Decode, an engine for a response that is still expected elsewhere. It
 // has free capacity, and if any request of this process waits for an event from there, one has
 // arrived within maxSilence.
--- a/internal/request/slugdispatch/decode.go
+++ b/internal/request/slugdispatch/decode.go
@@ -17,7 +17,7 @@
 // decode has the response generated from the KV cache of a prefill, which may be nil, and
 // relays it.
 func (d *dispatch) decode(ctx context.Context, prefilled *prefillResult) error {
-	if refusal := d.reauthorize(); refusal != nil && !d.headerWritten && d.possibleRuns == 0 {
+	if refusal := d.reauthorize(); refusal != nil && !d.headerWritten && len(d.ranAt) == 0 {
 		d.releaseCache(prefilled)
 		return noRetry(refusal)
 	}
@@ -55,17 +55,20 @@
 	return noRetry(errors.CombineErrors(last, errNoEndpoint))
 }
 
-// chooseDecode chooses the endpoint that generates the response. If there is no other, an
-// endpoint whose silent attempt was canceled gets the request once more: it may have paused
-// only, and the one that was to replace it did not run the request.
+// chooseDecode chooses the endpoint that generates the response. If there is no other, or no
+// other may run the request, an endpoint whose silent attempt was canceled gets it once more:
+// it may have paused only, and is no further endpoint at which the request runs.
 func (d *dispatch) chooseDecode(near slugname.DataCentre, exclude []slugname.Endpoint) (*slugplacement.Choice, bool) {
-	c, ok := d.placer.Decode(d.job(), near, exclude, time.Now())
-	if ok || len(d.replaced) == 0 {
-		return c, ok
+	if len(d.ranAt) < d.route.MaxAttempts {
+		if c, ok := d.placer.Decode(d.job(), near, exclude, time.Now()); ok {
+			return c, true
+		}
+	}
+	c, ok := d.placer.DecodeAt(d.job(), near, d.replaced, time.Now())
+	if ok {
+		d.replaced = slices.DeleteFunc(d.replaced, func(n slugname.Endpoint) bool { return n == c.Name })
 	}
-	exclude = slices.DeleteFunc(slices.Clone(exclude), func(n slugname.Endpoint) bool { return slices.Contains(d.replaced, n) })
-	d.replaced = nil
-	return d.placer.Decode(d.job(), near, exclude, time.Now())
+	return c, ok
 }
 
 // decodeAttempt is an attempt to have the response generated at one endpoint.
@@ -174,8 +177,8 @@
 		d.releaseCache(a.prefilled)
 		return err
 	}
-	d.possibleRuns++
-	if !d.route.Idempotent() || d.possibleRuns >= d.route.MaxAttempts || !d.resumable() {
+	d.recordRun(a.choice.Name)
+	if !d.route.Idempotent() || !d.resumable() || len(d.ranAt) >= d.route.MaxAttempts && len(d.replaced) == 0 {
 		return noRetry(err)
 	}
 	return err
--- a/internal/request/slugdispatch/dispatcher.go
+++ b/internal/request/slugdispatch/dispatcher.go
@@ -165,10 +165,11 @@
 
 	// excluded holds the endpoints that must not be tried again.
 	excluded []slugname.Endpoint
-	// replaced holds those of them whose attempts were canceled because they were silent.
+	// replaced holds those of them whose attempts were canceled because they were silent, and
+	// that may get the request once more.
 	replaced []slugname.Endpoint
-	// possibleRuns is the number of endpoints at which the request may have run.
-	possibleRuns int
+	// ranAt holds the endpoints at which the request may have run.
+	ranAt []slugname.Endpoint
 	// sends is the number of attempts that may have reached an endpoint.
 	sends int
 	// reserved are the retries taken from the budget for the next attempts.
@@ -401,9 +402,9 @@
 		return truncated{ErrTruncated, cause}
 	case ctx.Err() != nil && !errors.Is(context.Cause(ctx), errDeadline):
 		return ErrCallerDisconnected
-	case d.possibleRuns == 0 && errors.As(cause, &refusal):
+	case len(d.ranAt) == 0 && errors.As(cause, &refusal):
 		return refusal
-	case d.possibleRuns > 0:
+	case len(d.ranAt) > 0:
 		code := slugrefusal.CodeEndpointFailed
 		if d.remaining() <= 0 {
 			code = slugrefusal.CodeTimeout
--- a/internal/request/slugdispatch/events.go
+++ b/internal/request/slugdispatch/events.go
@@ -243,7 +243,7 @@
 // may follow.
 func (d *dispatch) relayErrorResponse(e *slugsend.Exchange) error {
 	d.countStart()
-	if d.headerWritten || d.route.Idempotent() && d.possibleRuns+1 < d.route.MaxAttempts {
+	if d.headerWritten || d.route.Idempotent() && len(d.ranAt)+1 < d.route.MaxAttempts {
 		return errors.Newf("endpoint responded with status %d", e.Response.StatusCode)
 	}
 	b, err := bufferResponse(e)
--- a/internal/request/slugdispatch/plain.go
+++ b/internal/request/slugdispatch/plain.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"syscall"
 	"time"
 
@@ -47,8 +48,8 @@
 		return refusal
 	}
 	var last error
-	for d.possibleRuns < d.route.MaxAttempts {
-		if refusal := d.reauthorize(); refusal != nil && d.possibleRuns == 0 {
+	for len(d.ranAt) < d.route.MaxAttempts {
+		if refusal := d.reauthorize(); refusal != nil && len(d.ranAt) == 0 {
 			return refusal
 		}
 		if err := d.stopQuarantined(); err != nil {
@@ -67,9 +68,9 @@
 		switch {
 		case d.headerWritten, ctx.Err() != nil:
 			return d.callerError(ctx, err)
-		case d.possibleRuns > 0 && !d.route.Idempotent():
+		case len(d.ranAt) > 0 && !d.route.Idempotent():
 			return d.callerError(ctx, err)
-		case sent && d.possibleRuns < d.route.MaxAttempts && !d.tryRetry(time.Now()):
+		case sent && len(d.ranAt) < d.route.MaxAttempts && !d.tryRetry(time.Now()):
 			return d.callerError(ctx, errors.CombineErrors(err, errRetryBudget))
 		}
 	}
@@ -100,7 +101,7 @@
 	} else {
 		e.Abort()
 		if sent && !errors.Is(err, errNotRun) {
-			d.possibleRuns++
+			d.recordRun(c.Name)
 		}
 		interrupted := d.reportInterruption(ctx, c, run, sent, err)
 		if interrupted {
@@ -245,4 +246,16 @@
 }
 
 // exclude keeps an endpoint from being tried again for this request.
-func (d *dispatch) exclude(n slugname.Endpoint) { d.excluded = append(d.excluded, n) }
+func (d *dispatch) exclude(n slugname.Endpoint) { d.excluded = add(d.excluded, n) }
+
+// recordRun records that the request may have run at an endpoint. Another run there is not
+// one at a further endpoint.
+func (d *dispatch) recordRun(n slugname.Endpoint) { d.ranAt = add(d.ranAt, n) }
+
+// add adds a name to a list unless it is there.
+func add(list []slugname.Endpoint, n slugname.Endpoint) []slugname.Endpoint {
+	if slices.Contains(list, n) {
+		return list
+	}
+	return append(list, n)
+}
--- a/internal/request/slugdispatch/retry.go
+++ b/internal/request/slugdispatch/retry.go
@@ -20,7 +20,7 @@
 // request that may have run is not sent again if endpoints crashed repeatedly under requests
 // with something in common with it.
 func (d *dispatch) mayRetry(now time.Time) bool {
-	return d.remaining() > minRetryTime && (d.possibleRuns == 0 || !d.quarantine.Suspected(d.subject, now))
+	return d.remaining() > minRetryTime && (len(d.ranAt) == 0 || !d.quarantine.Suspected(d.subject, now))
 }
 
 // tryRetry reports whether the request may be sent once more, and if so takes the retry
--- a/internal/request/slugdispatch/standby.go
+++ b/internal/request/slugdispatch/standby.go
@@ -92,7 +92,7 @@
 // newStandby returns the standby of an attempt that is about to begin.
 func (d *dispatch) newStandby(ctx context.Context, a *decodeAttempt) *standby {
 	s := &standby{ctx: ctx, attempt: a, gapTimeout: max(minGapTimeout, silenceFactor*d.route.Gap)}
-	if !d.route.Idempotent() || d.possibleRuns+1 >= d.route.MaxAttempts {
+	if !d.route.Idempotent() || len(add(slices.Clone(d.ranAt), a.choice.Name)) >= d.route.MaxAttempts {
 		return s
 	}
 	s.fork, s.sendsBefore = d.fork(a), d.sends+1
@@ -115,7 +115,7 @@
 	f.w = nil
 	f.endpoints, f.sends = nil, 0
 	f.excluded = append(slices.Clone(d.excluded), a.choice.Name)
-	f.possibleRuns++
+	f.ranAt = add(slices.Clone(d.ranAt), a.choice.Name)
 	f.decodeSent, f.startCounted = true, true
 	f.reserved = reservation{}
 	return &f
@@ -130,9 +130,14 @@
 	}
 	d.sends += s.fork.sends
 	d.endpoints = append(d.endpoints, s.fork.endpoints...)
-	d.possibleRuns = s.fork.possibleRuns - 1
+	silent := s.attempt.choice.Name
+	for _, name := range s.fork.ranAt {
+		if name != silent {
+			d.recordRun(name)
+		}
+	}
 	for _, name := range s.fork.excluded {
-		if name != s.attempt.choice.Name && !slices.Contains(d.excluded, name) {
+		if name != silent {
 			d.exclude(name)
 		}
 	}
@@ -233,7 +238,7 @@
 // to take over. All that can be refused is reserved before that.
 func (s *standby) prepare(ctx context.Context, events int) (*continuation, error) {
 	f := s.fork
-	if !f.resumable() || f.possibleRuns >= f.route.MaxAttempts || s.sendsBefore+f.sends >= maxSends {
+	if !f.resumable() || len(f.ranAt) >= f.route.MaxAttempts || s.sendsBefore+f.sends >= maxSends {
 		return nil, errNoReplacement
 	}
 	if s.mayProcessPrompt(events) {
--- a/internal/request/slugdispatch/stream.go
+++ b/internal/request/slugdispatch/stream.go
@@ -41,13 +41,13 @@
 	}
 	var last error
 	for d.sends < maxSends {
-		if refusal := d.reauthorize(); refusal != nil && !d.headerWritten && d.possibleRuns == 0 {
+		if refusal := d.reauthorize(); refusal != nil && !d.headerWritten && len(d.ranAt) == 0 {
 			return refusal
 		}
 		if err := d.stopQuarantined(); err != nil {
 			return d.callerError(ctx, err)
 		}
-		if d.version != "" && d.possibleRuns == 0 && !d.placer.Accepts(slugplan.RoleDecode, d.version, time.Now()) {
+		if d.version != "" && len(d.ranAt) == 0 && !d.placer.Accepts(slugplan.RoleDecode, d.version, time.Now()) {
 			return d.refuseTakeUp("no endpoint of software version %s, which began the stream, takes requests", d.version)
 		}
 		if !d.placer.Accepts(slugplan.RoleDecode, d.version, time.Now()) {
