Reserve the return to a silent engine before another one is asked

Change: a preparation takes the retries of the return from the budget together with its own, or does not begin, unless the silent engine has ended. They are given back when the other engine responds, and otherwise used by the next round.

It works since all streams that give up an engine have the way back in hand; how many do so at once is what the budget bounds.

--- a/internal/request/slugdispatch/standby.go
+++ b/internal/request/slugdispatch/standby.go
@@ -11,6 +11,7 @@
 	"github.com/sassafraslug/sassafraslug/internal/base/slugevent"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugname"
 	"github.com/sassafraslug/sassafraslug/internal/decision/slugplacement"
+	"github.com/sassafraslug/sassafraslug/internal/decision/slugplan"
 )
 
 const (
@@ -25,8 +26,7 @@
 	minGapTimeout = 900 * time.Millisecond
 	// standbyInterval is the time between preparations beside an attempt that stays silent.
 	standbyInterval = 250 * time.Millisecond
-	// maxOverlap bounds the time for which two endpoints may work on one stream. An endpoint
-	// that rejects a request does so sooner.
+	// maxOverlap bounds the time for which two endpoints may work on one stream.
 	maxOverlap = 250 * time.Millisecond
 	// minSpareSilence is the minimum silence that disqualifies an endpoint from taking over.
 	minSpareSilence = 300 * time.Millisecond
@@ -53,9 +53,9 @@
 }
 
 // standby prepares, beside an attempt whose endpoint is silent, the attempt that replaces it.
-// The silent attempt is canceled only when the other endpoint has begun to respond, or has had
-// the request for maxOverlap without rejecting it, since it may have paused for a moment only,
-// and go on when nothing can replace it.
+// The silent endpoint may have paused for a moment only. Its attempt is canceled when the
+// other endpoint has begun to respond, or has had the request for maxOverlap. Until that one
+// responds, the retries for a return to the silent endpoint are in hand.
 type standby struct {
 	ctx     context.Context
 	attempt *decodeAttempt
@@ -82,6 +82,11 @@
 	// done is closed at the end of the preparation in progress.
 	done  chan struct{}
 	ended bool
+	// unneeded is set if no attempt may follow the one that ended.
+	unneeded bool
+	// fallback is taken from the retry budget for the return to the silent endpoint, until the
+	// other one responds.
+	fallback reservation
 	// replaced is set once the silent attempt was canceled for another one.
 	replaced bool
 	ready    *continuation
@@ -128,6 +133,10 @@
 	if s.fork == nil || s.abandon != nil {
 		return
 	}
+	if s.replaced && s.ready == nil {
+		d.returnRetries()
+		d.reserved, s.fallback = s.fallback, reservation{}
+	}
 	d.sends += s.fork.sends
 	d.endpoints = append(d.endpoints, s.fork.endpoints...)
 	silent := s.attempt.choice.Name
@@ -203,6 +212,9 @@
 		err = context.Cause(ctx)
 		s.fork.abandonDecode(next, err)
 	}
+	if err == nil || !s.replaced || s.unneeded {
+		s.returnFallback()
+	}
 	if err != nil {
 		s.keep(err)
 		return
@@ -251,7 +263,11 @@
 	if !ok {
 		return nil, errNoReplacement
 	}
-	prefilled, err := f.prefillFor(ctx, c)
+	if err := s.reserve(c, time.Now()); err != nil {
+		c.End(slugplacement.Abandoned, time.Now())
+		return nil, err
+	}
+	prefilled, err := f.prefillFor(ctx)
 	if err == nil && !f.placer.Lists(c.Name, c.Incarnation) {
 		// The endpoint began to leave while the prompt was processed.
 		f.releaseCache(prefilled)
@@ -268,30 +284,54 @@
 // no usual time is known. Another endpoint would have to begin anew.
 func (s *standby) mayProcessPrompt(events int) bool {
 	f, silent := s.fork, s.attempt
-	return events == 0 && silent.prefilled == nil && f.placer.FirstEventTime(time.Now()) == 0 && f.cfg.Registered(f.service.Name, silent.choice.Name, silent.choice.Incarnation)
+	return events == 0 && silent.prefilled == nil && f.placer.FirstEventTime(time.Now()) == 0 && s.silentRegistered()
 }
 
 // spare chooses the endpoint that is to take over. An endpoint without capacity may do so
 // only if the silent one is not registered any more. One that is leaving, or is to change its
 // role, still completes its responses.
 func (s *standby) spare(now time.Time) (*slugplacement.Choice, bool) {
-	f, silent := s.fork, s.attempt.choice
+	f := s.fork
 	near := f.call.Prompt.DataCentre
 	c, ok := f.placer.Spare(f.job(), near, f.excluded, max(minSpareSilence, f.route.Gap), now)
-	if !ok && !f.cfg.Registered(f.service.Name, silent.Name, silent.Incarnation) {
+	if !ok && !s.silentRegistered() {
 		return f.placer.Decode(f.job(), near, f.excluded, now)
 	}
 	return c, ok
 }
 
-// prefillFor has the prompt processed for a decode request at the chosen endpoint.
-func (d *dispatch) prefillFor(ctx context.Context, c *slugplacement.Choice) (*prefillResult, error) {
+// reserve takes from the retry budget what a request to the chosen endpoint needs, and what
+// the return to the silent one would need.
+func (s *standby) reserve(c *slugplacement.Choice, now time.Time) error {
 	if err := checkReady(c); err != nil {
-		return nil, err
+		return err
+	}
+	f := s.fork
+	if !f.reserveRetries(now) {
+		return errRetryBudget
 	}
-	if !d.reserveRetries(time.Now()) {
-		return nil, errRetryBudget
+	if !s.silentRegistered() {
+		return nil // It has ended.
 	}
+	fallback := reservation{prompt: f.placer.Len(slugplan.RolePrefill) > 0, response: true, takenAt: now}
+	if !f.budget.TryRetries(fallback.count(), now) {
+		return errRetryBudget
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.fallback = fallback
+	return nil
+}
+
+// returnFallback gives back what was taken for the return to the silent endpoint. The caller
+// must hold s.mu.
+func (s *standby) returnFallback() {
+	s.fork.budget.Return(s.fallback.count(), s.fallback.takenAt)
+	s.fallback = reservation{}
+}
+
+// prefillFor has the prompt processed for a decode request at an endpoint that was chosen.
+func (d *dispatch) prefillFor(ctx context.Context) (*prefillResult, error) {
 	prefilled, err := d.prefill(ctx)
 	if err == nil && ctx.Err() != nil {
 		d.releaseCache(prefilled)
@@ -344,6 +384,12 @@
 	}
 }
 
+// silentRegistered reports whether the silent endpoint is still registered.
+func (s *standby) silentRegistered() bool {
+	c := s.attempt.choice
+	return s.fork.cfg.Registered(s.fork.service.Name, c.Name, c.Incarnation)
+}
+
 // abandonDecode ends an attempt that is not needed.
 func (d *dispatch) abandonDecode(c *continuation, cause error) {
 	c.cancel(cause)
@@ -360,6 +406,7 @@
 	s.ended = true
 	s.timer.Stop()
 	needed := err != nil && !errors.Is(err, errNoRetry) && s.ctx.Err() == nil
+	s.unneeded = !needed
 	if s.abandon != nil && !needed {
 		s.abandon(errEventArrived)
 		s.mu.Unlock()
--- a/internal/request/slugdispatch/stream.go
+++ b/internal/request/slugdispatch/stream.go
@@ -39,6 +39,7 @@
 	if refusal := d.fixVersion(ctx); refusal != nil {
 		return refusal
 	}
+	defer d.returnRetries()
 	var last error
 	for d.sends < maxSends {
 		if refusal := d.reauthorize(); refusal != nil && !d.headerWritten && len(d.ranAt) == 0 {
@@ -54,6 +55,7 @@
 			// The prompt would be processed in vain.
 			return d.callerError(ctx, noRetry(errors.CombineErrors(last, errNoEndpoint)))
 		}
+		d.returnRetries()
 		if !d.reserveRetries(time.Now()) {
 			return d.callerError(ctx, noRetry(errors.Wrap(last, errRetryBudget.Error())))
 		}
@@ -61,7 +63,6 @@
 		if err == nil {
 			err = d.decode(ctx, prefilled)
 		}
-		d.returnRetries()
 		if err == nil {
 			return nil
 		}
