Tell another host of a stream when one does not acknowledge it

Cause: each stream is told to four hosts, and a host that stands still counts as live for seconds. A message that was not acknowledged was not sent again, so that a survivor was told of two thirds of the streams; those of the last 100 ms were told to nobody. By the trace, the streams that were refused are unknown to all hosts that were asked.

While versions mix, new streams are collected for 20 ms instead of 100.

--- a/internal/membership/slugtakeup/outofstep_test.go
+++ b/internal/membership/slugtakeup/outofstep_test.go
@@ -122,7 +122,7 @@
 					for _, r := range c.resolvers {
 						go func() { _ = r.Run(ctx) }()
 					}
-					time.Sleep(2 * spreadInterval)
+					time.Sleep(2 * checkInterval)
 				}
 				test.play(ctx, t, c)
 				got := c.resolvers["a"].Find(ctx, "llm", "id")
@@ -225,9 +225,9 @@
 			go func() { _ = r.Run(ctx) }()
 		}
 		// v1 was last seen at 10 s.
-		time.Sleep(10*time.Second + limit + spreadInterval/2)
+		time.Sleep(10*time.Second + limit + checkInterval/2)
 		c.resolvers["b"].Began("llm", "id", "v2")
-		time.Sleep(spreadInterval)
+		time.Sleep(checkInterval)
 		c.fail("b")
 		assert.Equal(t, c.resolvers["a"].Find(ctx, "llm", "id").Version, slugname.SoftwareVersion("v2"))
 	})
--- a/internal/membership/slugtakeup/resolver.go
+++ b/internal/membership/slugtakeup/resolver.go
@@ -26,6 +26,7 @@
 	"fmt"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sassafraslug/sassafraslug/internal/base/slugbackoff"
@@ -40,11 +41,13 @@
 )
 
 const (
-	// spreadInterval is the time between messages about new streams. Streams that began
-	// since the last one are lost with their host.
-	spreadInterval = 100 * time.Millisecond
-	// copies is the number of other hosts that are told of a stream, and askedPeers the
-	// number that is asked, which is larger because hosts differ on who is alive.
+	// checkInterval is the time between checks of the versions that serve.
+	checkInterval = 100 * time.Millisecond
+	// spreadDelay is the time for which new streams are collected for one message. Those that
+	// began within it are lost with their host.
+	spreadDelay = 20 * time.Millisecond
+	// copies is the number of other hosts that know a stream, and askedPeers the number that
+	// is asked, which is larger because hosts differ on who is alive, and some are silent.
 	copies, askedPeers = 4, 8
 	// confirmTimeout bounds the wait for a confirmation of the list of endpoints. Hosts in
 	// touch get one each second.
@@ -54,8 +57,6 @@
 	// confirmations is the number of answers after which a host does not wait for others, if
 	// they cover the time in question and agree that there was one version only.
 	confirmations = 2
-	// callTimeout bounds a message about new streams.
-	callTimeout = time.Second
 )
 
 // Source says how the version of a stream was found.
@@ -97,22 +98,36 @@
 	cfg Config
 	// turns are those of changing a list of versions in the store.
 	turns *slugturn.Turns
+	// mixed is set while several versions of a service serve, and began then wakes Run at new
+	// streams.
+	mixed atomic.Bool
+	began chan struct{}
 
 	mu sync.Mutex
 	// stored holds the lists of versions in the store as of listedAt.
 	stored   map[slugname.Service]storedList
 	listedAt slugclock.Instant
+	// silent are the peers that did not acknowledge the last message about new streams, with
+	// the time until which they count as silent.
+	silent map[slugname.Process]time.Time
 }
 
 // New returns a Resolver.
 func New(cfg Config) *Resolver {
-	return &Resolver{cfg: cfg, turns: slugturn.New(cfg.Rank), stored: map[slugname.Service]storedList{}}
+	return &Resolver{cfg: cfg, turns: slugturn.New(cfg.Rank), began: make(chan struct{}, 1), stored: map[slugname.Service]storedList{}, silent: map[slugname.Process]time.Time{}}
 }
 
 // Began records that a version of a service began the stream of a request.
 func (r *Resolver) Began(s slugname.Service, requestID string, v slugname.SoftwareVersion) {
 	now := time.Now()
 	r.cfg.Memory.Record(slugorigin.NewKey(s, requestID), v, now.Add(r.cfg.Limit()), now)
+	if !r.mixed.Load() {
+		return
+	}
+	select {
+	case r.began <- struct{}{}:
+	default: // Run is about to look.
+	}
 }
 
 // Run tells peers of new streams while that is needed, and keeps the lists of versions in the
@@ -120,14 +135,25 @@
 func (r *Resolver) Run(ctx context.Context) error {
 	var wg sync.WaitGroup
 	defer wg.Wait()
-	for slugbackoff.Sleep(ctx, spreadInterval) == nil {
-		now := slugclock.Now()
-		if r.cfg.Memory.Mixed(r.window(), now) {
-			r.spread(ctx, &wg, r.cfg.Memory.Unshared(now.Time()))
+	check := time.NewTicker(checkInterval)
+	defer check.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-check.C:
+			now := slugclock.Now()
+			r.mixed.Store(r.cfg.Memory.Mixed(r.window(), now))
+			r.updateStore(ctx, &wg, now)
+		case <-r.began:
+			if slugbackoff.Sleep(ctx, spreadDelay) != nil {
+				return nil
+			}
+		}
+		if r.mixed.Load() {
+			r.spread(ctx, &wg, r.cfg.Memory.Unshared(time.Now()))
 		}
-		r.updateStore(ctx, &wg, now)
 	}
-	return nil
 }
 
 // window returns the time for which peers are told, and asked, of the versions of a service.
@@ -137,26 +163,6 @@
 // subject returns the subject for which peers are ranked for a stream.
 func subject(k slugorigin.Key) string { return fmt.Sprintf("%016x", uint64(k)) }
 
-// spread sends each stream to the peers that rank first for it.
-func (r *Resolver) spread(ctx context.Context, wg *sync.WaitGroup, list []slugorigin.Origin) {
-	records := map[slugname.Process]slugmember.Record{}
-	batches := map[slugname.Process][]slugorigin.Origin{}
-	for _, o := range list {
-		for _, p := range r.cfg.Peers(subject(o.Key), copies) {
-			records[p.Process] = p
-			batches[p.Process] = append(batches[p.Process], o)
-		}
-	}
-	for name, batch := range batches {
-		wg.Go(func() {
-			callCtx, cancel := context.WithTimeout(ctx, callTimeout)
-			defer cancel()
-			// A message that is lost is not repeated: other peers have the streams too.
-			_, _ = r.cfg.Call(callCtx, records[name], slugpeer.Message{Protocol: slugpeer.Protocol, Origins: batch})
-		})
-	}
-}
-
 // Merge takes over streams of a peer.
 func (r *Resolver) Merge(list []slugorigin.Origin) { r.cfg.Memory.Merge(list, time.Now()) }
 
--- a/internal/membership/slugtakeup/resolver_test.go
+++ b/internal/membership/slugtakeup/resolver_test.go
@@ -157,7 +157,7 @@
 		{"another process takes it up", func(c *cluster) *Resolver {
 			c.observe("v1", "v2")
 			c.resolvers["a"].Began("llm", "id", "v2")
-			time.Sleep(2 * spreadInterval)
+			time.Sleep(2 * checkInterval)
 			c.fail("a")
 			return c.add("new")
 		}, Answer{"v2", SourcePeer, []slugname.SoftwareVersion{"v1", "v2"}}, askTimeout},
@@ -165,7 +165,7 @@
 			c.resolvers["a"].Began("llm", "id", "v1")
 			time.Sleep(time.Second)
 			c.observe("v1", "v2")
-			time.Sleep(2 * spreadInterval)
+			time.Sleep(2 * checkInterval)
 			c.fail("a")
 			return c.add("new")
 		}, Answer{"v1", SourcePeer, []slugname.SoftwareVersion{"v1", "v2"}}, askTimeout},
