--- a/internal/operate/slugschedule/schedule.go
+++ b/internal/operate/slugschedule/schedule.go
@@ -135,7 +135,7 @@
 // seed without them.
 func floods(seed Seed, shape Shape) (out []Fault) {
 	r := rand.New(rand.NewPCG(uint64(seed), 44))
-	if r.IntN(2) == 0 {
+	if r.IntN(2) == 0 || shape.Duration <= quiet {
 		return nil
 	}
 	for range 1 + r.IntN(maxSeriesLength) {
