--- a/internal/membership/slugtakeup/silent_test.go
+++ b/internal/membership/slugtakeup/silent_test.go
@@ -1,6 +1,7 @@
 package slugtakeup
 
 import (
+	"context"
 	"fmt"
 	"testing"
 	"testing/synctest"
@@ -12,6 +13,17 @@
 	"gotest.tools/v3/assert"
 )
 
+// newMixedCluster returns seven running processes that have observed two versions for 11 s.
+func newMixedCluster(ctx context.Context) *cluster {
+	c := newCluster(7)
+	c.observeFrom(ctx, 0, time.Hour, []slugname.SoftwareVersion{"v1", "v2"}, c.order...)
+	for _, r := range c.resolvers {
+		go func() { _ = r.Run(ctx) }()
+	}
+	time.Sleep(11 * time.Second)
+	return c
+}
+
 // TestStreamsAreToldToSilentPeers guards against streams that are lost with the host that
 // began them, since peers that stand still count among those that were told.
 func TestStreamsAreToldToSilentPeers(t *testing.T) {
@@ -29,12 +41,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				ctx, stop := background(t)
 				defer stop()
-				c := newCluster(7)
-				c.observeFrom(ctx, 0, time.Hour, []slugname.SoftwareVersion{"v1", "v2"}, c.order...)
-				for _, r := range c.resolvers {
-					go func() { _ = r.Run(ctx) }()
-				}
-				time.Sleep(11 * time.Second)
+				c := newMixedCluster(ctx)
 				const streams = 100
 				b := c.resolvers["b"]
 				began := func(from, to int) {
@@ -69,12 +76,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, stop := background(t)
 		defer stop()
-		c := newCluster(7)
-		c.observeFrom(ctx, 0, time.Hour, []slugname.SoftwareVersion{"v1", "v2"}, c.order...)
-		for _, r := range c.resolvers {
-			go func() { _ = r.Run(ctx) }()
-		}
-		time.Sleep(11 * time.Second)
+		c := newMixedCluster(ctx)
 		began := func(id string) (told int) {
 			c.resolvers["b"].Began("llm", id, "v2")
 			time.Sleep(2*checkInterval + ackTimeout + callTimeout)
