Watch the store on capable hosts only while one has answers

Cause: a data centre with fewer usable capable hosts than it needs watchers fell back to all of its hosts. The small hosts then chosen tell some 20 followers of each change over a link of a tenth of the bandwidth.

Now the capable hosts that have answers watch, however few, and the share of the followers that these cannot carry follow a watcher of another data centre. If none is left, the other hosts of the data centre watch only if they are capable among all hosts that have answers. Followers ask the watchers of other data centres in an order of their own; it was the same one for all.

TestSmallHostsWatchBesideCapableOnes failed before with 2 and 3 of 3 capable hosts failing.

--- a/internal/membership/slugwatcher/choice.go
+++ b/internal/membership/slugwatcher/choice.go
@@ -11,9 +11,9 @@
 package slugwatcher
 
 import (
-	"cmp"
 	"slices"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugname"
 	"github.com/sassafraslug/sassafraslug/internal/membership/slugmember"
 )
@@ -40,10 +40,11 @@
 	slugmember.Capacity
 }
 
-// Choose returns the watchers in the order in which the process self should ask them:
-// first the near ones, in its own data centre dc, then the far ones. The near watchers are
-// ordered differently for each process, which spreads the load over them. Processes that
-// the store does not answer are chosen only if it answers none.
+// Choose returns the watchers in the order in which the process self should ask them. Near are
+// those in its own data centre dc, far the others. Both are ordered differently for each process,
+// which spreads the load over them. If the data centre has fewer watchers than its processes
+// need, some of these have a far watcher as the first of the near ones. Processes that the store
+// does not answer are chosen only if it answers none.
 func Choose(self slugname.Process, dc slugname.DataCentre, candidates []Candidate) (near, far []slugname.Process) {
 	byDataCentre, anyUsable := map[slugname.DataCentre][]Candidate{}, false
 	for _, c := range candidates {
@@ -56,24 +57,51 @@
 			usableDataCentres++
 		}
 	}
+	if !anyUsable {
+		candidates = slices.Clone(candidates)
+		for i := range candidates {
+			candidates[i].Failing = false
+		}
+	}
 	minPerDataCentre := (MinWatchers + usableDataCentres - 1) / max(1, usableDataCentres)
+	capable := capableProcesses(candidates)
+	needed := 0
 	for candidateDC, list := range byDataCentre {
 		if !anyUsable {
 			for i := range list {
 				list[i].Failing = false
 			}
 		}
-		watchers := chooseWatchers(list, minPerDataCentre)
+		watchers, n := chooseWatchers(list, minPerDataCentre, func(c Candidate) bool { return capable[c.Process] })
 		if candidateDC == dc {
-			near = slugmember.HighestRanked(string(self), watchers, len(watchers))
+			near, needed = slugmember.HighestRanked(string(self), watchers, len(watchers)), n
 		} else {
 			far = append(far, watchers...)
 		}
 	}
-	slices.SortFunc(far, cmp.Compare[slugname.Process])
+	far = slugmember.HighestRanked(string(self), far, len(far))
+	if len(far) > 0 && len(near) > 0 && !slices.Contains(near, self) && overflows(self, len(near), needed) {
+		near, far = append(far[:1:1], near...), far[1:]
+	}
 	return near, far
 }
 
+// overflows reports whether a process follows a watcher of another data centre, because its own
+// has only some of the watchers that it needs.
+func overflows(self slugname.Process, watchers, needed int) bool {
+	return xxhash.Sum64String(rankSubject+string(self))%uint64(needed) >= uint64(watchers)
+}
+
+// capableProcesses returns the processes that the store answers and that are capable among all of
+// these.
+func capableProcesses(candidates []Candidate) map[slugname.Process]bool {
+	out := map[slugname.Process]bool{}
+	for _, c := range slugmember.Capable(usable(candidates), func(c Candidate) slugmember.Capacity { return c.Capacity }, minCapable) {
+		out[c.Process] = true
+	}
+	return out
+}
+
 // usable returns the candidates that the store answers.
 func usable(list []Candidate) []Candidate {
 	return slices.DeleteFunc(slices.Clone(list), func(c Candidate) bool { return c.Failing })
@@ -82,26 +110,28 @@
 // Ranked returns the watchers of a data centre with the given processes if it is the only one,
 // followed by those that take the places of up to spares of them.
 func Ranked(list []Candidate, spares int) []slugname.Process {
-	watchers := chooseWatchers(list, MinWatchers)
+	watchers, _ := chooseWatchers(list, MinWatchers, func(Candidate) bool { return true })
 	others := slices.DeleteFunc(slices.Clone(list), func(c Candidate) bool { return slices.Contains(watchers, c.Process) })
 	return append(watchers, slugmember.HighestRanked(rankSubject, names(others), spares)...)
 }
 
 // minCapable is the number of capable hosts of a data centre from which others only watch if the
-// store answers too few of them.
+// store answers none of them.
 const minCapable = 2
 
-// chooseWatchers returns the watchers of one data centre: one for every
-// processesPerWatcher of the processes that the store answers, rounded up, and at least minimum
-// as far as there are processes. They run on capable hosts.
-func chooseWatchers(list []Candidate, minimum int) []slugname.Process {
+// chooseWatchers returns the watchers of one data centre, and the number that it needs: one for
+// every processesPerWatcher of the processes that the store answers, rounded up, and at least
+// minimum as far as there are processes. They run on capable hosts. If the store answers some of
+// these only, there are fewer watchers: a small host would take seconds to tell its followers of
+// many changes. If it answers none of them, those of the others watch that substitute accepts.
+func chooseWatchers(list []Candidate, minimum int, substitute func(Candidate) bool) (watchers []slugname.Process, needed int) {
 	others := usable(list)
-	n := max(minimum, (len(others)+processesPerWatcher-1)/processesPerWatcher)
-	capable := usable(slugmember.Capable(list, func(c Candidate) slugmember.Capacity { return c.Capacity }, max(n, minCapable)))
-	if len(capable) < n {
-		capable = others
+	needed = max(minimum, (len(others)+processesPerWatcher-1)/processesPerWatcher)
+	capable := usable(slugmember.Capable(list, func(c Candidate) slugmember.Capacity { return c.Capacity }, max(needed, minCapable)))
+	if len(capable) == 0 {
+		capable = slices.DeleteFunc(others, func(c Candidate) bool { return !substitute(c) })
 	}
-	return slugmember.HighestRanked(rankSubject, names(capable), n)
+	return slugmember.HighestRanked(rankSubject, names(capable), needed), needed
 }
 
 // names returns the names of the processes.
--- a/internal/membership/slugwatcher/choice_test.go
+++ b/internal/membership/slugwatcher/choice_test.go
@@ -104,3 +104,48 @@
 		assert.Assert(t, n <= 2*processesPerWatcher, "watcher %s has %d followers", watcher, n)
 	}
 }
+
+// mixedSystem returns processes on large and small hosts in several data centres.
+func mixedSystem(dataCentres, large, small int) (out []Candidate) {
+	for dc := range dataCentres {
+		name := slugname.DataCentre(fmt.Sprint("dc-", dc))
+		for i := range large + small {
+			c := Candidate{Process: slugname.Process(fmt.Sprintf("%s-%d", name, i)), DataCentre: name, Capacity: slugmember.Capacity{Cores: 0.2, LinkMbps: 20}}
+			if i < large {
+				c.Capacity = slugmember.Capacity{Cores: 1, LinkMbps: 200}
+			}
+			out = append(out, c)
+		}
+	}
+	return out
+}
+
+// TestSmallHostsWatchBesideCapableOnes guards against small hosts that tell others of all changes,
+// which takes them seconds, because the store does not answer some or all capable hosts of their
+// data centre while it answers others. The followers must be shared among the capable ones.
+func TestSmallHostsWatchBesideCapableOnes(t *testing.T) {
+	const large = 3
+	for failing := 1; failing <= large; failing++ {
+		t.Run(fmt.Sprintf("%d of %d", failing, large), func(t *testing.T) {
+			all := mixedSystem(5, large, 60)
+			capable := map[slugname.Process]bool{}
+			for i, c := range all {
+				all[i].Failing = c.DataCentre == "dc-1" && i%(large+60) < failing
+				capable[c.Process] = c.Cores == 1
+			}
+			followers := map[slugname.Process]int{}
+			for _, c := range all {
+				near, far := Choose(c.Process, c.DataCentre, all)
+				if slices.Contains(near, c.Process) {
+					assert.Check(t, capable[c.Process], "%s watches the store", c.Process)
+					continue
+				}
+				followers[append(near, far...)[0]]++
+			}
+			for watcher, n := range followers {
+				assert.Check(t, capable[watcher], "%s has %d followers", watcher, n)
+				assert.Check(t, n <= 2*processesPerWatcher, "%s has %d followers", watcher, n)
+			}
+		})
+	}
+}
