Follow another watcher while the store does not answer this one

A watcher that the store turned away went on asking it until its own row said that it was cut off, after a second of failures and a round of exchanges, which takes 2.4 s with 295 hosts.

Now it follows another watcher after the first failed call, so that its followers go on getting changes from it, and asks the store again after two seconds, or by turns if no other watcher answers. slugwatcher.Next makes the choice; it performs no I/O. A new event says which source a watch has, how capable that is, and for how long the store has failed.

--- a/internal/base/slugevent/event.go
+++ b/internal/base/slugevent/event.go
@@ -60,6 +60,7 @@
 	WatchMoved
 	QuotaOwnerChanged
 	QuotaOwnerUnreachable
+	WatchSourceChosen
 )
 
 // Events of duties, 300 to 399.
@@ -164,6 +165,7 @@
 	ConfigurationStale:      {logrus.WarnLevel, "configuration may be out of date, requests with keys are refused", "check the connections to the platform's store and to the peers"},
 	WatchMoved:              {logrus.InfoLevel, "watch moved to another source", "check the process named in the fields if this persists"},
 	QuotaOwnerChanged:       {logrus.InfoLevel, "owner of workspace quotas changed", "none; the field owner is empty while there is none, and requests beyond the tokens at hand are refused for about two seconds"},
+	WatchSourceChosen:       {logrus.InfoLevel, "watch has a new source", "check the hosts named if this persists: the field to is empty for the store itself, failures counts the calls before that failed, storeFailingMs is the time for which the store has not answered this host, and cores and linkMbps are the capacity of the source"},
 	QuotaOwnerUnreachable:   {logrus.WarnLevel, "no owner of workspace quotas can be reached, own share is used", "check the network of this host if this persists; it admits its equal share of the quotas only"},
 	ConfigurationFresh:      {logrus.InfoLevel, "configuration is confirmed to be up to date again", "none"},
 	DutyTaken:               {logrus.InfoLevel, "duty taken", "none"},
--- a/internal/daemon/slughost/join.go
+++ b/internal/daemon/slughost/join.go
@@ -29,6 +29,7 @@
 	"github.com/sassafraslug/sassafraslug/internal/membership/slugowner"
 	"github.com/sassafraslug/sassafraslug/internal/membership/slugpeer"
 	"github.com/sassafraslug/sassafraslug/internal/membership/slugpeerclock"
+	"github.com/sassafraslug/sassafraslug/internal/membership/slugwatcher"
 	"github.com/sassafraslug/sassafraslug/internal/version/slugrouting"
 	"golang.org/x/sync/errgroup"
 )
@@ -258,7 +259,7 @@
 // system, only those that watch it say so: calls of others are rare, so that a single failure
 // would keep them from watching for long.
 func (h *Host) storeUnavailable() bool {
-	if !h.store.Failing(storeFailureHold) || h.hostCount() <= maxHostsAtStore {
+	if !h.store.Failing(storeFailureHold) || h.hostCount() <= slugwatcher.LargeSystem {
 		return h.store.Failing(storeFailureHold)
 	}
 	return h.store.FailingFor() >= minStoreFailure && time.Since(h.sharedWatches.watchedAt()) < storeFailureHold
--- a/internal/daemon/slughost/share.go
+++ b/internal/daemon/slughost/share.go
@@ -36,12 +36,9 @@
 	// storeFailureHold is how long after a failed call to the store a process does not
 	// watch on behalf of others.
 	storeFailureHold = 5 * time.Second
-	// maxHostsAtStore is the number of hosts up to which all followers of a watcher that lags
-	// behind may ask the store at once.
-	maxHostsAtStore = 16
-	// roundsBeforeStore is how often the followers in a larger system ask all watchers before
-	// they ask the store. A store that forgets its history answers no watch for a second.
-	roundsBeforeStore = 3
+	// storeRetryInterval is the time between calls to a store that does not answer this process,
+	// while another watcher passes on the changes.
+	storeRetryInterval = 2 * time.Second
 	// configWaitFraction is how long one watch call for the configuration may wait, as a
 	// fraction of the time within which a revoked key must stop working.
 	configWaitFraction = 0.3
@@ -89,7 +86,7 @@
 
 // SharedWatchFor is SharedWatch with a wait that may change.
 func (w *watchSharing) SharedWatchFor(prefix string, wait func() time.Duration) slugstore.SharedWatch {
-	return slugstore.SharedWatch{NextSource: w.sourceChooser(wait), OnUpdate: w.mirrors[prefix].Apply}
+	return slugstore.SharedWatch{NextSource: w.sourceChooser(prefix, wait), OnUpdate: w.mirrors[prefix].Apply}
 }
 
 // Serve answers the follow call of a peer.
@@ -113,28 +110,27 @@
 	return uint32((min(slugclock.Since(at), most) + time.Millisecond - 1) / time.Millisecond)
 }
 
-// sourceChooser returns a function that chooses the source of a watch, given the number of
-// consecutive failures. A nil source is the store itself, which the chosen watchers use.
-// Other processes try the watchers of their own data centre first, then the store, and
-// then the watchers of other data centres; in a large system, the store comes last. A new
-// process waits until it has been introduced to the watchers. wait is how long calls to the
-// store wait.
-func (w *watchSharing) sourceChooser(wait func() time.Duration) func(failures int) *slugstore.Source {
+// sourceChooser returns the NextSource function for a watch whose calls wait for at most wait.
+func (w *watchSharing) sourceChooser(prefix string, wait func() time.Duration) func(failures int) *slugstore.Source {
+	last := slugwatcher.Store
 	return func(failures int) *slugstore.Source {
 		if failures == 0 {
 			<-w.host.introducer.Done()
 		}
 		near, far := w.watchers()
-		if slices.Contains(near, w.host.member.Self().Process) {
+		self := w.host.member.Self().Process
+		if slices.Contains(near, self) {
 			w.lastWatch.Store(time.Now().UnixNano())
-			return nil
 		}
-		const store slugname.Process = ""
-		candidates := slices.Concat(near, []slugname.Process{store}, far)
-		if w.host.hostCount() > maxHostsAtStore {
-			candidates = slices.Concat(slices.Repeat(slices.Concat(near, far), roundsBeforeStore), []slugname.Process{store})
+		source := slugwatcher.Next(self, near, far, slugwatcher.Situation{Failures: failures, StoreFails: w.host.store.Failing(storeRetryInterval), Hosts: w.host.hostCount()})
+		r, known := w.host.member.Record(source)
+		if source != last {
+			w.host.log.Emit(slugevent.WatchSourceChosen, slugevent.Fields{
+				"prefix": prefix, "from": last, "to": source, "cores": r.Capacity.Cores, "linkMbps": r.Capacity.LinkMbps,
+				"failures": failures, "storeFailingMs": w.host.store.FailingFor().Milliseconds(),
+			})
+			last = source
 		}
-		r, known := w.host.member.Record(candidates[failures%len(candidates)])
 		if !known {
 			return nil
 		}
--- /dev/null
+++ b/internal/membership/slugwatcher/source.go
@@ -0,0 +1,51 @@
+package slugwatcher
+
+import (
+	"slices"
+
+	"github.com/sassafraslug/sassafraslug/internal/base/slugname"
+)
+
+// Store stands for the store itself as the source of a watch.
+const Store slugname.Process = ""
+
+const (
+	// LargeSystem is the number of hosts above which the followers of a watcher that lags behind
+	// must not all ask the store at once.
+	LargeSystem = 16
+	// roundsBeforeStore is how often followers in a large system ask all watchers before they ask
+	// the store. A store that forgets its history answers no watch for a second.
+	roundsBeforeStore = 3
+)
+
+// Situation is what the choice of the next source depends on.
+type Situation struct {
+	// Failures is the number of calls that have failed since the last one that succeeded.
+	Failures int
+	// StoreFails is set if the store has just failed to answer this process.
+	StoreFails bool
+	// Hosts is the number of hosts in the system.
+	Hosts int
+}
+
+// Next returns the source for the next call of a watch: the store, or the process that watches it.
+// near and far are the result of Choose.
+//
+// A watcher that the store does not answer follows another watcher at once, so that its followers
+// get changes without noticing. It asks the store again after a while, and by turns if the others
+// don't answer either.
+func Next(self slugname.Process, near, far []slugname.Process, s Situation) slugname.Process {
+	if slices.Contains(near, self) {
+		others := slices.DeleteFunc(slices.Concat(near, far), func(p slugname.Process) bool { return p == self })
+		askOthers := s.Failures%2 == 1 || s.Failures == 0 && s.StoreFails
+		if len(others) == 0 || !askOthers {
+			return Store
+		}
+		return others[(s.Failures+1)/2%len(others)]
+	}
+	candidates := slices.Concat(near, []slugname.Process{Store}, far)
+	if s.Hosts > LargeSystem {
+		candidates = append(slices.Repeat(slices.Concat(near, far), roundsBeforeStore), Store)
+	}
+	return candidates[s.Failures%len(candidates)]
+}
