Ask the store again at once if it has forgotten the changes

Others are asked only while the store itself does not answer, and it is asked again after half a second, since watchers that all lost the store would follow each other.

--- a/internal/daemon/slughost/share.go
+++ b/internal/daemon/slughost/share.go
@@ -37,8 +37,9 @@
 	// watch on behalf of others.
 	storeFailureHold = 5 * time.Second
 	// storeRetryInterval is the time between calls to a store that does not answer this process,
-	// while another watcher passes on the changes.
-	storeRetryInterval = 2 * time.Second
+	// while another watcher passes on the changes. If the store answers none of them, they follow
+	// each other for that long before they notice its return.
+	storeRetryInterval = 500 * time.Millisecond
 	// configWaitFraction is how long one watch call for the configuration may wait, as a
 	// fraction of the time within which a revoked key must stop working.
 	configWaitFraction = 0.3
--- a/internal/membership/slugwatcher/source.go
+++ b/internal/membership/slugwatcher/source.go
@@ -33,11 +33,12 @@
 //
 // A watcher that the store does not answer follows another watcher at once, so that its followers
 // get changes without noticing. It asks the store again after a while, and by turns if the others
-// don't answer either.
+// don't answer either. A call that fails although the store answers, as one for changes that the
+// store has forgotten, is followed by another to the store: other watchers have nothing newer.
 func Next(self slugname.Process, near, far []slugname.Process, s Situation) slugname.Process {
 	if slices.Contains(near, self) {
 		others := slices.DeleteFunc(slices.Concat(near, far), func(p slugname.Process) bool { return p == self })
-		askOthers := s.Failures%2 == 1 || s.Failures == 0 && s.StoreFails
+		askOthers := s.StoreFails && (s.Failures == 0 || s.Failures%2 == 1)
 		if len(others) == 0 || !askOthers {
 			return Store
 		}
--- a/internal/membership/slugwatcher/source_test.go
+++ b/internal/membership/slugwatcher/source_test.go
@@ -18,6 +18,7 @@
 	assert.Equal(t, next(0, false), Store)
 	assert.Assert(t, next(1, true) != Store, "after one failed call")
 	assert.Equal(t, next(0, true), slugname.Process("a-1"), "the store has just failed")
+	assert.Equal(t, next(1, false), Store, "the store answers, and has forgotten the changes")
 	var asked []slugname.Process
 	for failures := range 8 {
 		asked = append(asked, next(failures, true))
