Send no request to an endpoint that was taken from the list meanwhile

A prompt may wait for its turn, or for a connection, after its engine was chosen. Immediately before it is sent, only what the engine itself has said was checked, not whether the list still has it: an engine that began to leave meanwhile, according to its entry or to a peer, got the prompt all the same.

TestRequestIsSentToRemovedEndpoint failed before.

--- a/internal/decision/slugplacement/notice.go
+++ b/internal/decision/slugplacement/notice.go
@@ -14,12 +14,12 @@
 	return wait == 0 && !leaving
 }
 
-// WantsRequests reports whether the chosen endpoint still wants requests. It is called
-// immediately before the request is sent, since the request may have waited.
+// WantsRequests reports whether the chosen endpoint is still listed and wants requests. It is
+// called immediately before the request is sent, since the request may have waited.
 func (c *Choice) WantsRequests(now time.Time) bool {
 	c.p.mu.Lock()
 	defer c.p.mu.Unlock()
-	return c.p.wantsRequests(c.state, now)
+	return c.p.byName[c.Name] == c.state && c.p.wantsRequests(c.state, now)
 }
 
 // Accepts reports whether an endpoint with a role can get a request now, or there is none
