Streams of bytes between processes

Beside messages, a process can open a stream to a peer. The first byte tells it from a message. A stream that is broken off does not look complete to the peer, and open streams leave room for the messages of a connection (TestStreamEnds, TestStreamsBlockMessages). The in-memory network has them as well, and can refuse new connections between two hosts while open ones live on.

--- a/internal/connection/slugtransport/transport.go
+++ b/internal/connection/slugtransport/transport.go
@@ -11,6 +11,7 @@
 package slugtransport
 
 import (
+	"bytes"
 	"context"
 	"crypto/ecdsa"
 	"crypto/elliptic"
@@ -49,8 +50,11 @@
 	unresponsiveTimeout = 2 * time.Second
 	// streamTimeout limits the time to receive and answer one message.
 	streamTimeout = 5 * time.Second
-	// maxStreams limits the messages that are processed at once on one connection.
-	maxStreams = 16
+	// maxMessages limits the messages that are processed at once on one connection.
+	maxMessages = 16
+	// maxStreams limits the streams that are open at once on one connection: messages, and
+	// connections to endpoints that the peer opens through this process.
+	maxStreams = maxMessages + 256
 )
 
 // Config configures a Transport.
@@ -75,6 +79,8 @@
 
 	mu          sync.Mutex
 	connections map[slugname.Process]*connection
+	// streams handles the byte streams of peers; nil if there are none.
+	streams func(slugname.Process, slugpeer.Stream)
 }
 
 // connection is an outgoing connection to a peer.
@@ -141,7 +147,7 @@
 func (t *Transport) PeerTransport() slugpeer.Transport {
 	return slugpeer.Transport{
 		Address: t.Address(), Hash: t.hash, SetLookup: t.SetLookup, Call: t.Call, Serve: t.Serve,
-		Bytes: t.Bytes, Close: t.Close,
+		Open: t.Open, SetStreams: t.SetStreams, Bytes: t.Bytes, Close: t.Close,
 	}
 }
 
@@ -250,19 +256,34 @@
 		_ = conn.CloseWithError(1, "unknown process")
 		return
 	}
+	messages := make(chan struct{}, maxMessages)
 	for {
 		s, err := conn.AcceptStream(ctx)
 		if err != nil {
 			return
 		}
-		go t.serveStream(s, peer.Process, handler)
+		go t.serveStream(conn, s, peer.Process, handler, messages)
 	}
 }
 
-func (t *Transport) serveStream(s *quic.Stream, from slugname.Process, handler func(slugname.Process, slugpeer.Message) slugpeer.Message) {
-	defer func() { _ = s.Close() }()
+// serveStream answers a message, or passes on a byte stream. messages holds one element for each
+// message of the connection that is being answered.
+func (t *Transport) serveStream(conn *quic.Conn, s *quic.Stream, from slugname.Process, handler func(slugname.Process, slugpeer.Message) slugpeer.Message, messages chan struct{}) {
 	_ = s.SetDeadline(time.Now().Add(streamTimeout))
-	m, err := t.read(s)
+	var first [1]byte
+	if _, err := io.ReadFull(s, first[:]); err != nil {
+		s.CancelRead(1)
+		_ = s.Close()
+		return
+	}
+	if first[0] == byteStreamMark {
+		t.serveBytes(newStream(conn, s), from)
+		return
+	}
+	defer func() { _ = s.Close() }()
+	messages <- struct{}{}
+	defer func() { <-messages }()
+	m, err := t.read(io.MultiReader(bytes.NewReader(first[:]), s))
 	if err != nil || m.Protocol != slugpeer.Protocol {
 		s.CancelRead(1)
 		return
--- a/internal/membership/slugpeer/row.go
+++ b/internal/membership/slugpeer/row.go
@@ -73,6 +73,8 @@
 	// which the process is the owner, apart from what their load causes at the moment. Engines
 	// that are about as fast as usual are left out.
 	Slowness map[slugname.Endpoint]uint16 `cbor:"22,keyasint,omitempty"`
+	// LostPaths is the number of endpoints that the process reaches only through peers.
+	LostPaths uint32 `cbor:"23,keyasint,omitempty"`
 }
 
 // Pace is the measured pace of the engines of a service.
@@ -214,6 +216,21 @@
 	// Instead, beside a withdrawn announcement, names the engine to which the prompt is sent
 	// instead, with the time until that has processed it.
 	Instead *BetterEndpoint `cbor:"32,keyasint,omitempty"`
+	// Notices are what endpoints have said in responses that passed through the sender and the
+	// receiver.
+	Notices []EndpointNotice `cbor:"33,keyasint,omitempty"`
+}
+
+// EndpointNotice is what an endpoint has said in a response to a peer.
+type EndpointNotice struct {
+	_           struct{} `cbor:",toarray"`
+	Service     slugname.Service
+	Endpoint    slugname.Endpoint
+	Incarnation int64
+	Address     string
+	Leaving     bool
+	// WaitMs is the time for which the endpoint wants no requests, in milliseconds.
+	WaitMs uint32
 }
 
 // PartHolder is an engine that has the first tokens of a prompt cached, or will have processed
@@ -370,6 +387,10 @@
 	Call func(ctx context.Context, to slugmember.Record, m Message) (Message, error)
 	// Serve answers messages with f until ctx ends.
 	Serve func(ctx context.Context, f func(slugname.Process, Message) Message) error
+	// Open opens a stream to a process, and SetStreams sets the function that handles the
+	// streams of peers. It must be set before Serve.
+	Open       func(ctx context.Context, to slugmember.Record) (Stream, error)
+	SetStreams func(func(slugname.Process, Stream))
 	// Bytes returns the number of payload bytes sent and received so far.
 	Bytes func() uint64
 	Close func() error
--- a/internal/membership/slugpeer/table.go
+++ b/internal/membership/slugpeer/table.go
@@ -47,6 +47,9 @@
 	Announce func(m Message, answer *Message)
 	// Ends handles the ends of prompts that a peer announced; it may be nil.
 	Ends func([]PromptEnds)
+	// Notices handles what endpoints have said in responses that passed through a peer and this
+	// process; it may be nil.
+	Notices func([]EndpointNotice)
 	// Evidence merges the evidence of a peer, and returns that of this process if the peer
 	// asks to compare; it may be nil.
 	Evidence func(list []Evidence, compare bool) []Evidence
@@ -296,6 +299,10 @@
 		answer.Changes = t.cfg.Follow(*m.Follow)
 		return answer
 	}
+	if m.Notices != nil && t.cfg.Notices != nil {
+		t.cfg.Notices(m.Notices)
+		return answer
+	}
 	if m.Ends != nil && t.cfg.Ends != nil {
 		t.cfg.Ends(m.Ends)
 		if m.Announcement == nil {
--- a/internal/standin/slugmesh/conn.go
+++ b/internal/standin/slugmesh/conn.go
@@ -134,6 +134,14 @@
 	d.cond.Broadcast()
 }
 
+// abort drops the bytes in flight, and makes reads fail.
+func (d *direction) abort() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.data, d.reset, d.writerClosed = nil, true, true
+	d.cond.Broadcast()
+}
+
 // closeReader closes the reading end, after which writes fail.
 func (d *direction) closeReader() {
 	d.mu.Lock()
@@ -209,6 +217,18 @@
 	return nil
 }
 
+// CloseWrite ends the bytes that are sent. The other end still reads all of them.
+func (c *conn) CloseWrite() error {
+	c.out.closeWriter(false)
+	return nil
+}
+
+// Abort closes the connection; the other end gets an error instead of the end of the stream.
+func (c *conn) Abort() {
+	c.out.abort()
+	_ = c.Close()
+}
+
 // LocalAddr returns the address of the listener, at both ends of the connection.
 func (c *conn) LocalAddr() net.Addr { return address(c.address) }
 
--- a/internal/standin/slugmesh/mesh.go
+++ b/internal/standin/slugmesh/mesh.go
@@ -44,7 +44,9 @@
 	partitions map[hostPair]bool
 	// isolated is the set of hosts that are partitioned from all others.
 	isolated map[string]bool
-	conns    map[*conn]bool
+	// refused are the pairs of hosts between which new connections are refused.
+	refused map[hostPair]bool
+	conns   map[*conn]bool
 	// changed is closed and replaced on every change of a partition.
 	changed  chan struct{}
 	lastPort int
@@ -56,7 +58,8 @@
 func New() *Mesh {
 	return &Mesh{
 		listeners: map[string]*listener{}, peers: map[string]*peer{}, partitions: map[hostPair]bool{}, isolated: map[string]bool{},
-		conns: map[*conn]bool{}, changed: make(chan struct{}),
+		refused: map[hostPair]bool{},
+		conns:   map[*conn]bool{}, changed: make(chan struct{}),
 	}
 }
 
@@ -68,6 +71,14 @@
 	m.updatePartitions(func() { m.partitions[makeHostPair(a, b)] = partitioned })
 }
 
+// Refuse makes new connections between two hosts fail at once, or lets them be opened again.
+// Open connections stay.
+func (m *Mesh) Refuse(a, b string, refused bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.refused[makeHostPair(a, b)] = refused
+}
+
 // Isolate partitions a host from all others, or heals that partition. It doesn't
 // change partitions made by Partition.
 func (m *Mesh) Isolate(host string, partitioned bool) {
@@ -177,8 +188,9 @@
 	for {
 		m.mu.Lock()
 		l := m.listeners[address]
+		refused := l != nil && m.refused[makeHostPair(host, l.host)]
 		m.mu.Unlock()
-		if l == nil {
+		if l == nil || refused {
 			return nil, errors.Wrapf(errRefused, "dial %s", address)
 		}
 		partitioned, changed := m.partitioned(host, l.host)
--- a/internal/standin/slugmesh/peer.go
+++ b/internal/standin/slugmesh/peer.go
@@ -23,6 +23,7 @@
 	mu      sync.Mutex
 	lookUp  func(slugmember.CertificateHash) (slugmember.Record, bool)
 	handler func(slugname.Process, slugpeer.Message) slugpeer.Message
+	streams func(slugname.Process, slugpeer.Stream)
 	bytes   uint64
 }
 
@@ -34,7 +35,7 @@
 	m.peers[p.address] = p
 	return slugpeer.Transport{
 		Address: p.address, Hash: p.hash, SetLookup: p.setLookup, Call: p.call, Serve: p.serve,
-		Bytes: p.bytesTransferred, Close: p.close,
+		Open: p.open, SetStreams: p.setStreams, Bytes: p.bytesTransferred, Close: p.close,
 	}
 }
 
@@ -96,6 +97,39 @@
 	return p.transcode(handle(from.Process, request))
 }
 
+func (p *peer) setStreams(f func(slugname.Process, slugpeer.Stream)) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.streams = f
+}
+
+// open opens a stream to another process. During a partition it blocks until ctx ends.
+func (p *peer) open(ctx context.Context, to slugmember.Record) (slugpeer.Stream, error) {
+	p.mesh.mu.Lock()
+	target := p.mesh.peers[to.PeerAddress]
+	p.mesh.mu.Unlock()
+	if target == nil {
+		return nil, errors.Wrapf(errRefused, "open stream to %s", to.PeerAddress)
+	}
+	if cut, _ := p.mesh.partitioned(p.host, target.host); cut {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	target.mu.Lock()
+	handle, lookUp := target.streams, target.lookUp
+	target.mu.Unlock()
+	if handle == nil || lookUp == nil {
+		return nil, errors.Wrapf(errRefused, "open stream to %s: the peer is not serving yet", to.PeerAddress)
+	}
+	from, ok := lookUp(p.hash)
+	if !ok {
+		return nil, errors.Newf("open stream to %s: the peer does not know the calling process", to.PeerAddress)
+	}
+	client, server := p.mesh.newConnPair(p.host, &listener{mesh: p.mesh, host: target.host, address: target.address}, false)
+	go handle(from.Process, server)
+	return client, nil
+}
+
 // countEmpty counts a message that carries nothing.
 func (m *Mesh) countEmpty(message slugpeer.Message) {
 	if !reflect.DeepEqual(message, slugpeer.Message{Protocol: message.Protocol}) {
