Reach endpoints through peers where the links of a host are lost

Cause: a failure was charged to the endpoint at which it showed; no host compared itself with its peers. Endpoints were avoided and counted as crashed, and prompts refused for their waits.

Now connections to endpoints are opened by slugdetour. An endpoint counts as refusing connections only if peers say so as well. A peer opens only direct connections for others, to endpoints that it knows and that want its requests, tells and is told of what these say of themselves, and waits for the responses in progress when it leaves. Requests stay those of the host that took them: keys, deadlines, attempts and usage are as before. Orders to engines don't take this way, since they would count as those of two holders.

--- a/internal/base/slugevent/event.go
+++ b/internal/base/slugevent/event.go
@@ -125,6 +125,10 @@
 	ExtraRefused
 	PromptDeferred
 	EndpointRestarted
+	PathLost
+	PathRestored
+	EndpointsUnreached
+	NoticeUntold
 )
 
 var descriptions = map[Event]Description{
@@ -214,6 +218,10 @@
 	ExtraEnded:              {logrus.InfoLevel, "extra attempt ended", "none; with won true its response was used"},
 	ExtraRefused:            {logrus.DebugLevel, "extra attempt not sent", "none; the field reason says why"},
 	PromptDeferred:          {logrus.InfoLevel, "late prompt waited for its turn", "none in a burst; if this persists, more engines are needed: the field deferredMs is the time that it waited, and firstWaitMs and waitMs the wait at the engine before and after"},
+	PathLost:                {logrus.WarnLevel, "endpoint is reached only through peers", "check the links of this host: a peer reaches the endpoint, and direct connections fail; lostPaths counts such endpoints, and reachedAgeMs is the time since the last direct connection to any"},
+	PathRestored:            {logrus.InfoLevel, "endpoint is reached directly again", "none"},
+	EndpointsUnreached:      {logrus.WarnLevel, "this host reaches endpoints only through peers", "check the links of this host to the endpoints; it serves through its peers meanwhile"},
+	NoticeUntold:            {logrus.WarnLevel, "peer was not told what an endpoint said", "none, unless this persists: the peer may send a few requests to an endpoint that is leaving or asked to be left alone"},
 	EndpointRestarted:       {logrus.InfoLevel, "endpoint states another start than its entry", "none, unless this persists: check why the endpoint does not write its new entry; streams that it begins are not continued elsewhere until that is read"},
 	QuarantineUnreadable:    {logrus.ErrorLevel, "quarantine in the store cannot be decoded", "find out who wrote the object named in the fields, and remove it"},
 	ConnectionSilent:        {logrus.WarnLevel, "connection stopped responding", "check the network between the hosts"},
--- a/internal/daemon/slughost/caches.go
+++ b/internal/daemon/slughost/caches.go
@@ -27,7 +27,7 @@
 // engines of a service if an engine allows as many readers as there are hosts, and
 // otherwise only the engines that this process owns.
 func (h *Host) followCaches(ctx context.Context, g *errgroup.Group) error {
-	transport := slughttp.NewTransport(h.network.DialWithin(dialTimeout))
+	transport := slughttp.NewTransport(h.dialEndpointWithin(dialTimeout))
 	transport.MaxIdleConnsPerHost = eventIdleConnections
 	client := &http.Client{Transport: transport}
 	read := h.noticing(client.Do)
--- a/internal/daemon/slughost/crashes.go
+++ b/internal/daemon/slughost/crashes.go
@@ -72,7 +72,7 @@
 func (h *Host) probe(s slugname.Service, start slugquarantine.Start, address string) {
 	ctx, cancel := context.WithTimeout(h.aborted, probeTimeout)
 	defer cancel()
-	conn, err := h.network.Dial(ctx, "tcp", address)
+	conn, err := h.detour.Dial(ctx, "tcp", address)
 	switch {
 	case err == nil:
 		_ = conn.Close()
--- a/internal/daemon/slughost/host.go
+++ b/internal/daemon/slughost/host.go
@@ -27,6 +27,7 @@
 	"github.com/sassafraslug/sassafraslug/internal/base/slugsettings"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugstep"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugstore"
+	"github.com/sassafraslug/sassafraslug/internal/connection/slugdetour"
 	"github.com/sassafraslug/sassafraslug/internal/connection/slugsend"
 	"github.com/sassafraslug/sassafraslug/internal/daemon/slugcounters"
 	"github.com/sassafraslug/sassafraslug/internal/daemon/slugnetwork"
@@ -128,6 +129,7 @@
 	follower       *slugconfigfollower.Follower
 	registry       *slugregistry.Registry
 	sender         *slugsend.Sender
+	detour         *slugdetour.Dialer
 	memory         *slugmemory.Budget
 	headMemory     *slugmemory.Budget
 	quarantines    *slugquarantine.Set
--- a/internal/daemon/slughost/join.go
+++ b/internal/daemon/slughost/join.go
@@ -45,6 +45,8 @@
 		return err
 	}
 	h.transport = transport
+	h.detour = h.newDetour()
+	transport.SetStreams(h.detour.Serve)
 	h.sharedWatches = newWatchSharing(h)
 	h.member = slugmember.New(slugmember.Config{
 		Self: h.newRecord(), Store: h.store.For("members"), Changed: h.recordsChanged, BatchDelay: watchBatchDelay, Wait: memberWatchWait,
@@ -63,7 +65,7 @@
 		Clock: h.clock.OwnTime, ClockReported: h.clock.AddSample,
 		Self: h.member.Self(), Call: transport.Call, Peers: h.member.Records, LastConfirmed: h.follower.LastConfirmed,
 		RevisionConfirmed: h.follower.ObservePeer, Bundle: h.follower.Encoded, Fanout: exchangeFanout, Interval: h.exchangeInterval,
-		Follow: h.sharedWatches.Serve, UsageReported: h.usageAggregate.Update, Announce: h.handleAnnouncement, Ends: h.handleEnds,
+		Follow: h.sharedWatches.Serve, UsageReported: h.usageAggregate.Update, Announce: h.handleAnnouncement, Ends: h.handleEnds, Notices: h.noticesOfPeer,
 		Origins: func(list []slugorigin.Origin) { h.takeUps.Merge(list) },
 		FindOrigin: func(q slugpeer.OriginQuery) (slugpeer.OriginAnswer, *slugpeer.ObservedSpan) {
 			return h.takeUps.Serve(q)
@@ -242,9 +244,11 @@
 	paces := h.measuredPaces()
 	plannedRoles, draining, storeUnavailable := h.plannedRoles.All(time.Now()), h.leavingEndpoints(), h.storeUnavailable()
 	slowness := h.measuredSlowness()
+	lostPaths := h.lostPaths()
 	h.table.Update(func(r *slugpeer.Row) {
 		r.Loads, r.ServiceLoads, r.Slowness = loads, serviceLoads, slowness
 		r.PlannedRoles, r.Draining, r.StoreUnavailable, r.Paces = plannedRoles, draining, storeUnavailable, paces
+		r.LostPaths = lostPaths
 	})
 	h.applyPeerState()
 	h.updatePlacers(h.registry.Services())
--- a/internal/daemon/slughost/notices.go
+++ b/internal/daemon/slughost/notices.go
@@ -37,6 +37,13 @@
 // recordNotice records what an endpoint says about itself, and takes it out of the choice of
 // requests if it is leaving.
 func (h *Host) recordNotice(e slugregistry.Endpoint, n slugnotice.Notice) {
+	if h.applyNotice(e, n) {
+		h.tellNotice(e, n)
+	}
+}
+
+// applyNotice records a notice and reports whether any of it is new.
+func (h *Host) applyNotice(e slugregistry.Endpoint, n slugnotice.Notice) bool {
 	changed := h.notices.Record(e.Name, int64(e.Incarnation), n, time.Now())
 	fields := slugevent.Fields{"endpoint": e.Name, "incarnation": e.Incarnation, "service": e.Service, "peer": e.Address}
 	if changed.RetryAfter > 0 {
@@ -47,6 +54,7 @@
 		h.log.Emit(slugevent.EndpointSaidLeaving, fields)
 		h.updatePlacers([]slugname.Service{e.Service})
 	}
+	return changed != slugnotice.Notice{}
 }
 
 // saidLeaving reports whether an endpoint said in a response to this host that it is leaving.
--- a/internal/daemon/slughost/serve.go
+++ b/internal/daemon/slughost/serve.go
@@ -65,6 +65,7 @@
 	h.exportQuotas()
 	h.exportExtraAttempts()
 	h.exportLimits()
+	h.exportDetours()
 	slugmetrics.Write(w, h.metrics, h.transport.Bytes())
 }
 
@@ -143,6 +144,7 @@
 	finishCtx, cancel := context.WithDeadline(ctx, finishBy)
 	defer cancel()
 	err := h.requests.Shutdown(finishCtx)
+	h.detour.Drain(finishCtx)
 	h.sendUsage(ctx)
 	h.withdraw(ctx)
 	err = errors.CombineErrors(err, h.shutDownServers(ctx))
--- a/internal/daemon/slughost/starts.go
+++ b/internal/daemon/slughost/starts.go
@@ -17,12 +17,12 @@
 
 // newStarts returns the tracker of the endpoints' starts.
 func (h *Host) newStarts() *slugstart.Tracker {
-	transport := slughttp.NewTransport(h.network.DialWithin(reportTimeout))
+	transport := slughttp.NewTransport(h.dialEndpointWithin(reportTimeout))
 	// The next report may be that of another start.
 	transport.DisableKeepAlives = true
 	do := h.noticing((&http.Client{Transport: transport}).Do)
 	return slugstart.New(slugstart.Config{
-		Dial: h.network.Dial, ListAge: func() time.Duration { return slugclock.Since(h.origins.Span().To) }, Stated: h.startStated,
+		Dial: h.detour.Dial, ListAge: func() time.Duration { return slugclock.Since(h.origins.Span().To) }, Stated: h.startStated,
 		Read: func(address string) (slugregistry.Incarnation, error) {
 			if !h.wantsCalls(address) {
 				return 0, errUnwanted
--- /dev/null
+++ b/internal/decision/slugpath/paths_test.go
@@ -0,0 +1,61 @@
+package slugpath
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// TestPlan guards against peers that are asked for each connection, against an endpoint that is
+// never asked directly again, and against waits for the direct connection of a host that reaches
+// no endpoint.
+func TestPlan(t *testing.T) {
+	start := time.Unix(1000, 0)
+	at := func(d time.Duration) time.Time { return start.Add(d) }
+	p := New()
+	assert.Equal(t, p.Plan("a", start), Plan{Direct: true, Peers: true, PeersAfter: patience})
+	isNew, cutOff := p.Lost("a", start)
+	assert.Assert(t, isNew && !cutOff)
+	assert.Equal(t, p.Plan("a", at(time.Millisecond)), Plan{Peers: true}, "a direct attempt was just made")
+	assert.Equal(t, p.Plan("a", at(retryInterval)), Plan{Direct: true, Peers: true})
+	assert.Equal(t, p.Plan("a", at(retryInterval+1)), Plan{Peers: true})
+	assert.Equal(t, p.Plan("b", at(retryInterval)), Plan{Direct: true, Peers: true, PeersAfter: patience}, "one lost path says little of others")
+	isNew, cutOff = p.Lost("b", at(time.Second))
+	assert.Assert(t, isNew && cutOff)
+	assert.Equal(t, p.Plan("c", at(time.Second)), Plan{Direct: true, Peers: true}, "the host is cut off")
+	_, cutOff = p.Lost("b", at(time.Second))
+	assert.Assert(t, !cutOff, "it is told once")
+	assert.Assert(t, !p.Reached("c", at(2*time.Second)), "the path to c was not lost")
+	assert.Equal(t, p.Plan("d", at(2*time.Second)).PeersAfter, patience, "the host reaches endpoints")
+	assert.Equal(t, p.Status(), Status{Lost: 2, ReachedAt: at(2 * time.Second)})
+	assert.Assert(t, p.Reached("a", at(3*time.Second)) && p.Reached("b", at(3*time.Second)))
+	assert.Equal(t, p.Status().Lost, 0)
+}
+
+// TestPeersAreAskedAgainAfterAWhile guards against hosts that ask peers for each connection to an
+// endpoint that is dead.
+func TestPeersAreAskedAgainAfterAWhile(t *testing.T) {
+	start := time.Unix(1000, 0)
+	p := New()
+	p.Unreached("a", start)
+	assert.Equal(t, p.Plan("a", start.Add(unreachedHold-1)), Plan{Direct: true, PeersAfter: patience})
+	assert.Assert(t, p.Plan("a", start.Add(unreachedHold)).Peers)
+	p.Unreached("a", start)
+	p.Lost("a", start)
+	assert.Assert(t, p.Plan("a", start.Add(time.Millisecond)).Direct, "there is no other way")
+}
+
+// TestUnusedPathsAreForgotten guards against memory that grows with each address ever used, and
+// against a host that stays cut off because of endpoints that are gone.
+func TestUnusedPathsAreForgotten(t *testing.T) {
+	start := time.Unix(1000, 0)
+	p := New()
+	for i := range 100 {
+		p.Lost(fmt.Sprint(i), start)
+	}
+	p.Plan("x", start.Add(forgetAfter+pruneInterval+time.Second))
+	assert.Equal(t, len(p.paths), 1)
+	assert.Equal(t, p.Status().Lost, 0)
+}
--- a/internal/decision/slugplacement/learn.go
+++ b/internal/decision/slugplacement/learn.go
@@ -47,6 +47,15 @@
 	}
 }
 
+// ForgetFailures forgets the failures of an endpoint, which were not its own.
+func (p *Placer) ForgetFailures(e slugname.Endpoint) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if s := p.byName[e]; s != nil {
+		s.failures, s.avoidUntil = 0, time.Time{}
+	}
+}
+
 // later returns the later of two times.
 func later(a, b time.Time) time.Time {
 	if a.After(b) {
