Release the duties while no engine is reached directly

A holder that reaches engines only through peers could send no order to them: orders take direct connections only, since the engines would count those of two hosts as orders of two holders. Now it is not eligible while it is cut off from the engines, which slugpath says only if peers reach them, and releases the lease.

--- a/internal/daemon/slughost/duties.go
+++ b/internal/daemon/slughost/duties.go
@@ -31,7 +31,7 @@
 	self := h.member.Self()
 	lease := sluglease.New(sluglease.Config{
 		Duty: dutiesLease, Self: self.Process, Host: self.Host, Store: h.store.For("lease"), TTL: h.settings().LeaseTime, FirstStart: h.settings().FirstStart,
-		Rank: h.rank, Eligible: h.ready, Log: h.log,
+		Rank: h.rank, Eligible: h.eligible, Log: h.log,
 	})
 	capacity, usage := h.capacityDuty(), h.usageDuty()
 	g.Go(func() error {
@@ -42,6 +42,13 @@
 	return nil
 }
 
+// eligible reports whether this process may hold the duties. Without links to the engines it could
+// not send their orders, which must not take the way through peers.
+func (h *Host) eligible() bool {
+	paths, _, _, _ := h.detour.Status()
+	return h.ready() && !paths.CutOff
+}
+
 // rank returns the position of this process among the candidates for the duties.
 func (h *Host) rank() int {
 	return slugmember.Rank(string(dutiesLease), h.member.Self().Process, processNames(h.livePeers()))
