Let no older failure hide that a path is restored

A direct attempt that began while the links were lost, and failed after another one had succeeded, made the path count as lost again until the next attempt (TestPathLost failed once in some 50 runs; TestOldFailureHidesSuccess). The dialer now orders its peers itself.

--- a/internal/connection/slugdetour/dialer.go
+++ b/internal/connection/slugdetour/dialer.go
@@ -12,13 +12,14 @@
 //
 // # Usage
 //
-//	d := slugdetour.New(slugdetour.Config{Direct: network.Dial, Peers: peers, Open: transport.Open, Allowed: allowed, Log: log})
+//	d := slugdetour.New(slugdetour.Config{Direct: network.Dial, Peers: peers, Record: member.Record, Open: transport.Open, Allowed: allowed, Log: log})
 //	transport.SetStreams(d.Serve)
 //	conn, err := d.Dial(ctx, "tcp", address)
 package slugdetour
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -52,9 +53,9 @@
 type Config struct {
 	// Direct opens a connection itself.
 	Direct func(ctx context.Context, network, address string) (net.Conn, error)
-	// Peers returns up to n live peers, apart from those that are unfit, in the order in which
-	// they are to be asked.
-	Peers func(n int, unfit func(slugname.Process) bool) []slugmember.Record
+	// Peers returns the live peers, and Record the record of one.
+	Peers  func() []Peer
+	Record func(slugname.Process) (slugmember.Record, bool)
 	// Open opens a stream to a peer.
 	Open func(ctx context.Context, to slugmember.Record) (slugpeer.Stream, error)
 	// Allowed reports whether peers may open connections to an address through this process.
@@ -64,6 +65,14 @@
 	Log         *slugevent.Log
 }
 
+// Peer is a process that may open connections for this one.
+type Peer struct {
+	Process slugname.Process
+	// LostPaths is set if the peer reaches some endpoints only through others. Such peers are
+	// asked last.
+	LostPaths bool
+}
+
 // Dialer opens connections to endpoints. It is safe for concurrent use.
 type Dialer struct {
 	cfg   Config
@@ -283,20 +292,37 @@
 	}
 }
 
-// fitPeers returns the peers to ask for a connection.
+// fitPeers returns up to maxAsked random peers, in the order in which they are to be asked.
 func (d *Dialer) fitPeers() []slugmember.Record {
-	now := time.Now()
+	avoided, peers := d.currentlyAvoided(time.Now()), d.cfg.Peers()
+	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+	var out []slugmember.Record
+	for _, lostPaths := range []bool{false, true} {
+		for _, p := range peers {
+			if p.LostPaths != lostPaths || avoided[p.Process] || len(out) == maxAsked {
+				continue
+			}
+			if r, known := d.cfg.Record(p.Process); known {
+				out = append(out, r)
+			}
+		}
+	}
+	return out
+}
+
+// currentlyAvoided returns the peers that are not to be asked.
+func (d *Dialer) currentlyAvoided(now time.Time) map[slugname.Process]bool {
 	d.mu.Lock()
-	avoided := map[slugname.Process]bool{}
+	defer d.mu.Unlock()
+	out := map[slugname.Process]bool{}
 	for p, until := range d.avoided {
 		if now.After(until) {
 			delete(d.avoided, p)
 			continue
 		}
-		avoided[p] = true
+		out[p] = true
 	}
-	d.mu.Unlock()
-	return d.cfg.Peers(maxAsked, func(p slugname.Process) bool { return avoided[p] })
+	return out
 }
 
 // throughPeer asks a peer to open the connection.
@@ -343,7 +369,7 @@
 // pathLost records that a peer reaches an endpoint that this process does not reach.
 func (a *attempt) pathLost(cause error) {
 	now := time.Now()
-	isNew, cutOff := a.paths.Lost(a.address, now)
+	isNew, cutOff := a.paths.Lost(a.address, a.startedAt, now)
 	if !isNew {
 		return
 	}
--- a/internal/connection/slugdetour/dialer_test.go
+++ b/internal/connection/slugdetour/dialer_test.go
@@ -111,28 +111,31 @@
 	links, refused, silent map[slugname.Process]bool
 	// accepted holds the ends of the connections at the endpoint.
 	accepted []*streamEnd
-	lost     int
-	unknown  bool
-	mu       sync.Mutex
+	// last is the peer that says that it has lost paths.
+	last    slugname.Process
+	lost    int
+	unknown bool
+	mu      sync.Mutex
 }
 
 const endpoint = "10.0.0.1:80"
 
-// newLab returns a lab with the given processes. Each asks the others in this order.
+// newLab returns a lab with the given processes.
 func newLab(names ...slugname.Process) *lab {
 	l := &lab{dialers: map[slugname.Process]*Dialer{}, links: map[slugname.Process]bool{}, refused: map[slugname.Process]bool{}, silent: map[slugname.Process]bool{}}
 	for _, self := range names {
 		l.links[self] = true
 		l.dialers[self] = New(Config{
 			Direct: func(ctx context.Context, _, _ string) (net.Conn, error) { return l.connect(ctx, self) },
-			Peers: func(n int, unfit func(slugname.Process) bool) (out []slugmember.Record) {
+			Peers: func() (out []Peer) {
 				for _, p := range names {
-					if p != self && !unfit(p) && len(out) < n {
-						out = append(out, slugmember.Record{Process: p})
+					if p != self {
+						out = append(out, Peer{Process: p, LostPaths: p == l.last})
 					}
 				}
 				return out
 			},
+			Record: func(p slugname.Process) (slugmember.Record, bool) { return slugmember.Record{Process: p}, true },
 			Open: func(ctx context.Context, to slugmember.Record) (slugpeer.Stream, error) {
 				if l.silent[to.Process] {
 					<-ctx.Done()
@@ -311,8 +314,8 @@
 // peers that open connections to addresses that they do not know.
 func TestConnectionTakesASecondHop(t *testing.T) {
 	withLab(t, func(t *testing.T, l *lab) {
-		l.refused["a"], l.links["b"] = true, false
-		l.dialers["b"].paths.Lost(endpoint, time.Now())
+		l.refused["a"], l.links["b"], l.last = true, false, "c"
+		l.dialers["b"].paths.Lost(endpoint, time.Now(), time.Now())
 		c, took, err := l.dial(t.Context())
 		assert.NilError(t, err)
 		assert.Equal(t, took, time.Duration(0), "c is asked at once")
@@ -328,6 +331,7 @@
 func TestSilentPeersAreWaitedFor(t *testing.T) {
 	withLab(t, func(t *testing.T, l *lab) {
 		l.refused["a"], l.silent["b"], l.silent["c"] = true, true, true
+		l.last = "d"
 		_, took, err := l.dial(t.Context())
 		assert.NilError(t, err)
 		assert.Equal(t, took, 2*peerPatience)
--- a/internal/daemon/slughost/detour.go
+++ b/internal/daemon/slughost/detour.go
@@ -3,16 +3,13 @@
 import (
 	"context"
 	"math"
-	"math/rand/v2"
 	"net"
 	"time"
 
 	"github.com/sassafraslug/sassafraslug/internal/base/slugevent"
-	"github.com/sassafraslug/sassafraslug/internal/base/slugname"
 	"github.com/sassafraslug/sassafraslug/internal/connection/slugdetour"
 	"github.com/sassafraslug/sassafraslug/internal/decision/slugnotice"
 	"github.com/sassafraslug/sassafraslug/internal/fleet/slugregistry"
-	"github.com/sassafraslug/sassafraslug/internal/membership/slugmember"
 	"github.com/sassafraslug/sassafraslug/internal/membership/slugpeer"
 )
 
@@ -20,7 +17,7 @@
 // engines would take those through two peers for orders of two holders.
 func (h *Host) newDetour() *slugdetour.Dialer {
 	return slugdetour.New(slugdetour.Config{
-		Direct: h.network.Dial, Peers: h.peersForDetour, Open: h.transport.Open, Allowed: h.allowsDetour,
+		Direct: h.network.Dial, Peers: h.peersForDetour, Record: h.member.Record, Open: h.transport.Open, Allowed: h.allowsDetour,
 		PathChanged: h.pathChanged, Log: h.log,
 	})
 }
@@ -34,26 +31,14 @@
 	}
 }
 
-// peersForDetour returns up to n random live peers. Those that do not reach some endpoints
-// themselves come last.
-func (h *Host) peersForDetour(n int, unfit func(slugname.Process) bool) []slugmember.Record {
-	live, self := h.livePeers(), h.member.Self().Process
-	var reaching, others []slugmember.Record
-	for _, i := range rand.Perm(len(live)) {
-		p := live[i]
-		switch {
-		case p.Process == self || unfit(p.Process):
-		case p.LostPaths == 0:
-			reaching = append(reaching, p.Record)
-		default:
-			others = append(others, p.Record)
-		}
-		if len(reaching) == n {
-			break
+// peersForDetour returns the peers that may open connections for this host.
+func (h *Host) peersForDetour() (out []slugdetour.Peer) {
+	for _, p := range h.livePeers() {
+		if p.Process != h.member.Self().Process {
+			out = append(out, slugdetour.Peer{Process: p.Process, LostPaths: p.LostPaths > 0})
 		}
 	}
-	out := append(reaching, others...)
-	return out[:min(n, len(out))]
+	return out
 }
 
 // allowsDetour reports whether peers may connect to an address through this host: the host is not
--- a/internal/daemon/slughost/join.go
+++ b/internal/daemon/slughost/join.go
@@ -45,14 +45,14 @@
 		return err
 	}
 	h.transport = transport
-	h.detour = h.newDetour()
-	transport.SetStreams(h.detour.Serve)
 	h.sharedWatches = newWatchSharing(h)
 	h.member = slugmember.New(slugmember.Config{
 		Self: h.newRecord(), Store: h.store.For("members"), Changed: h.recordsChanged, BatchDelay: watchBatchDelay, Wait: memberWatchWait,
 		SharedWatch: h.sharedWatches.SharedWatch(slugmember.Prefix, memberWatchWait),
 	})
 	transport.SetLookup(h.member.ByCertificate)
+	h.detour = h.newDetour()
+	transport.SetStreams(h.detour.Serve)
 	h.follower = slugconfigfollower.New(slugconfigfollower.Config{
 		Name: h.adapter.ConfigName, Store: h.store.For("config"), Decode: h.adapter.DecodeConfig,
 		FromPeer: func(ctx context.Context, r revision) ([]byte, error) { return h.table.FetchBundle(ctx, r) },
--- a/internal/decision/slugpath/paths.go
+++ b/internal/decision/slugpath/paths.go
@@ -54,6 +54,8 @@
 type path struct {
 	// lostAt is when the path was found to be lost, zero if it is not.
 	lostAt time.Time
+	// reachedAt is when a direct attempt last succeeded.
+	reachedAt time.Time
 	// triedAt is when a direct attempt was last planned.
 	triedAt time.Time
 	// unreachedAt is when no peer reached the address either.
@@ -131,7 +133,7 @@
 	defer p.mu.Unlock()
 	p.reachedAt = now
 	x := p.at(address, now)
-	x.unreachedAt = time.Time{}
+	x.reachedAt, x.unreachedAt = now, time.Time{}
 	return p.restore(x)
 }
 
@@ -145,12 +147,16 @@
 	return true
 }
 
-// Lost records that a peer reached an address to which direct attempts fail. It reports whether
-// the path was not lost before, and whether this process has just begun to seem cut off.
-func (p *Paths) Lost(address string, now time.Time) (isNew, cutOff bool) {
+// Lost records that a peer reached an address to which a direct attempt since the given time has
+// failed. An attempt that began before one that succeeded says nothing of the path now. It reports
+// whether the path was not lost before, and whether this process has just begun to seem cut off.
+func (p *Paths) Lost(address string, since, now time.Time) (isNew, cutOff bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	x, before := p.at(address, now), p.cutOff()
+	if !x.reachedAt.Before(since) {
+		return false, false
+	}
 	if isNew = x.lostAt.IsZero(); isNew {
 		x.lostAt = now
 		p.lost++
--- a/internal/decision/slugpath/paths_test.go
+++ b/internal/decision/slugpath/paths_test.go
@@ -16,16 +16,16 @@
 	at := func(d time.Duration) time.Time { return start.Add(d) }
 	p := New()
 	assert.Equal(t, p.Plan("a", start), Plan{Direct: true, Peers: true, PeersAfter: patience})
-	isNew, cutOff := p.Lost("a", start)
+	isNew, cutOff := p.Lost("a", start, start)
 	assert.Assert(t, isNew && !cutOff)
 	assert.Equal(t, p.Plan("a", at(time.Millisecond)), Plan{Peers: true}, "a direct attempt was just made")
 	assert.Equal(t, p.Plan("a", at(retryInterval)), Plan{Direct: true, Peers: true})
 	assert.Equal(t, p.Plan("a", at(retryInterval+1)), Plan{Peers: true})
 	assert.Equal(t, p.Plan("b", at(retryInterval)), Plan{Direct: true, Peers: true, PeersAfter: patience}, "one lost path says little of others")
-	isNew, cutOff = p.Lost("b", at(time.Second))
+	isNew, cutOff = p.Lost("b", at(time.Second), at(time.Second))
 	assert.Assert(t, isNew && cutOff)
 	assert.Equal(t, p.Plan("c", at(time.Second)), Plan{Direct: true, Peers: true}, "the host is cut off")
-	_, cutOff = p.Lost("b", at(time.Second))
+	_, cutOff = p.Lost("b", at(time.Second), at(time.Second))
 	assert.Assert(t, !cutOff, "it is told once")
 	assert.Assert(t, !p.Reached("c", at(2*time.Second)), "the path to c was not lost")
 	assert.Equal(t, p.Plan("d", at(2*time.Second)).PeersAfter, patience, "the host reaches endpoints")
@@ -34,6 +34,18 @@
 	assert.Equal(t, p.Status().Lost, 0)
 }
 
+// TestOldFailureHidesSuccess guards against a path that counts as lost because of an attempt that
+// began before another one succeeded.
+func TestOldFailureHidesSuccess(t *testing.T) {
+	start := time.Unix(1000, 0)
+	p := New()
+	p.Reached("a", start.Add(time.Second))
+	isNew, _ := p.Lost("a", start, start.Add(2*time.Second))
+	assert.Assert(t, !isNew && !p.IsLost("a"))
+	isNew, _ = p.Lost("a", start.Add(time.Second+1), start.Add(2*time.Second))
+	assert.Assert(t, isNew && p.IsLost("a"))
+}
+
 // TestPeersAreAskedAgainAfterAWhile guards against hosts that ask peers for each connection to an
 // endpoint that is dead.
 func TestPeersAreAskedAgainAfterAWhile(t *testing.T) {
@@ -43,7 +55,7 @@
 	assert.Equal(t, p.Plan("a", start.Add(unreachedHold-1)), Plan{Direct: true, PeersAfter: patience})
 	assert.Assert(t, p.Plan("a", start.Add(unreachedHold)).Peers)
 	p.Unreached("a", start)
-	p.Lost("a", start)
+	p.Lost("a", start, start)
 	assert.Assert(t, p.Plan("a", start.Add(time.Millisecond)).Direct, "there is no other way")
 }
 
@@ -53,7 +65,7 @@
 	start := time.Unix(1000, 0)
 	p := New()
 	for i := range 100 {
-		p.Lost(fmt.Sprint(i), start)
+		p.Lost(fmt.Sprint(i), start, start)
 	}
 	p.Plan("x", start.Add(forgetAfter+pruneInterval+time.Second))
 	assert.Equal(t, len(p.paths), 1)
