--- a/internal/daemon/sluggate/gate.go
+++ b/internal/daemon/sluggate/gate.go
@@ -27,6 +27,7 @@
 	"github.com/sassafraslug/sassafraslug/internal/base/slugsettings"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugstep"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugstore"
+	"github.com/sassafraslug/sassafraslug/internal/connection/slugdetour"
 	"github.com/sassafraslug/sassafraslug/internal/connection/slugsend"
 	"github.com/sassafraslug/sassafraslug/internal/daemon/slugnetwork"
 	"github.com/sassafraslug/sassafraslug/internal/daemon/slugnode"
@@ -61,6 +62,8 @@
 	// usageWritePerGate is added to usageWriteBase for each gate, to limit the total write
 	// rate of all gates.
 	usageWritePerGate = 20 * time.Millisecond
+	// detourDrainTimeout bounds the wait for responses that pass through this gate to peers.
+	detourDrainTimeout = 5 * time.Second
 	// peerUpdateInterval is the time between updates of the state published to peers.
 	peerUpdateInterval = time.Second
 )
@@ -74,6 +77,7 @@
 
 	*slugnode.Node
 	sender            *slugsend.Sender
+	detour            *slugdetour.Dialer
 	fleet             *slugfleet.Fleet
 	limiter           *sluglimit.Limiter
 	suspects          *slugsuspect.Tracker
@@ -178,7 +182,8 @@
 
 // join creates the sender and the connection to the cluster.
 func (g *Gate) join(_ context.Context, _ *errgroup.Group) error {
-	g.sender = slugsend.New(slugsend.Config{Dial: g.network.Dial, Memory: slugmemory.New(maxReceived), Responded: func(r slugsend.Response) { g.fleet.Responded(r) }})
+	g.detour = g.newDetour()
+	g.sender = slugsend.New(slugsend.Config{Dial: g.detour.Dial, Memory: slugmemory.New(maxReceived), Responded: func(r slugsend.Response) { g.fleet.Responded(r) }})
 	node, err := slugnode.New(slugnode.Config{
 		Settings: g.settings, Kind: slugmember.KindGate, Log: g.log, Metrics: g.metrics, Network: g.network,
 		CallersAddress:   slugnode.Advertised(g.settings.CallersAdvertise, g.callers.Address()),
@@ -192,6 +197,7 @@
 		return err
 	}
 	g.Node = node
+	g.Transport.SetStreams(g.detour.Serve)
 	g.evidence = slugevidence.New(slugevidence.Config{
 		Trackers: g.quarantines, Store: g.Store.For("quarantines"), Log: g.log, Peers: g.Table.Neighbours, Call: g.Transport.Call,
 		Rank: func(subject string) int { return slugmember.Rank(subject, g.Member.Self().Process, g.liveGates()) },
@@ -457,6 +463,9 @@
 	if err := g.callers.Shutdown(ctx); err != nil {
 		return err
 	}
+	drainCtx, cancel := context.WithTimeout(ctx, detourDrainTimeout)
+	g.detour.Drain(drainCtx)
+	cancel()
 	err := g.finalWrites(ctx)
 	err = errors.CombineErrors(err, g.operators.ShutdownWithin(ctx, operatorsShutdownTimeout))
 	g.stop()
--- a/internal/fleet/slugfleet/notice.go
+++ b/internal/fleet/slugfleet/notice.go
@@ -62,3 +62,14 @@
 	wait, _ := f.notices.Wait(e, 0, time.Now())
 	return wait == 0
 }
+
+// Wants reports whether an endpoint is planned at an address that neither leaves nor asked to be
+// left alone.
+func (f *Fleet) Wants(address string) bool {
+	e, ok := f.endpointAt(address)
+	if !ok {
+		return false
+	}
+	wait, leaving := f.notices.Wait(e.endpoint, 0, time.Now())
+	return wait == 0 && !leaving
+}
