Close silent connections after a second failed attempt

A direct attempt that is lost with two packets closed the open connections to the endpoint on which nothing had arrived for a second, such as those of long prompts. Now a second attempt must fail as well, unless the host reaches no endpoint at all (TestLostPacketsCloseConnections). Found by reading.

--- a/internal/connection/slugdetour/dialer.go
+++ b/internal/connection/slugdetour/dialer.go
@@ -88,10 +88,8 @@
 	// open holds the open direct connections by address.
 	open map[string]map[*directConn]bool
 	// shared counts, by address, the open connections through a peer or for one.
-	shared map[string]map[slugname.Process]int
-	// opened and refused count the connections through peers, and the attempts at which none
-	// was opened.
-	opened, refused uint64
+	shared           map[string]map[slugname.Process]int
+	opened, unopened uint64
 }
 
 // New returns a Dialer.
@@ -185,8 +183,8 @@
 	}
 }
 
-// failure returns the error of an attempt without a connection. A refusal counts as that of the
-// endpoint unless a peer got no connection for another reason.
+// failure returns the error of an attempt without a connection. The endpoint refuses connections if
+// it refuses those of a peer, or those of this process while no peer could say.
 func (a *attempt) failure(list []opened) error {
 	var direct, peer error
 	for _, r := range list {
@@ -288,7 +286,7 @@
 	if success {
 		d.opened++
 	} else {
-		d.refused++
+		d.unopened++
 	}
 }
 
@@ -369,17 +367,17 @@
 // pathLost records that a peer reaches an endpoint that this process does not reach.
 func (a *attempt) pathLost(cause error) {
 	now := time.Now()
-	isNew, cutOff := a.paths.Lost(a.address, a.startedAt, now)
-	if !isNew {
-		return
-	}
-	if !errors.Is(cause, syscall.ECONNREFUSED) {
-		a.closeSilent(a.address, a.startedAt)
+	loss := a.paths.Lost(a.address, a.startedAt, now)
+	// Where new connections are refused, open ones may live on.
+	if !loss.SilentSince.IsZero() && !errors.Is(cause, syscall.ECONNREFUSED) {
+		a.closeSilent(a.address, loss.SilentSince)
 	}
 	status := a.paths.Status()
-	a.cfg.Log.Error(slugevent.PathLost, cause, a.fields(status, now))
-	a.cfg.PathChanged(a.address, true)
-	if cutOff {
+	if loss.New {
+		a.cfg.Log.Error(slugevent.PathLost, cause, a.fields(status, now))
+		a.cfg.PathChanged(a.address, true)
+	}
+	if loss.CutOff {
 		a.cfg.Log.Emit(slugevent.EndpointsUnreached, a.fields(status, now))
 		a.checkOthers()
 	}
@@ -401,10 +399,19 @@
 	return f
 }
 
-// Status returns a summary of the paths to endpoints, and the numbers of connections that were
-// opened through peers and that peers could not open.
-func (d *Dialer) Status() (s slugpath.Status, opened, refused uint64, served int) {
+// Status summarizes the paths to endpoints and the connections through peers.
+type Status struct {
+	slugpath.Status
+	// Opened is the number of connections that peers have opened for this process, and Unopened
+	// the number of times that none of them could.
+	Opened, Unopened uint64
+	// Served is the number of connections that are open for peers.
+	Served int
+}
+
+// Status returns a summary of the paths to endpoints and the connections through peers.
+func (d *Dialer) Status() Status {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.paths.Status(), d.opened, d.refused, len(d.served)
+	return Status{d.paths.Status(), d.opened, d.unopened, len(d.served)}
 }
--- a/internal/daemon/sluggate/detour.go
+++ b/internal/daemon/sluggate/detour.go
@@ -19,8 +19,7 @@
 			return g.Transport.Open(ctx, to)
 		},
 		PathChanged: func(string, bool) {
-			paths, _, _, _ := g.detour.Status()
-			g.Table.Update(func(r *slugpeer.Row) { r.LostPaths = uint32(paths.Lost) })
+			g.Table.Update(func(r *slugpeer.Row) { r.LostPaths = uint32(g.detour.Status().Lost) })
 		},
 	})
 }
--- a/internal/daemon/slughost/detour.go
+++ b/internal/daemon/slughost/detour.go
@@ -67,17 +67,16 @@
 
 // lostPaths returns the number of endpoints that this host reaches only through peers.
 func (h *Host) lostPaths() uint32 {
-	s, _, _, _ := h.detour.Status()
-	return uint32(s.Lost)
+	return uint32(h.detour.Status().Lost)
 }
 
 // exportDetours writes metrics about paths to endpoints.
 func (h *Host) exportDetours() {
-	s, opened, refused, served := h.detour.Status()
+	s := h.detour.Status()
 	h.metrics.Set("paths.lost", intVar(s.Lost))
-	h.metrics.Set("detours.opened", intVar(int(opened)))
-	h.metrics.Set("detours.refused", intVar(int(refused)))
-	h.metrics.Set("detours.served", intVar(served))
+	h.metrics.Set("detours.opened", intVar(int(s.Opened)))
+	h.metrics.Set("detours.unopened", intVar(int(s.Unopened)))
+	h.metrics.Set("detours.served", intVar(s.Served))
 }
 
 // tellNotice tells the peers with which connections to an endpoint are shared what it has said:
--- a/internal/daemon/slughost/duties.go
+++ b/internal/daemon/slughost/duties.go
@@ -45,8 +45,7 @@
 // eligible reports whether this process may hold the duties. Without links to the engines it could
 // not send their orders, which must not take the way through peers.
 func (h *Host) eligible() bool {
-	paths, _, _, _ := h.detour.Status()
-	return h.ready() && !paths.CutOff
+	return h.ready() && !h.detour.Status().CutOff
 }
 
 // rank returns the position of this process among the candidates for the duties.
--- a/internal/decision/slugpath/paths.go
+++ b/internal/decision/slugpath/paths.go
@@ -56,6 +56,10 @@
 	lostAt time.Time
 	// reachedAt is when a direct attempt last succeeded.
 	reachedAt time.Time
+	// failures is the number of direct attempts that have failed since the path was found to be
+	// lost, the first of which began at failingSince.
+	failures     int
+	failingSince time.Time
 	// triedAt is when a direct attempt was last planned.
 	triedAt time.Time
 	// unreachedAt is when no peer reached the address either.
@@ -147,22 +151,41 @@
 	return true
 }
 
+// Loss is what a direct attempt shows that failed while a peer reached the endpoint.
+type Loss struct {
+	// New is set if the path was not lost before.
+	New bool
+	// CutOff is set if this process has just begun to seem cut off from all endpoints.
+	CutOff bool
+	// SilentSince is set if open connections on which nothing has arrived since then are as dead
+	// as the attempts. A single attempt fails if two packets are lost as well.
+	SilentSince time.Time
+}
+
+// minFailures is the number of direct attempts that must fail before open connections count as
+// dead, unless the process seems cut off.
+const minFailures = 2
+
 // Lost records that a peer reached an address to which a direct attempt since the given time has
-// failed. An attempt that began before one that succeeded says nothing of the path now. It reports
-// whether the path was not lost before, and whether this process has just begun to seem cut off.
-func (p *Paths) Lost(address string, since, now time.Time) (isNew, cutOff bool) {
+// failed. An attempt that began before one that succeeded says nothing of the path now.
+func (p *Paths) Lost(address string, since, now time.Time) (l Loss) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	x, before := p.at(address, now), p.cutOff()
 	if !x.reachedAt.Before(since) {
-		return false, false
+		return Loss{}
 	}
-	if isNew = x.lostAt.IsZero(); isNew {
-		x.lostAt = now
+	if x.lostAt.IsZero() {
+		l.New, x.lostAt, x.failures, x.failingSince = true, now, 0, since
 		p.lost++
 	}
+	x.failures++
 	p.lostAt = now
-	return isNew, !before && p.cutOff()
+	l.CutOff = !before && p.cutOff()
+	if x.failures >= minFailures || p.cutOff() {
+		l.SilentSince = x.failingSince
+	}
+	return l
 }
 
 // Unreached records that no peer reached an address either.
