--- a/internal/connection/slugdetour/dialer.go
+++ b/internal/connection/slugdetour/dialer.go
@@ -242,7 +242,7 @@
 	defer cancel()
 	peers := a.fitPeers()
 	results := make(chan opened, len(peers))
-	pending, last := 0, error(errUnreached)
+	pending, last := 0, errUnreached
 	ask := func() {
 		if len(peers) == 0 {
 			return
--- a/internal/daemon/slughost/share.go
+++ b/internal/daemon/slughost/share.go
@@ -127,7 +127,7 @@
 		r, known := w.host.member.Record(source)
 		if source != last {
 			w.host.log.Emit(slugevent.WatchSourceChosen, slugevent.Fields{
-				"prefix": prefix, "from": last, "to": source, "cores": r.Capacity.Cores, "linkMbps": r.Capacity.LinkMbps,
+				"prefix": prefix, "from": last, "to": source, "cores": r.Cores, "linkMbps": r.LinkMbps,
 				"failures": failures, "storeFailingMs": w.host.store.FailingFor().Milliseconds(),
 			})
 			last = source
--- a/internal/membership/slugwatcher/choice.go
+++ b/internal/membership/slugwatcher/choice.go
@@ -46,32 +46,26 @@
 // need, some of these have a far watcher as the first of the near ones. Processes that the store
 // does not answer are chosen only if it answers none.
 func Choose(self slugname.Process, dc slugname.DataCentre, candidates []Candidate) (near, far []slugname.Process) {
-	byDataCentre, anyUsable := map[slugname.DataCentre][]Candidate{}, false
+	if len(usable(candidates)) == 0 {
+		candidates = slices.Clone(candidates)
+		for i := range candidates {
+			candidates[i].Failing = false
+		}
+	}
+	byDataCentre := map[slugname.DataCentre][]Candidate{}
 	for _, c := range candidates {
 		byDataCentre[c.DataCentre] = append(byDataCentre[c.DataCentre], c)
-		anyUsable = anyUsable || !c.Failing
 	}
 	usableDataCentres := 0
 	for _, list := range byDataCentre {
-		if !anyUsable || len(usable(list)) > 0 {
+		if len(usable(list)) > 0 {
 			usableDataCentres++
 		}
 	}
-	if !anyUsable {
-		candidates = slices.Clone(candidates)
-		for i := range candidates {
-			candidates[i].Failing = false
-		}
-	}
 	minPerDataCentre := (MinWatchers + usableDataCentres - 1) / max(1, usableDataCentres)
 	capable := capableProcesses(candidates)
 	needed := 0
 	for candidateDC, list := range byDataCentre {
-		if !anyUsable {
-			for i := range list {
-				list[i].Failing = false
-			}
-		}
 		watchers, n := chooseWatchers(list, minPerDataCentre, func(c Candidate) bool { return capable[c.Process] })
 		if candidateDC == dc {
 			near, needed = slugmember.HighestRanked(string(self), watchers, len(watchers)), n
