--- a/internal/decision/slugpath/paths.go
+++ b/internal/decision/slugpath/paths.go
@@ -34,10 +34,11 @@
 	retryInterval = 250 * time.Millisecond
 	// minLost is the number of lost paths from which a process may be cut off from all endpoints.
 	minLost = 2
-	// forgetAfter is how long an address that is not used is remembered.
-	forgetAfter = 10 * time.Minute
+	// forgetAfter is how long an address that is not used is remembered. It may be that of an endpoint
+	// that is gone, which must not count as lost for long.
+	forgetAfter = time.Minute
 	// pruneInterval is the time between removals of addresses that are forgotten.
-	pruneInterval = time.Minute
+	pruneInterval = 10 * time.Second
 )
 
 // Plan says how to open a connection.
