--- a/internal/connection/slugdetour/dialer_test.go
+++ b/internal/connection/slugdetour/dialer_test.go
@@ -137,7 +137,7 @@
 			},
 			Record: func(p slugname.Process) (slugmember.Record, bool) { return slugmember.Record{Process: p}, true },
 			Open: func(ctx context.Context, to slugmember.Record) (slugpeer.Stream, error) {
-				if l.silent[to.Process] {
+				if _, _, answers := l.state(to.Process); !answers {
 					<-ctx.Done()
 					return nil, ctx.Err()
 				}
@@ -145,7 +145,11 @@
 				go l.dialers[to.Process].Serve(self, b)
 				return a, nil
 			},
-			Allowed: func(string) bool { return !l.unknown },
+			Allowed: func(string) bool {
+				l.mu.Lock()
+				defer l.mu.Unlock()
+				return !l.unknown
+			},
 			PathChanged: func(_ string, lost bool) {
 				l.mu.Lock()
 				defer l.mu.Unlock()
@@ -172,19 +176,39 @@
 	})
 }
 
+// set changes the lab.
+func (l *lab) set(change func()) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	change()
+}
+
+// lostPaths returns the number of paths that were lost and not restored.
+func (l *lab) lostPaths() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.lost
+}
+
+// state returns whether a process reaches the endpoint, has its connections refused, and answers
+// peers.
+func (l *lab) state(p slugname.Process) (linked, refused, answers bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.links[p], l.refused[p], !l.silent[p]
+}
+
 // connect connects a process to the endpoint.
 func (l *lab) connect(ctx context.Context, p slugname.Process) (net.Conn, error) {
-	switch {
-	case l.refused[p]:
+	switch linked, refused, _ := l.state(p); {
+	case refused:
 		return nil, syscall.ECONNREFUSED
-	case !l.links[p]:
+	case !linked:
 		<-ctx.Done()
 		return nil, ctx.Err()
 	}
 	a, b := newStreamPair()
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.accepted = append(l.accepted, b)
+	l.set(func() { l.accepted = append(l.accepted, b) })
 	return a, nil
 }
 
@@ -222,25 +246,25 @@
 func TestPathLost(t *testing.T) {
 	for _, refuse := range []bool{false, true} {
 		withLab(t, func(t *testing.T, l *lab) {
-			l.links["a"], l.refused["a"] = false, refuse
+			l.set(func() { l.links["a"], l.refused["a"] = false, refuse })
 			c, took, err := l.dial(t.Context())
 			assert.NilError(t, err)
 			assert.Assert(t, took <= 200*time.Millisecond, "%s", took)
 			l.checkEcho(t, c)
 			assert.NilError(t, c.Close())
 			time.Sleep(directTimeout)
-			assert.Equal(t, l.lost, 1)
+			assert.Equal(t, l.lostPaths(), 1)
 			_, took, err = l.dial(t.Context())
 			assert.NilError(t, err)
 			assert.Equal(t, took, time.Duration(0))
-			l.links["a"], l.refused["a"] = true, false
+			l.set(func() { l.links["a"], l.refused["a"] = true, false })
 			time.Sleep(time.Second)
 			for range 2 {
 				c, _, err = l.dial(t.Context())
 				assert.NilError(t, err)
 				synctest.Wait()
 			}
-			assert.Equal(t, l.lost, 0)
+			assert.Equal(t, l.lostPaths(), 0)
 			_, direct := c.(*directConn)
 			assert.Assert(t, direct)
 		}, "a", "b")
@@ -251,18 +275,20 @@
 // path is lost, or the other way round, and against peers that are asked for each connection.
 func TestDeadEndpointIsNoLostPath(t *testing.T) {
 	withLab(t, func(t *testing.T, l *lab) {
-		for p := range l.links {
-			l.refused[p] = true
-		}
+		l.set(func() {
+			for p := range l.links {
+				l.refused[p] = true
+			}
+		})
 		_, took, err := l.dial(t.Context())
 		assert.Assert(t, errors.Is(err, syscall.ECONNREFUSED), "%v", err)
 		assert.Equal(t, took, time.Duration(0))
 		time.Sleep(time.Second)
-		l.links, l.refused = map[slugname.Process]bool{}, map[slugname.Process]bool{}
+		l.set(func() { l.links, l.refused = map[slugname.Process]bool{}, map[slugname.Process]bool{} })
 		_, took, err = l.dial(t.Context())
 		assert.Assert(t, err != nil && !errors.Is(err, syscall.ECONNREFUSED), "%v", err)
 		assert.Assert(t, took <= 2*directTimeout, "%s", took)
-		assert.Equal(t, l.lost, 0)
+		assert.Equal(t, l.lostPaths(), 0)
 		asked := l.dialers["a"].Status().Unopened
 		_, _, err = l.dial(t.Context())
 		assert.Assert(t, err != nil)
@@ -275,7 +301,7 @@
 func TestBrokenOffResponseLooksComplete(t *testing.T) {
 	for _, broken := range []bool{false, true} {
 		withLab(t, func(t *testing.T, l *lab) {
-			l.refused["a"] = true
+			l.set(func() { l.refused["a"] = true })
 			c, _, err := l.dial(t.Context())
 			assert.NilError(t, err)
 			_, err = l.end().Write([]byte("part"))
@@ -301,7 +327,7 @@
 // through a peer was closed.
 func TestDisconnectIsNotPassedOn(t *testing.T) {
 	withLab(t, func(t *testing.T, l *lab) {
-		l.refused["a"] = true
+		l.set(func() { l.refused["a"] = true })
 		c, _, err := l.dial(t.Context())
 		assert.NilError(t, err)
 		assert.NilError(t, c.Close())
@@ -314,14 +340,14 @@
 // peers that open connections to addresses that they do not know.
 func TestConnectionTakesASecondHop(t *testing.T) {
 	withLab(t, func(t *testing.T, l *lab) {
-		l.refused["a"], l.links["b"], l.last = true, false, "c"
+		l.set(func() { l.refused["a"], l.links["b"], l.last = true, false, "c" })
 		l.dialers["b"].paths.Lost(endpoint, time.Now(), time.Now())
 		c, took, err := l.dial(t.Context())
 		assert.NilError(t, err)
 		assert.Equal(t, took, time.Duration(0), "c is asked at once")
 		assert.DeepEqual(t, l.dialers["a"].Sharing(endpoint), []slugname.Process{"c"})
 		assert.NilError(t, c.Close())
-		l.unknown = true
+		l.set(func() { l.unknown = true })
 		_, _, err = l.dial(t.Context())
 		assert.Assert(t, err != nil)
 	}, "a", "b", "c")
@@ -330,7 +356,7 @@
 // TestSilentPeersAreWaitedFor guards against a wait for each peer that is cut off itself.
 func TestSilentPeersAreWaitedFor(t *testing.T) {
 	withLab(t, func(t *testing.T, l *lab) {
-		l.refused["a"], l.silent["b"], l.silent["c"] = true, true, true
+		l.set(func() { l.refused["a"], l.silent["b"], l.silent["c"] = true, true, true })
 		l.last = "d"
 		_, took, err := l.dial(t.Context())
 		assert.NilError(t, err)
@@ -351,7 +377,7 @@
 			assert.NilError(t, err)
 			liveEnd := l.end()
 			time.Sleep(time.Second)
-			l.links["a"], l.refused["a"] = false, refuse
+			l.set(func() { l.links["a"], l.refused["a"] = false, refuse })
 			for attempts := 1; attempts <= 2; attempts++ {
 				_, _, err = l.dial(t.Context())
 				assert.NilError(t, err)
