--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -31,11 +31,11 @@
 
 // cases are the cases by name.
 var cases = map[string]testCase{
-	"memory":  {[]route{{Prefix: "/ask/", Kind: "stream", Service: modelService, Public: true}}, playMemory},
-	"parts":   {[]route{{Prefix: "/ask/", Kind: "stream", Service: modelService}}, playParts},
-	"query":   {[]route{{Prefix: "/lookup/", Kind: "safe", Service: plainService}}, playQuery},
-	"slashes": {[]route{{Prefix: "/", Kind: "unsafe", Service: plainService}}, playSlashes},
-	"events":  {[]route{{Prefix: "/ask/", Kind: "stream", Service: modelService}, {Prefix: "/lookup/", Kind: "safe", Service: plainService}}, playEvents},
+	"memory":   {[]route{{Prefix: "/ask/", Kind: "stream", Service: modelService, Public: true}}, playMemory},
+	"parts":    {[]route{{Prefix: "/ask/", Kind: "stream", Service: modelService}}, playParts},
+	"query":    {[]route{{Prefix: "/lookup/", Kind: "safe", Service: plainService}}, playQuery},
+	"slashes":  {[]route{{Prefix: "/", Kind: "unsafe", Service: plainService}}, playSlashes},
+	"channels": {[]route{{Prefix: "/lookup/", Kind: "safe", Service: plainService}}, playChannels},
 }
 
 func main() {
