--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -35,6 +35,7 @@
 	"parts":    {[]route{{Prefix: "/ask/", Kind: "stream", Service: modelService}}, playParts},
 	"query":    {[]route{{Prefix: "/lookup/", Kind: "safe", Service: plainService}}, playQuery},
 	"slashes":  {[]route{{Prefix: "/", Kind: "unsafe", Service: plainService}}, playSlashes},
+	"upgrade":  {[]route{{Prefix: "/ask/", Kind: "stream", Service: modelService}}, playUpgrade},
 	"channels": {[]route{{Prefix: "/lookup/", Kind: "safe", Service: plainService}}, playChannels},
 }
 
--- a/review/standin-2/server.go
+++ b/review/standin-2/server.go
@@ -38,6 +38,8 @@
 	id, target, path, host string
 	// poison is set for requests on which servers crash.
 	poison bool
+	// server is the server, and after the event after which a stream goes on there.
+	server, after string
 }
 
 // servers are the servers of all services.
@@ -48,6 +50,9 @@
 	poison func(*http.Request) bool
 	// crash is set if poison crashes servers.
 	crash bool
+	// streamTokens and eventTime replace the constants if they are set.
+	streamTokens int
+	eventTime    time.Duration
 
 	mu       sync.Mutex
 	arrivals []arrival
@@ -62,8 +67,11 @@
 
 	mu      sync.Mutex
 	running *http.Server
+	version string
 	born    int64
 	handles int
+	// silentTo is the end of the silence.
+	silentTo time.Time
 }
 
 // add starts a server and registers it.
@@ -72,12 +80,22 @@
 	if err != nil {
 		return err
 	}
-	s := &server{servers: f, name: fmt.Sprintf("i-%d", len(f.list)), service: service, stage: stage, address: fmt.Sprintf("127.0.0.1:%d", port)}
+	s := &server{servers: f, name: fmt.Sprintf("i-%d", len(f.list)), service: service, stage: stage, address: fmt.Sprintf("127.0.0.1:%d", port), version: "v1"}
 	f.list = append(f.list, s)
 	return s.start()
 }
 
+// start starts the server and writes its entry.
 func (s *server) start() error {
+	if err := s.listen(); err != nil {
+		return err
+	}
+	s.register()
+	return nil
+}
+
+// listen starts the server.
+func (s *server) listen() error {
 	l, err := net.Listen("tcp", s.address)
 	if err != nil {
 		return err
@@ -85,17 +103,23 @@
 	x := &http.Server{Handler: s, MaxHeaderBytes: 1 << 20}
 	s.mu.Lock()
 	s.running, s.born = x, time.Now().UnixMilli()
-	born := s.born
 	s.mu.Unlock()
 	go func() { _ = x.Serve(l) }()
+	return nil
+}
+
+// register writes the server's entry.
+func (s *server) register() {
+	s.mu.Lock()
+	born, version := s.born, s.version
+	s.mu.Unlock()
 	entry := map[string]any{
-		"service": s.service, "address": s.address, "zone": zone, "version": "v1", "slots": 64, "state": "ready", "cold_remaining_ms": 0, "sequence": 1, "born": born,
+		"service": s.service, "address": s.address, "zone": zone, "version": version, "slots": 64, "state": "ready", "cold_remaining_ms": 0, "sequence": 1, "born": born,
 	}
 	if s.stage != "" {
 		entry["stage"] = s.stage
 	}
 	s.rig.store.Put("servers", s.name, entry)
-	return nil
 }
 
 // fail ends the server as a crash does. It is back after crashTime.
@@ -133,6 +157,7 @@
 
 // ServeHTTP implements http.Handler.
 func (s *server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.awaitSound()
 	s.mu.Lock()
 	born := s.born
 	s.handles++
@@ -151,7 +176,7 @@
 	_, _ = io.Copy(io.Discard, r.Body)
 	poison := s.poison != nil && s.poison(r)
 	s.servers.mu.Lock()
-	s.arrivals = append(s.arrivals, arrival{time.Now(), id, r.Method + " " + r.RequestURI, r.URL.Path, r.Host, poison})
+	s.arrivals = append(s.arrivals, arrival{time.Now(), id, r.Method + " " + r.RequestURI, r.URL.Path, r.Host, poison, s.name, r.Header.Get("Last-Event-Id")})
 	s.servers.mu.Unlock()
 	if s.stage == prefill {
 		time.Sleep(workTime)
@@ -187,12 +212,20 @@
 
 // serveStream sends a stream with one token in each event.
 func (s *server) serveStream(w http.ResponseWriter, r *http.Request, id string) {
+	tokens, pause := streamTokens, eventTime
+	if s.streamTokens > 0 {
+		tokens, pause = s.streamTokens, s.eventTime
+	}
+	s.mu.Lock()
+	version := s.version
+	s.mu.Unlock()
 	w.Header().Set("Content-Type", "text/event-stream")
 	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
-	for last < streamTokens {
-		time.Sleep(eventTime)
+	for last < tokens {
+		time.Sleep(pause)
+		s.awaitSound()
 		last++
-		if _, err := fmt.Fprintf(w, "id: %d\ndata: token %d of %s\n\n", last, last, id); err != nil {
+		if _, err := fmt.Fprintf(w, "id: %d\ndata: token %d of %s by %s\n\n", last, last, id, version); err != nil {
 			return
 		}
 		w.(http.Flusher).Flush()
