--- a/review/standin-2/rig.go
+++ b/review/standin-2/rig.go
@@ -127,10 +127,8 @@
 	for i := range n {
 		// Each machine has an address of its own, as on the platform.
 		h := &host{name: fmt.Sprintf("front-%d", i), ip: fmt.Sprintf("127.%d.%d.%d", 2+os.Getpid()%120, os.Getpid()/120%250, i+1), ports: map[string]int{}}
-		for _, p := range []string{"front", "ready", "directory", "peers", "metrics"} {
-			if h.ports[p], err = freePort(h.ip); err != nil {
-				return err
-			}
+		if err := h.choosePorts(); err != nil {
+			return err
 		}
 		h.settings, h.log = filepath.Join(r.dir, h.name+".ini"), filepath.Join(r.dir, h.name+".log")
 		if err := h.writeSettings(store, duties); err != nil {
@@ -154,6 +152,22 @@
 	return nil
 }
 
+// choosePorts chooses a free port for each of the host's listeners.
+func (h *host) choosePorts() error {
+	taken := map[int]bool{}
+	for _, p := range []string{"front", "ready", "directory", "peers", "metrics"} {
+		for h.ports[p] == 0 || taken[h.ports[p]] {
+			port, err := freePort(h.ip)
+			if err != nil {
+				return err
+			}
+			h.ports[p] = port
+		}
+		taken[h.ports[p]] = true
+	}
+	return nil
+}
+
 func (h *host) address(port string) string { return fmt.Sprintf("%s:%d", h.ip, h.ports[port]) }
 
 // writeSettings fills in the template of the deploy file, as the platform does.
