--- a/internal/base/slughttp/transport_test.go
+++ b/internal/base/slughttp/transport_test.go
@@ -60,9 +60,10 @@
 	}
 }
 
-// TestTransportsAreBounded guards against a client whose responses may have headers of the
-// 10 MB that net/http allows.
-func TestTransportsAreBounded(t *testing.T) {
+// checkSources checks that no source file of the programs uses one of the given texts, except in
+// the given package. The clients of experiments and stand-ins run in processes of their own.
+func checkSources(t *testing.T, except string, texts ...string) {
+	t.Helper()
 	root := filepath.Join("..", "..", "..")
 	for _, dir := range []string{"cmd", "internal", "platform"} {
 		err := filepath.WalkDir(filepath.Join(root, dir), func(path string, _ fs.DirEntry, err error) error {
@@ -70,12 +71,13 @@
 			if err != nil || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
 				return err
 			}
-			// The clients of experiments and stand-ins run in processes of their own.
-			if strings.Contains(slash, "/operate/") || strings.Contains(slash, "/standin/") || strings.Contains(slash, "/slugsoakrig/") || strings.Contains(slash, "/slughttp/") {
-				return nil
+			for _, part := range []string{"operate", "standin", "slugsoakrig", except} {
+				if strings.Contains(slash, "/"+part+"/") {
+					return nil
+				}
 			}
 			b, err := os.ReadFile(path)
-			for _, text := range []string{"http.Transport{", "http.DefaultClient", "http.DefaultTransport", "http.Get(", "http.Post("} {
+			for _, text := range texts {
 				assert.Check(t, !strings.Contains(string(b), text), "%s uses %s", slash, text)
 			}
 			return err
@@ -83,3 +85,15 @@
 		assert.NilError(t, err)
 	}
 }
+
+// TestTransportsAreBounded guards against a client whose responses may have headers of the
+// 10 MB that net/http allows.
+func TestTransportsAreBounded(t *testing.T) {
+	checkSources(t, "slughttp", "http.Transport{", "http.DefaultClient", "http.DefaultTransport", "http.Get(", "http.Post(")
+}
+
+// TestConnectionsTellResetsFromEnds guards against a connection that is not opened by slugsocket, on
+// which a reset may look like the end of a response.
+func TestConnectionsTellResetsFromEnds(t *testing.T) {
+	checkSources(t, "slugsocket", "net.Dial(", "net.DialTimeout(", "net.DialTCP(", "Dialer{}).Dial", "ialer.Dial(", "ialer.DialContext(")
+}
--- a/internal/connection/slugsend/dialer.go
+++ b/internal/connection/slugsend/dialer.go
@@ -6,7 +6,7 @@
 	"syscall"
 	"time"
 
-	"github.com/cockroachdb/errors"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugsocket"
 	"golang.org/x/sys/unix"
 )
 
@@ -14,10 +14,17 @@
 // unacknowledged before the kernel closes the connection.
 const UserTimeout = 5 * time.Second
 
-// NewDialer returns a dialer that sets TCP_USER_TIMEOUT on its connections, and uses
+// Dialer opens TCP connections whose reads tell a reset from the end of the connection.
+type Dialer struct {
+	dialer *net.Dialer
+	// resets is set if closing a connection resets it.
+	resets bool
+}
+
+// NewDialer returns a Dialer that sets TCP_USER_TIMEOUT on its connections, and uses
 // the same duration for keep-alive probes.
-func NewDialer(userTimeout time.Duration) *net.Dialer {
-	return &net.Dialer{
+func NewDialer(userTimeout time.Duration) *Dialer {
+	return &Dialer{dialer: &net.Dialer{
 		Timeout:   dialTimeout,
 		KeepAlive: userTimeout,
 		Control: func(_, _ string, c syscall.RawConn) error {
@@ -30,36 +37,31 @@
 			}
 			return optErr
 		},
-	}
+	}}
 }
 
-// ResetDialer opens connections whose Close sends a TCP reset and discards unsent
-// data, so that the kernel does not deliver it after the close.
-type ResetDialer struct {
-	dialer *net.Dialer
-}
-
-// NewResetDialer returns a ResetDialer whose connections use the given TCP_USER_TIMEOUT.
-func NewResetDialer(userTimeout time.Duration) *ResetDialer {
-	return &ResetDialer{dialer: NewDialer(userTimeout)}
+// NewResetDialer returns a Dialer like NewDialer. Closing one of its connections sends a TCP
+// reset and discards unsent data, so that the kernel does not deliver it after the close.
+func NewResetDialer(userTimeout time.Duration) *Dialer {
+	d := NewDialer(userTimeout)
+	d.resets = true
+	return d
 }
 
 // DialContext opens a connection. Its signature suits http.Transport.DialContext.
-func (d *ResetDialer) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
-	c, err := d.dialer.DialContext(ctx, network, address)
-	if err != nil {
+func (d *Dialer) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
+	c, err := slugsocket.Dial(ctx, d.dialer, network, address)
+	switch {
+	case err != nil:
 		return nil, err
-	}
-	if tcp, ok := c.(*net.TCPConn); ok {
-		return resetConn{tcp}, nil
+	case d.resets:
+		return resetConn{c}, nil
 	}
 	return c, nil
 }
 
 // resetConn is a TCP connection that is closed by a reset.
-type resetConn struct{ *net.TCPConn }
+type resetConn struct{ *slugsocket.Conn }
 
 // Close discards unsent data and resets the connection.
-func (c resetConn) Close() error {
-	return errors.CombineErrors(c.SetLinger(0), c.TCPConn.Close())
-}
+func (c resetConn) Close() error { return c.Reset() }
