--- /dev/null
+++ b/internal/base/slughttp/response_test.go
@@ -0,0 +1,107 @@
+package slughttp
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugresponse"
+	"gotest.tools/v3/assert"
+)
+
+// serve returns a client and a server that writes the result of respond to each request.
+func serve(t *testing.T, respond func(n int64) string) (client *http.Client, requests *atomic.Int64) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	requests = &atomic.Int64{}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = c.Close() }()
+				for in := bufio.NewReader(c); ; {
+					r, err := http.ReadRequest(in)
+					if err != nil {
+						return
+					}
+					_, _ = io.Copy(io.Discard, r.Body)
+					if _, err := io.WriteString(c, respond(requests.Add(1))); err != nil {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	transport := NewTransport(func(ctx context.Context, _, _ string) (net.Conn, error) {
+		return dialTCP(ctx, "tcp", l.Addr().String())
+	})
+	client = &http.Client{Transport: transport, Timeout: 20 * time.Second}
+	t.Cleanup(client.CloseIdleConnections)
+	return client, requests
+}
+
+// get sends a request and returns the body of the response.
+func get(client *http.Client) (string, error) {
+	resp, err := client.Get("http://a/")
+	if err != nil {
+		return "", err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	b, err := io.ReadAll(resp.Body)
+	return string(b), err
+}
+
+// TestMalformedHeadRepeatsRequest guards against a malformed head after which net/http sends a
+// request again by itself, since the connection has served another one before.
+func TestMalformedHeadRepeatsRequest(t *testing.T) {
+	const sound = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+	for _, malformed := range []string{"HTTP/1.1 000 x\r\nContent-Length: 0\r\n\r\n", "\x00\x01", "\n"} {
+		client, requests := serve(t, func(n int64) string {
+			if n == 2 {
+				return malformed
+			}
+			return sound
+		})
+		body, err := get(client)
+		assert.NilError(t, err)
+		assert.Equal(t, body, "ok")
+		_, err = get(client)
+		assert.Assert(t, errors.Is(err, slugresponse.ErrMalformed), "%q: %v", malformed, err)
+		assert.Equal(t, requests.Load(), int64(2), "%q", malformed)
+		body, err = get(client)
+		assert.NilError(t, err, "the next connection")
+		assert.Equal(t, body, "ok")
+	}
+}
+
+// TestBytesBeforeRequestAreItsHead guards against a head that was read before its request had the
+// connection, and that is taken for the head of the response.
+func TestBytesBeforeRequestAreItsHead(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\n\r\n"
+	for _, early := range []bool{false, true} {
+		client, server := net.Pipe()
+		c := &conn{Conn: client}
+		if !early {
+			c.expectHead()
+		}
+		go func() { _, _ = io.WriteString(server, head) }()
+		_, err := io.ReadFull(c, make([]byte, len(head)))
+		assert.NilError(t, err)
+		if early {
+			c.expectHead()
+		}
+		assert.Equal(t, c.headComplete(), !early)
+		assert.NilError(t, c.Close())
+	}
+}
--- a/internal/base/slughttp/transport.go
+++ b/internal/base/slughttp/transport.go
@@ -1,4 +1,5 @@
-// Package slughttp creates the transports of HTTP clients.
+// Package slughttp creates the transports of HTTP clients. They decide what is a response, before
+// anything else reads it.
 //
 // # Usage
 //
@@ -9,7 +10,10 @@
 	"context"
 	"net"
 	"net/http"
+	"net/http/httptrace"
+	"sync/atomic"
 
+	"github.com/cockroachdb/errors"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugsocket"
 )
 
@@ -17,15 +21,33 @@
 // a faulty server can make a process hold for each of its connections.
 const maxHeaderBytes = 64 << 10
 
+// ErrUnrequested means that a response began before its request was written.
+var ErrUnrequested = errors.New("response began before the request")
+
 // Dial opens a connection.
 type Dial func(ctx context.Context, network, address string) (net.Conn, error)
 
-// NewTransport returns a transport that limits the size of response headers. dial may be nil.
-func NewTransport(dial Dial) *http.Transport {
+// Transport is an http.Transport that takes nothing for a response but what slugresponse does. A
+// malformed response fails the request and ends its connection.
+type Transport struct {
+	*http.Transport
+}
+
+// NewTransport returns a Transport that limits the size of response headers. dial may be nil.
+func NewTransport(dial Dial) *Transport {
 	if dial == nil {
 		dial = dialTCP
 	}
-	return &http.Transport{DialContext: dial, MaxResponseHeaderBytes: maxHeaderBytes}
+	return &Transport{&http.Transport{
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			c, err := dial(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+			return &conn{Conn: c}, nil
+		},
+		MaxResponseHeaderBytes: maxHeaderBytes,
+	}}
 }
 
 // dialTCP opens a TCP connection.
@@ -36,3 +58,35 @@
 	}
 	return c, nil
 }
+
+// RoundTrip implements http.RoundTripper.
+func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
+	var used atomic.Pointer[conn]
+	ctx := httptrace.WithClientTrace(r.Context(), &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) {
+		if c, ok := i.Conn.(*conn); ok {
+			c.expectHead()
+			used.Store(c)
+		}
+	}})
+	resp, err := t.Transport.RoundTrip(r.WithContext(ctx))
+	c := used.Load()
+	switch {
+	case err != nil && c != nil:
+		// The error of net/http may be that of a part of the head.
+		return nil, errors.CombineErrors(c.malformedHead(), err)
+	case err != nil:
+		return nil, err
+	case c == nil || !c.headComplete():
+		return nil, errors.CombineErrors(ErrUnrequested, abort(resp, c))
+	}
+	return resp, nil
+}
+
+// abort ends the connection of a response.
+func abort(resp *http.Response, c *conn) error {
+	var err error
+	if c != nil {
+		err = c.Close()
+	}
+	return errors.CombineErrors(err, resp.Body.Close())
+}
--- a/internal/connection/slugsend/sender_test.go
+++ b/internal/connection/slugsend/sender_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"github.com/sassafraslug/sassafraslug/internal/base/slugresponse"
 	"gotest.tools/v3/assert"
 )
 
@@ -97,3 +98,25 @@
 		})
 	}
 }
+
+// TestSendReturnsMalformedResponse guards against a response that is none and that callers of gates
+// and hosts get, and against one that says that its request was not sent.
+func TestSendReturnsMalformedResponse(t *testing.T) {
+	for _, repeatable := range []bool{false, true} {
+		requests := &atomic.Int64{}
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			requests.Add(1)
+			c, _, err := http.NewResponseController(w).Hijack()
+			if !assert.Check(t, err) {
+				return
+			}
+			_, _ = io.WriteString(c, "HTTP/1.1 000 x\r\nContent-Length: 0\r\n\r\n")
+			_ = c.Close()
+		}))
+		resp, sent, err := New(Config{}).Send(t.Context(), Request{Method: http.MethodPost, URL: server.URL, Repeatable: repeatable})
+		server.Close()
+		assert.ErrorIs(t, err, slugresponse.ErrMalformed)
+		assert.Assert(t, resp == nil && sent)
+		assert.Equal(t, requests.Load(), int64(1))
+	}
+}
--- a/internal/request/slugplaincall/send.go
+++ b/internal/request/slugplaincall/send.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/sassafraslug/sassafraslug/internal/authority/slugclaim"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugmemory"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugresponse"
 	"github.com/sassafraslug/sassafraslug/internal/connection/slugsend"
 	"github.com/sassafraslug/sassafraslug/internal/decision/slugpick"
 	"github.com/sassafraslug/sassafraslug/internal/request/slugadmit"
@@ -211,15 +212,15 @@
 }
 
 // replay responds to a repeated call with the outcome of the first call that had the same
-// idempotency key.
+// idempotency key. Earlier builds stored statuses of no response.
 func (x *exchange) replay(c slugclaim.Claim) *slugrefusal.Refusal {
 	switch {
-	case c.State == slugclaim.StateDone && c.Answer != nil && !c.Answer.Dropped:
+	case c.State == slugclaim.StateDone && c.Answer != nil && !c.Answer.Dropped && slugresponse.IsFinal(c.Answer.Status):
 		x.w.Header().Set("Sassafraslug-Repeated", "true")
 		x.writeAnswer(*c.Answer)
 		return nil
 	case c.State == slugclaim.StateDone:
-		return slugrefusal.MayHaveRun(slugrefusal.CodeOutcomeUnknown, "the call ran, but its response was too large to be stored")
+		return slugrefusal.MayHaveRun(slugrefusal.CodeOutcomeUnknown, "the call ran, but its response was not stored")
 	case c.State == slugclaim.StateRunning:
 		return slugrefusal.MayHaveRun(slugrefusal.CodeOutcomeUnknown, "the first call with this idempotency key is still in progress").WithRetryAfter(time.Second)
 	default:
--- a/internal/request/slugplaincall/send_test.go
+++ b/internal/request/slugplaincall/send_test.go
@@ -12,6 +12,7 @@
 	"github.com/sassafraslug/sassafraslug/internal/authority/slugclaim"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugmemory"
 	"github.com/sassafraslug/sassafraslug/internal/request/slugadmit"
+	"github.com/sassafraslug/sassafraslug/internal/request/slugrefusal"
 	"gotest.tools/v3/assert"
 )
 
@@ -45,3 +46,15 @@
 		assert.Equal(t, w.Body.String()+string(answer.Body), body)
 	}
 }
+
+// TestStoredStatusOfNoResponse guards against a stored response that makes the handler panic.
+func TestStoredStatusOfNoResponse(t *testing.T) {
+	for status, replayed := range map[int]bool{0: false, 99: false, 101: false, 600: false, 200: true, 404: true} {
+		w := httptest.NewRecorder()
+		x := &exchange{w: w, call: &slugadmit.Call{ID: "id"}}
+		refusal := x.replay(slugclaim.Claim{State: slugclaim.StateDone, Answer: &slugclaim.Answer{Status: status, Body: []byte("x")}})
+		assert.Equal(t, refusal == nil, replayed, "%d", status)
+		assert.Equal(t, w.Body.String() == "x", replayed, "%d", status)
+		assert.Assert(t, replayed || refusal.Ran == slugrefusal.RanUnknown, "%d", status)
+	}
+}
