--- a/internal/base/slughttp/conn.go
+++ b/internal/base/slughttp/conn.go
@@ -1,9 +1,12 @@
 package slughttp
 
 import (
+	"io"
 	"net"
+	"net/http"
 	"sync"
 
+	"github.com/cockroachdb/errors"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugresponse"
 )
 
@@ -54,3 +57,22 @@
 	}
 	return n, err
 }
+
+// chunkedBody is a body in chunks, after which fields may follow.
+type chunkedBody struct {
+	io.ReadCloser
+	resp *http.Response
+	conn *conn
+}
+
+// Read implements io.Reader. It fails at the end of the body if what follows is malformed.
+func (b *chunkedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if !errors.Is(err, io.EOF) {
+		return n, err
+	}
+	if malformed := slugresponse.CheckTrailer(b.resp.Trailer); malformed != nil {
+		return n, errors.CombineErrors(malformed, b.conn.Close())
+	}
+	return n, err
+}
--- a/internal/base/slughttp/transport.go
+++ b/internal/base/slughttp/transport.go
@@ -78,6 +78,8 @@
 		return nil, err
 	case c == nil || !c.headComplete():
 		return nil, errors.CombineErrors(ErrUnrequested, abort(resp, c))
+	case len(resp.TransferEncoding) > 0:
+		resp.Body = &chunkedBody{ReadCloser: resp.Body, resp: resp, conn: c}
 	}
 	return resp, nil
 }
--- a/internal/base/slugresponse/head.go
+++ b/internal/base/slugresponse/head.go
@@ -15,6 +15,7 @@
 	"strconv"
 
 	"github.com/cockroachdb/errors"
+	"golang.org/x/net/http/httpguts"
 )
 
 // ErrMalformed means that bytes are not the head of a response.
@@ -24,6 +25,16 @@
 // (RFC 9110, section 15).
 func IsFinal(status int) bool { return status >= http.StatusOK && status <= 599 }
 
+// CheckTrailer checks the names of the fields after a body in chunks.
+func CheckTrailer(trailer http.Header) error {
+	for name := range trailer {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return errors.Wrapf(ErrMalformed, "name of a field after the body: %q", name)
+		}
+	}
+	return nil
+}
+
 // phase is the part of a head to which the next byte belongs.
 type phase int
 
@@ -34,7 +45,8 @@
 	phaseLineStart
 	// phaseLineEnd follows the CR of an empty line.
 	phaseLineEnd
-	phaseLine
+	phaseName
+	phaseValue
 )
 
 const (
@@ -69,7 +81,7 @@
 		switch h.phase {
 		case phaseNone:
 			return len(p), nil
-		case phaseLine:
+		case phaseValue:
 			end := bytes.IndexByte(p[i:], '\n')
 			if end < 0 {
 				return len(p), nil
@@ -85,17 +97,47 @@
 	return len(p), nil
 }
 
-// feed checks the next byte, which does not belong to the rest of a line.
+// feed checks the next byte, which does not belong to the value of a field.
 func (h *Head) feed(b byte) error {
-	switch {
-	case h.phase == phaseStatusLine:
+	switch h.phase {
+	case phaseStatusLine:
 		return h.feedStatusLine(b)
+	case phaseLineStart:
+		return h.feedLineStart(b)
+	case phaseName:
+		return h.feedName(b)
+	}
+	if b != '\n' {
+		return errors.Wrapf(ErrMalformed, "line begins with %q", []byte{'\r', b})
+	}
+	h.end()
+	return nil
+}
+
+// feedLineStart checks the first byte of a line. A blank would continue the line before, which
+// senders must not do, and which a gateway may refuse (RFC 9112, section 5.2).
+func (h *Head) feedLineStart(b byte) error {
+	switch {
 	case b == '\n':
 		h.end()
-	case h.phase == phaseLineStart && b == '\r':
+	case b == '\r':
 		h.phase = phaseLineEnd
+	case httpguts.IsTokenRune(rune(b)):
+		h.phase = phaseName
 	default:
-		h.phase = phaseLine
+		return errors.Wrapf(ErrMalformed, "line begins with %q", []byte{b})
+	}
+	return nil
+}
+
+// feedName checks a byte after the first one of a name. Parsers keep a name that ends in a blank,
+// which then isn't that of the field that others find there.
+func (h *Head) feedName(b byte) error {
+	switch {
+	case b == ':':
+		h.phase = phaseValue
+	case !httpguts.IsTokenRune(rune(b)):
+		return errors.Wrapf(ErrMalformed, "%q in the name of a field", []byte{b})
 	}
 	return nil
 }
--- a/internal/base/slugresponse/head_test.go
+++ b/internal/base/slugresponse/head_test.go
@@ -1,6 +1,7 @@
 package slugresponse
 
 import (
+	"net/http"
 	"strings"
 	"testing"
 
@@ -47,6 +48,37 @@
 	}
 }
 
+// TestLineThatNamesNoField guards against a line of a head that parsers keep although it names no
+// field, and against a sound line that is refused.
+func TestLineThatNamesNoField(t *testing.T) {
+	for line, sound := range map[string]bool{
+		"": true, "A: b\r\n": true, "A:\r\n": true, "A: b\n": true, "!#$%&'*+-.^_`|~09azAZ: b\r\n": true, "A: \xe9 \t:\r\nB: \r\n": true,
+		"A B: c\r\n": false, "A : b\r\n": false, "A\t: b\r\n": false, " A: b\r\n": false, "A: b\r\n B: c\r\n": false, "A: b\r\n\tc\r\n": false,
+		": b\r\n": false, "A\r\n": false, "A\rB: c\r\n": false, "\rA: b\r\n": false, "A\x00: b\r\n": false, "\x7f: b\r\n": false,
+		"A\xe9: b\r\n": false, "A(b): c\r\n": false, "A\"b: c\r\n": false, "A/b: c\r\n": false,
+	} {
+		for _, interim := range []bool{false, true} {
+			response := "HTTP/1.1 200 OK\r\n" + line + "\r\n"
+			if interim {
+				response = "HTTP/1.1 103 x\r\n" + line + "\r\nHTTP/1.1 200 OK\r\n\r\n"
+			}
+			for size := 1; size < len(response)+1; size++ {
+				h, _, err := feed(response, size)
+				assert.Equal(t, err == nil, sound, "%q: %v", line, err)
+				assert.Equal(t, h.Complete(), sound, "%q", line)
+			}
+		}
+	}
+}
+
+// TestTrailerThatNamesNoField guards against a field after a body that parsers keep although its name
+// is none, and against a sound one that is refused.
+func TestTrailerThatNamesNoField(t *testing.T) {
+	assert.NilError(t, CheckTrailer(nil))
+	assert.NilError(t, CheckTrailer(http.Header{"X-Sum": {"1"}}))
+	assert.ErrorIs(t, CheckTrailer(http.Header{"X-Sum": {"1"}, "X Odd": {"1"}}), ErrMalformed)
+}
+
 // FuzzFeed checks that the verdict does not depend on how a response arrives, that bytes after a
 // head are ignored, and that a refused head is not complete.
 func FuzzFeed(f *testing.F) {
