--- a/internal/base/slugresponse/head.go
+++ b/internal/base/slugresponse/head.go
@@ -13,6 +13,7 @@
 	"bytes"
 	"net/http"
 	"strconv"
+	"strings"
 
 	"github.com/cockroachdb/errors"
 	"golang.org/x/net/http/httpguts"
@@ -52,8 +53,8 @@
 const (
 	// protocol begins each status line, before the minor version.
 	protocol = "HTTP/1."
-	// maxStatusBytes is the part of a status line that is kept.
-	maxStatusBytes = 32
+	// maxKeptBytes is the part of a status line, or of the name of a field, that is kept.
+	maxKeptBytes = 32
 	// statusDigits is the length of a status.
 	statusDigits = 3
 )
@@ -62,8 +63,10 @@
 // final one. Its zero value ignores all bytes until Expect is called.
 type Head struct {
 	phase phase
-	// line holds the beginning of the status line.
-	line     []byte
+	// line holds the beginning of the status line, or of the name of a field.
+	line []byte
+	// old is set in a head of HTTP/1.0.
+	old      bool
 	status   int
 	complete bool
 }
@@ -123,7 +126,7 @@
 	case b == '\r':
 		h.phase = phaseLineEnd
 	case httpguts.IsTokenRune(rune(b)):
-		h.phase = phaseName
+		h.phase, h.line = phaseName, append(h.line[:0], b)
 	default:
 		return errors.Wrapf(ErrMalformed, "line begins with %q", []byte{b})
 	}
@@ -131,13 +134,18 @@
 }
 
 // feedName checks a byte after the first one of a name. Parsers keep a name that ends in a blank,
-// which then isn't that of the field that others find there.
+// which then isn't that of the field that others find there. Where the body of a response of HTTP/1.0
+// with a transfer encoding ends is not defined (RFC 9112, section 6.1).
 func (h *Head) feedName(b byte) error {
 	switch {
+	case b == ':' && h.old && strings.EqualFold(string(h.line), "Transfer-Encoding"):
+		return errors.Wrap(ErrMalformed, "transfer encoding in HTTP/1.0")
 	case b == ':':
 		h.phase = phaseValue
 	case !httpguts.IsTokenRune(rune(b)):
 		return errors.Wrapf(ErrMalformed, "%q in the name of a field", []byte{b})
+	case len(h.line) < maxKeptBytes:
+		h.line = append(h.line, b)
 	}
 	return nil
 }
@@ -159,7 +167,7 @@
 	case b == '\n':
 		h.phase = phaseLineStart
 		return h.parseStatus()
-	case n < maxStatusBytes:
+	case n < maxKeptBytes:
 		h.line = append(h.line, b)
 	}
 	return nil
@@ -174,7 +182,7 @@
 	if err != nil || len(text) != statusDigits {
 		return errors.Wrapf(ErrMalformed, "status %q is not a number of %d digits", text, statusDigits)
 	}
-	h.status = int(status)
+	h.status, h.old = int(status), h.line[len(protocol)] == '0'
 	if !IsFinal(h.status) && (h.status < http.StatusContinue || h.status > 199 || h.status == http.StatusSwitchingProtocols) {
 		return errors.Wrapf(ErrMalformed, "status %s is none of a response", text)
 	}
--- a/internal/base/slugresponse/head_test.go
+++ b/internal/base/slugresponse/head_test.go
@@ -71,6 +71,26 @@
 	}
 }
 
+// TestTransferEncodingOfOldProtocol guards against a response of HTTP/1.0 with a transfer encoding,
+// whose body parsers read to the end of the connection, and against others that are refused.
+func TestTransferEncodingOfOldProtocol(t *testing.T) {
+	for response, sound := range map[string]bool{
+		"HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n":                           false,
+		"HTTP/1.0 200 OK\r\nA: b\r\ntransfer-encoding:x\r\n\r\n":                          false,
+		"HTTP/1.1 103 x\r\n\r\nHTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n":     false,
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n":                           true,
+		"HTTP/1.0 200 OK\r\nTransfer-Encoding-Used: chunked\r\n\r\n":                      true,
+		"HTTP/1.0 200 OK\r\nX-Transfer-Encoding: chunked\r\nContent-Length: 1\r\n\r\n":    true,
+		"HTTP/1.0 200 OK\r\nTransfer-Encoding" + strings.Repeat("x", 100) + ": y\r\n\r\n": true,
+	} {
+		for size := 1; size < len(response)+1; size++ {
+			h, _, err := feed(response, size)
+			assert.Equal(t, err == nil, sound, "%q: %v", response, err)
+			assert.Equal(t, h.Complete(), sound, "%q", response)
+		}
+	}
+}
+
 // TestTrailerThatNamesNoField guards against a field after a body that parsers keep although its name
 // is none, and against a sound one that is refused.
 func TestTrailerThatNamesNoField(t *testing.T) {
