Answer a panic without the header of the response that was begun (MIXED)

Callers saw: the 500 after the panic of status 000 had the signature of the endpoint, and the length of a body that never came.

Cause: slugserve answers a request whose handler panics with 500, and kept the header that the handler had set.

Fix: the header is removed before the 500 is written.

--- a/internal/daemon/slugserve/server.go
+++ b/internal/daemon/slugserve/server.go
@@ -230,8 +230,9 @@
 	s.cfg.Handler.ServeHTTP(w, r)
 }
 
-// handlePanic logs a panic of the handler and answers the request with 500. If that is not
-// possible anymore, it closes the connection, as http.ErrAbortHandler does.
+// handlePanic logs a panic of the handler and answers the request with 500, without the header that
+// the handler has set. If that is not possible anymore, it closes the connection, as
+// http.ErrAbortHandler does.
 func (s *Server) handlePanic(w *responseWriter, r *http.Request) {
 	v := recover()
 	if v == nil {
@@ -240,6 +241,7 @@
 	if err, ok := v.(error); !ok || !errors.Is(err, http.ErrAbortHandler) {
 		s.cfg.Log.Emit(slugevent.HandlerPanicked, slugevent.Fields{"path": r.URL.Path, "panic": fmt.Sprint(v), "stack": string(debug.Stack())})
 		if r.ProtoMajor == 1 && !w.wroteHeader {
+			clear(w.Header())
 			w.Header().Set("Connection", "close")
 			w.WriteHeader(http.StatusInternalServerError)
 			return
--- a/internal/daemon/slugserve/server_test.go
+++ b/internal/daemon/slugserve/server_test.go
@@ -494,3 +494,22 @@
 		})
 	}
 }
+
+// TestPanicKeepsHeaderOfResponse guards against a 500 with the header of the response that a handler
+// had begun, such as the signature of an endpoint or the length of another body.
+func TestPanicKeepsHeaderOfResponse(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := startServer(t, func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("X-Signature", "signed")
+			w.Header().Set("Content-Length", "24")
+			panic("fault in a handler")
+		})
+		c := s.connect(nil)
+		c.send(wholeRequest)
+		resp, err := c.answer()
+		assert.NilError(t, err)
+		assert.Equal(t, resp.StatusCode, http.StatusInternalServerError)
+		assert.Equal(t, resp.Header.Get("X-Signature"), "")
+		assert.Equal(t, resp.ContentLength, int64(0))
+	})
+}
