Check heads of responses above TLS

Callers would see: no call to a platform with an https address succeeds. The check of heads, which the refusal of statuses introduced, looked at the records of TLS instead of the response. Found by reading, before it was landed.

Evidence: TestResponseOverTLS failed before with "response began before the request".

Fix: the transport opens connections with TLS itself and checks what they decrypt, with the TLS configuration that it was given.

Result: a sound response over TLS arrives, also on a kept connection, a malformed one is refused, and an unknown certificate still fails the call.

--- a/internal/base/slughttp/response_test.go
+++ b/internal/base/slughttp/response_test.go
@@ -3,9 +3,12 @@
 import (
 	"bufio"
 	"context"
+	"crypto/tls"
+	"crypto/x509"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -105,3 +108,39 @@
 		assert.NilError(t, c.Close())
 	}
 }
+
+// TestResponseOverTLS guards against responses of an https server that are refused, or that are not
+// checked.
+func TestResponseOverTLS(t *testing.T) {
+	server := httptest.NewTLSServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/sound" {
+			_, _ = io.WriteString(w, "ok")
+			return
+		}
+		c, _, err := http.NewResponseController(w).Hijack()
+		if !assert.Check(t, err) {
+			return
+		}
+		_, _ = io.WriteString(c, "HTTP/1.1 000 x\r\nContent-Length: 0\r\n\r\n")
+		_ = c.Close()
+	}))
+	defer server.Close()
+	transport := NewTransport(nil)
+	_, err := (&http.Client{Transport: transport}).Get(server.URL + "/sound")
+	var unknown x509.UnknownAuthorityError
+	assert.Assert(t, errors.As(err, &unknown), "%v", err)
+	roots := x509.NewCertPool()
+	roots.AddCert(server.Certificate())
+	transport.TLSClientConfig = &tls.Config{RootCAs: roots}
+	client := &http.Client{Transport: transport}
+	for range 2 {
+		resp, err := client.Get(server.URL + "/sound")
+		assert.NilError(t, err)
+		b, err := io.ReadAll(resp.Body)
+		assert.NilError(t, err)
+		assert.Equal(t, string(b), "ok")
+		assert.NilError(t, resp.Body.Close())
+	}
+	_, err = client.Get(server.URL + "/malformed")
+	assert.ErrorIs(t, err, slugresponse.ErrMalformed)
+}
--- a/internal/base/slughttp/transport.go
+++ b/internal/base/slughttp/transport.go
@@ -8,6 +8,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -31,6 +32,7 @@
 // malformed response fails the request and ends its connection.
 type Transport struct {
 	*http.Transport
+	dial Dial
 }
 
 // NewTransport returns a Transport that limits the size of response headers. dial may be nil.
@@ -38,16 +40,40 @@
 	if dial == nil {
 		dial = dialTCP
 	}
-	return &Transport{&http.Transport{
-		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			c, err := dial(ctx, network, address)
-			if err != nil {
-				return nil, err
-			}
-			return &conn{Conn: c}, nil
-		},
-		MaxResponseHeaderBytes: maxHeaderBytes,
-	}}
+	t := &Transport{dial: dial}
+	t.Transport = &http.Transport{DialContext: t.dialPlain, DialTLSContext: t.dialTLS, MaxResponseHeaderBytes: maxHeaderBytes}
+	return t
+}
+
+// dialPlain opens a connection without TLS.
+func (t *Transport) dialPlain(ctx context.Context, network, address string) (net.Conn, error) {
+	c, err := t.dial(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	return &conn{Conn: c}, nil
+}
+
+// dialTLS opens a connection with TLS, below which heads can't be checked.
+func (t *Transport) dialTLS(ctx context.Context, network, address string) (net.Conn, error) {
+	c, err := t.dial(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	cfg := t.TLSClientConfig.Clone()
+	if cfg == nil {
+		cfg = &tls.Config{MinVersion: tls.VersionTLS12}
+	}
+	if cfg.ServerName == "" {
+		if cfg.ServerName, _, err = net.SplitHostPort(address); err != nil {
+			return nil, errors.CombineErrors(err, c.Close())
+		}
+	}
+	secured := tls.Client(c, cfg)
+	if err := secured.HandshakeContext(ctx); err != nil {
+		return nil, errors.CombineErrors(err, c.Close())
+	}
+	return &conn{Conn: secured}, nil
 }
 
 // dialTCP opens a TCP connection.
