Log where a configuration comes from, and how late it is (CONFIG)

Callers saw requests handled by a version older than one that was confirmed 3 s before. The log did not tell which of the ways to a host was stuck: event 200 named no source, a failed fetch from peers was logged as an unreadable configuration (201), and failed calls had no duration.

Event 200 now names the source and the way (watch, report, start), the calls that failed before it, the time since the version before was last known to be the newest, which bounds the age of the change, and the time since a peer first reported a newer version. Event 218 tells of a fetch that failed, with the peers that were asked, and 214 how long the failed call took.

No change of behaviour.

--- a/internal/base/slugevent/event.go
+++ b/internal/base/slugevent/event.go
@@ -61,6 +61,7 @@
 	QuotaOwnerChanged
 	QuotaOwnerUnreachable
 	WatchSourceChosen
+	ConfigurationNotFetched
 )
 
 // Events of duties, 300 to 399.
@@ -154,7 +155,7 @@
 	ConnectionsExhausted:    {logrus.WarnLevel, "connection closed or refused because there are too many", "find the callers that hold connections, or raise limits.connections; no request on the connection was run"},
 	RequestsExhausted:       {logrus.WarnLevel, "request refused because too many are being handled", "add hosts, or raise limits.requests; the caller got 503, and nothing was run"},
 	CallerStalled:           {logrus.InfoLevel, "connection or stream of a caller ended because it made no progress", "none, unless many callers complain: raise limits.bodyStall or limits.writeStall"},
-	ConfigurationInForce:    {logrus.InfoLevel, "configuration is in effect", "none"},
+	ConfigurationInForce:    {logrus.InfoLevel, "configuration is in effect", "none, unless unconfirmedMs is long, the time since the version before was last known to be the newest: source names the process that sent the configuration (empty for the store), via how (watch, report of a peer, start), failures and failingMs the failed calls before, and reportedMs the time since a peer reported a newer version"},
 	ConfigurationUnreadable: {logrus.ErrorLevel, "configuration cannot be read", "apply a corrected manifest; the previous revision stays in effect"},
 	ConfigurationApplied:    {logrus.InfoLevel, "configuration applied", "none"},
 	ConfigurationConflict:   {logrus.InfoLevel, "change refused because it is not based on the current revision", "apply the change again on the current revision"},
@@ -170,6 +171,7 @@
 	WatchMoved:              {logrus.InfoLevel, "watch moved to another source", "check the process named in the fields if this persists"},
 	QuotaOwnerChanged:       {logrus.InfoLevel, "owner of workspace quotas changed", "none; the field owner is empty while there is none, and requests beyond the tokens at hand are refused for about two seconds"},
 	WatchSourceChosen:       {logrus.InfoLevel, "watch has a new source", "check the hosts named if this persists: the field to is empty for the store itself, failures counts the calls before that failed, storeFailingMs is the time for which the store has not answered this host, and cores and linkMbps are the capacity of the source"},
+	ConfigurationNotFetched: {logrus.WarnLevel, "newer configuration could not be fetched from peers", "check the processes named in the error if this persists; the fetch is repeated"},
 	QuotaOwnerUnreachable:   {logrus.WarnLevel, "no owner of workspace quotas can be reached, own share is used", "check the network of this host if this persists; it admits its equal share of the quotas only"},
 	ConfigurationFresh:      {logrus.InfoLevel, "configuration is confirmed to be up to date again", "none"},
 	DutyTaken:               {logrus.InfoLevel, "duty taken", "none"},
--- a/internal/base/slugstore/watch.go
+++ b/internal/base/slugstore/watch.go
@@ -85,9 +85,8 @@
 	// objects. A removed object has a nil Body. It is called without objects if nothing
 	// has changed.
 	OnChange func([]Object)
-	// OnCurrent is called before OnChange with an instant at which the store had no changes
-	// other than those passed to OnChange so far and in the coming call; it may be nil.
-	OnCurrent func(slugclock.Instant)
+	// OnResponse is called before OnChange with where the changes come from; it may be nil.
+	OnResponse func(Response)
 	// OnError is called with the error of each failed call; it may be nil.
 	OnError func(error)
 	SharedWatch
@@ -104,8 +103,22 @@
 	OnUpdate func(Changes)
 }
 
+// Response describes the response that a watch passes to OnChange.
+type Response struct {
+	// CurrentAt is an instant at which the store had no changes other than those passed to
+	// OnChange so far and in the coming call.
+	CurrentAt slugclock.Instant
+	// Source is the name of the source, or empty for the store itself.
+	Source string
+	// Failures is the number of calls that have failed since the response before, and FailingFor
+	// the time from the first of these to the response.
+	Failures   int
+	FailingFor time.Duration
+}
+
 // Source provides the objects in place of the store, for example a peer that watches it.
 type Source struct {
+	Name string
 	// Follow waits for changes after a version; version 0 requests all objects.
 	Follow func(ctx context.Context, prefix string, after Version, wait time.Duration) (Changes, error)
 }
@@ -131,8 +144,10 @@
 	synced bool
 	// existing holds the names of the objects that the watcher knows to exist.
 	existing map[string]bool
-	// failures is the number of consecutive failed calls.
-	failures int
+	// failures is the number of consecutive failed calls, and failingSince the begin of the
+	// first of them.
+	failures     int
+	failingSince slugclock.Instant
 	// lastCurrent is Changes.CurrentAt of the last response.
 	lastCurrent slugclock.Instant
 }
@@ -157,11 +172,15 @@
 func (s *Store) Watch(ctx context.Context, watcher Watcher) error {
 	x := &watch{Watcher: watcher, existing: map[string]bool{}}
 	for ctx.Err() == nil {
-		objects, at, err := s.watchOnce(ctx, x)
+		began := slugclock.Now()
+		objects, response, err := s.watchOnce(ctx, x)
 		if err == nil {
+			if x.failures > 0 {
+				response.Failures, response.FailingFor = x.failures, slugclock.Since(x.failingSince)
+			}
 			x.failures = 0
-			if watcher.OnCurrent != nil {
-				watcher.OnCurrent(at)
+			if watcher.OnResponse != nil {
+				watcher.OnResponse(response)
 			}
 			watcher.OnChange(objects)
 			if len(objects) > 0 && watcher.BatchDelay > 0 {
@@ -175,6 +194,9 @@
 		if watcher.OnError != nil {
 			watcher.OnError(slugfault.Wrap(err, "watch "+watcher.Prefix, s.cfg.BaseURL))
 		}
+		if x.failures == 0 {
+			x.failingSince = began
+		}
 		_ = s.watchBackoff.Wait(ctx, x.failures)
 		x.failures++
 	}
@@ -186,24 +208,23 @@
 const watchTimeoutMargin = 800 * time.Millisecond
 
 // watchOnce makes one call and updates x, unless the call fails or its response is stale.
-// at is an instant at which the store had no changes other than those returned so far.
-func (s *Store) watchOnce(ctx context.Context, x *watch) (objects []Object, at slugclock.Instant, err error) {
-	changes, fromSource, err := s.fetchUpdate(ctx, x)
+func (s *Store) watchOnce(ctx context.Context, x *watch) ([]Object, Response, error) {
+	changes, source, err := s.fetchUpdate(ctx, x)
 	if err != nil {
-		return nil, changes.CurrentAt, err
+		return nil, Response{}, err
 	}
 	if err := errors.CombineErrors(s.observeEra(changes.Revision.Era()), x.checkRevision(changes)); err != nil {
-		if fromSource {
+		if source != nil {
 			// A source that lags behind says nothing about the store.
 			err = errors.Mark(err, ErrSourceUnavailable)
 		}
-		return nil, changes.CurrentAt, err
+		return nil, Response{}, err
 	}
 	f := decode
 	if x.NoEnvelope {
 		f = decodeWithoutEnvelope
 	}
-	objects = s.decodeAll(changes.Values, f)
+	objects := s.decodeAll(changes.Values, f)
 	x.revision, x.lastCurrent = changes.Revision, changes.CurrentAt
 	if changes.Complete {
 		x.synced = true
@@ -214,7 +235,11 @@
 	if x.OnUpdate != nil {
 		x.OnUpdate(changes)
 	}
-	return objects, changes.CurrentAt, nil
+	response := Response{CurrentAt: changes.CurrentAt}
+	if source != nil {
+		response.Source = source.Name
+	}
+	return objects, response, nil
 }
 
 // checkRevision returns ErrStale if a response is older than an earlier one.
@@ -225,15 +250,14 @@
 	return nil
 }
 
-// fetchUpdate calls the store, or the source that is used instead.
-func (s *Store) fetchUpdate(ctx context.Context, x *watch) (changes Changes, fromSource bool, err error) {
+// fetchUpdate calls the store, or the source that is used instead, which it returns.
+func (s *Store) fetchUpdate(ctx context.Context, x *watch) (changes Changes, source *Source, err error) {
 	wait := x.wait()
 	if x.failures > 0 {
 		// After a failure, ask without waiting, to get missed changes at once when the
 		// store is reachable again.
 		wait = 0
 	}
-	var source *Source
 	if x.NextSource != nil && (x.synced || x.failures > 0) {
 		// The first call goes to the store itself, which has the newest state.
 		source = x.NextSource(x.failures)
@@ -241,13 +265,13 @@
 	switch {
 	case source != nil && x.synced:
 		changes, err = source.Follow(ctx, x.Prefix, x.revision, wait)
-		return changes, true, err
+		return changes, source, err
 	case source != nil:
 		changes, err = source.Follow(ctx, x.Prefix, 0, wait)
-		return changes, true, err
+		return changes, source, err
 	case x.synced && x.revision.Era() == s.Era():
 		changes, err = s.watchStore(ctx, x, wait)
-		return changes, false, err
+		return changes, nil, err
 	}
 	changes = Changes{Complete: true, CurrentAt: slugclock.Now()}
 	changes.Listing, err = s.list(ctx, x.Prefix)
@@ -256,7 +280,7 @@
 			s.recordOutcome(err)
 		}
 	}
-	return changes, false, err
+	return changes, nil, err
 }
 
 // watchStore waits for changes in the store.
--- a/internal/daemon/slughost/host.go
+++ b/internal/daemon/slughost/host.go
@@ -352,7 +352,7 @@
 		var currentAt slugclock.Instant
 		return h.store.For("endpoints").Watch(ctx, slugstore.Watcher{
 			Prefix: h.adapter.EntryPrefix, NoEnvelope: true, Wait: func() time.Duration { return endpointWatchWait }, BatchDelay: watchBatchDelay,
-			OnCurrent: func(at slugclock.Instant) { currentAt = at },
+			OnResponse: func(r slugstore.Response) { currentAt = r.CurrentAt },
 			OnChange: func(objects []slugstore.Object) {
 				h.registry.Apply(objects)
 				h.observeAllVersions(currentAt)
--- a/internal/daemon/slughost/join.go
+++ b/internal/daemon/slughost/join.go
@@ -55,7 +55,9 @@
 	transport.SetStreams(h.detour.Serve)
 	h.follower = slugconfigfollower.New(slugconfigfollower.Config{
 		Name: h.adapter.ConfigName, Store: h.store.For("config"), Decode: h.adapter.DecodeConfig,
-		FromPeer: func(ctx context.Context, r revision) ([]byte, error) { return h.table.FetchBundle(ctx, r) },
+		FromPeer: func(ctx context.Context, r revision) ([]byte, slugname.Process, error) {
+			return h.table.FetchBundle(ctx, r)
+		},
 		AskPeers: h.configsOfPeers, InForce: h.configChanged, Log: h.log, Wait: h.configWait,
 		SharedWatch: h.sharedWatches.SharedWatchFor(h.adapter.ConfigName, h.configWait),
 	})
--- a/internal/daemon/slughost/share.go
+++ b/internal/daemon/slughost/share.go
@@ -153,10 +153,11 @@
 // source returns a source that follows a process as long as the process's data is younger
 // than limit.
 func (w *watchSharing) source(to slugmember.Record, limit time.Duration) *slugstore.Source {
-	return &slugstore.Source{Follow: func(ctx context.Context, prefix string, after slugstore.Version, wait time.Duration) (slugstore.Changes, error) {
+	return &slugstore.Source{Name: string(to.Process), Follow: func(ctx context.Context, prefix string, after slugstore.Version, wait time.Duration) (slugstore.Changes, error) {
+		asked := slugclock.Now()
 		changes, err := w.follow(ctx, to, slugpeer.Follow{Prefix: prefix, After: after}, min(wait, peerFollowWait), limit)
 		if err != nil {
-			w.host.log.Error(slugevent.WatchMoved, err, slugevent.Fields{"prefix": prefix, "process": to.Process, "after": after})
+			w.host.log.Error(slugevent.WatchMoved, err, slugevent.Fields{"prefix": prefix, "process": to.Process, "after": after, "tookMs": slugclock.Since(asked).Milliseconds()})
 			return changes, errors.Mark(err, slugstore.ErrSourceUnavailable)
 		}
 		return changes, nil
--- a/internal/daemon/slughost/takeups.go
+++ b/internal/daemon/slughost/takeups.go
@@ -31,7 +31,7 @@
 		var currentAt slugclock.Instant
 		return h.store.For("versions").Watch(ctx, slugstore.Watcher{
 			Prefix: slugtakeup.Prefix, Wait: func() time.Duration { return versionsWatchWait },
-			OnCurrent:   func(at slugclock.Instant) { currentAt = at },
+			OnResponse:  func(r slugstore.Response) { currentAt = r.CurrentAt },
 			OnChange:    func(objects []slugstore.Object) { h.takeUps.Apply(objects, currentAt) },
 			SharedWatch: h.sharedWatches.SharedWatch(slugtakeup.Prefix, versionsWatchWait),
 		})
--- a/internal/daemon/slugnode/node.go
+++ b/internal/daemon/slugnode/node.go
@@ -193,7 +193,7 @@
 // fetchBundle fetches a revision of the configuration from a peer.
 func (n *Node) fetchBundle(ctx context.Context, r slugconfig.Revision) (slugheadfollower.Bundle, error) {
 	var bundle slugheadfollower.Bundle
-	b, err := n.Table.FetchBundle(ctx, r)
+	b, _, err := n.Table.FetchBundle(ctx, r)
 	if err != nil {
 		return bundle, err
 	}
--- a/internal/membership/slugconfigfollower/follower.go
+++ b/internal/membership/slugconfigfollower/follower.go
@@ -22,6 +22,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugclock"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugevent"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugname"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugstore"
 	"github.com/sassafraslug/sassafraslug/internal/membership/slugfreshness"
 	"github.com/sassafraslug/sassafraslug/internal/version/slugconfig"
@@ -36,8 +37,8 @@
 	// Decode parses a configuration.
 	Decode func([]byte) (*slugrouting.Table, error)
 	// FromPeer fetches the encoded configuration of a version, or of a later one, from a
-	// peer; nil means that there are no peers.
-	FromPeer func(context.Context, slugconfig.Revision) ([]byte, error)
+	// peer, and names that; nil means that there are no peers.
+	FromPeer func(context.Context, slugconfig.Revision) (encoded []byte, from slugname.Process, err error)
 	// AskPeers returns the encoded configurations of peers that may have a newer one than the
 	// store. It is called before the first one of the store takes effect, because the store
 	// may have been restored from a copy; nil means that there are no such peers.
@@ -71,10 +72,29 @@
 	// encoded is the encoded configuration in effect.
 	encoded []byte
 	// askPeers returns the configurations of peers; it is nil after its call. Only the watch
-	// uses it and responseCurrentAt.
+	// uses it and response.
 	askPeers func() [][]byte
-	// responseCurrentAt is the instant at which the response being processed was current.
-	responseCurrentAt slugclock.Instant
+	// response describes the response being processed.
+	response slugstore.Response
+}
+
+// via is the way on which a configuration has arrived, as logged.
+type via string
+
+const (
+	viaWatch  via = "watch"
+	viaReport via = "report"
+	viaStart  via = "start"
+)
+
+// arrival says where a configuration comes from, and what delayed it.
+type arrival struct {
+	via via
+	// source is the process that sent it, or empty for the store.
+	source string
+	// failures is the number of calls that failed before, and failingFor the time that they took.
+	failures   int
+	failingFor time.Duration
 }
 
 // New returns a Follower with no configuration in effect.
@@ -134,7 +154,7 @@
 	err := f.cfg.Store.Watch(ctx, slugstore.Watcher{
 		Prefix: f.cfg.Name, NoEnvelope: true, Wait: f.watchWait,
 		SharedWatch: f.cfg.SharedWatch,
-		OnCurrent:   func(at slugclock.Instant) { f.responseCurrentAt = at },
+		OnResponse:  func(r slugstore.Response) { f.response = r },
 		OnChange:    f.changed,
 		OnError:     f.watchFailed,
 	})
@@ -174,12 +194,12 @@
 			continue
 		}
 		f.applyFromPeers()
-		if !f.apply(o.Body) {
+		if !f.apply(o.Body, arrival{viaWatch, f.response.Source, f.response.Failures, f.response.FailingFor}) {
 			return
 		}
 	}
 	if f.Version() > 0 && f.freshness.NewestReported() <= f.Version() {
-		f.freshness.Confirm(f.responseCurrentAt)
+		f.freshness.Confirm(f.response.CurrentAt)
 	}
 }
 
@@ -198,31 +218,51 @@
 	}
 	f.askPeers = nil
 	if newest != nil {
-		f.apply(newest)
+		f.apply(newest, arrival{via: viaStart})
 	}
 }
 
 // apply puts a configuration into effect unless its version is already in effect or older,
 // and reports whether it could be read.
-func (f *Follower) apply(encoded []byte) bool {
+func (f *Follower) apply(encoded []byte, from arrival) bool {
 	t, err := f.cfg.Decode(encoded)
 	if err != nil {
 		f.cfg.Log.Error(slugevent.ConfigurationUnreadable, err, slugevent.Fields{"inForce": f.Version()})
 		return false
 	}
 	f.mu.Lock()
-	if t.Version <= f.Version() {
+	previous := f.Version()
+	if t.Version <= previous {
 		f.mu.Unlock()
 		return true
 	}
 	f.table.Store(t)
 	f.encoded = encoded
 	f.mu.Unlock()
-	f.cfg.Log.Emit(slugevent.ConfigurationInForce, slugevent.Fields{"version": t.Version, "routes": len(t.Routes), "workspaces": len(t.Workspaces)})
+	f.logInForce(previous, t, from)
 	f.cfg.InForce(t)
 	return true
 }
 
+// logInForce logs that a configuration is in effect, with what shows how late it is: the time
+// since the version before was last known to be the newest, and since a peer first reported a
+// newer one. Both are 0 if there was no such time.
+func (f *Follower) logInForce(previous slugconfig.Revision, t *slugrouting.Table, from arrival) {
+	f.cfg.Log.Emit(slugevent.ConfigurationInForce, slugevent.Fields{
+		"version": t.Version, "routes": len(t.Routes), "workspaces": len(t.Workspaces),
+		"via": from.via, "source": from.source, "failures": from.failures, "failingMs": from.failingFor.Milliseconds(),
+		"unconfirmedMs": millisecondsSince(f.freshness.LastConfirmed()), "reportedMs": millisecondsSince(f.freshness.NewerReportedAt(previous)),
+	})
+}
+
+// millisecondsSince returns the time since an instant in milliseconds, or 0 for the zero Instant.
+func millisecondsSince(at slugclock.Instant) int64 {
+	if at.IsZero() {
+		return 0
+	}
+	return slugclock.Since(at).Milliseconds()
+}
+
 // fetchFromPeers fetches newer versions that peers have reported, until ctx ends.
 func (f *Follower) fetchFromPeers(ctx context.Context) {
 	for {
@@ -236,12 +276,13 @@
 			continue
 		}
 		callCtx, cancel := context.WithTimeout(ctx, fetchTimeout)
-		encoded, err := f.cfg.FromPeer(callCtx, wanted)
+		began := slugclock.Now()
+		encoded, peer, err := f.cfg.FromPeer(callCtx, wanted)
 		cancel()
 		if err != nil {
-			f.cfg.Log.Error(slugevent.ConfigurationUnreadable, err, slugevent.Fields{"inForce": f.Version(), "wanted": wanted})
+			f.cfg.Log.Error(slugevent.ConfigurationNotFetched, err, slugevent.Fields{"inForce": f.Version(), "wanted": wanted, "tookMs": millisecondsSince(began)})
 			continue
 		}
-		f.apply(encoded)
+		f.apply(encoded, arrival{via: viaReport, source: string(peer)})
 	}
 }
--- a/internal/membership/slugfreshness/tracker.go
+++ b/internal/membership/slugfreshness/tracker.go
@@ -25,7 +25,9 @@
 	mu             sync.Mutex
 	confirmedAt    slugclock.Instant
 	newestReported slugconfig.Revision
-	storeAnswers   bool
+	// newerReportedAt is when a peer first reported a revision newer than the one then in effect.
+	newerReportedAt slugclock.Instant
+	storeAnswers    bool
 }
 
 // New returns a Tracker that has no confirmation and no reports.
@@ -39,6 +41,9 @@
 		return
 	}
 	t.mu.Lock()
+	if t.newestReported <= inEffect {
+		t.newerReportedAt = slugclock.Now()
+	}
 	t.newestReported = max(t.newestReported, reported)
 	t.mu.Unlock()
 	select {
@@ -59,6 +64,17 @@
 	return t.newestReported
 }
 
+// NewerReportedAt returns when a peer first reported a revision newer than the one in effect, or
+// the zero Instant if none did.
+func (t *Tracker) NewerReportedAt(inEffect slugconfig.Revision) slugclock.Instant {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.newestReported <= inEffect {
+		return slugclock.Instant{}
+	}
+	return t.newerReportedAt
+}
+
 // Confirm records that the revision in effect was the newest at an instant.
 func (t *Tracker) Confirm(at slugclock.Instant) {
 	t.mu.Lock()
--- a/internal/membership/slugpeer/table.go
+++ b/internal/membership/slugpeer/table.go
@@ -353,8 +353,10 @@
 var ErrNoBundle = errors.New("no peer returned the requested revision")
 
 // FetchBundle fetches the configuration of a revision, or of a later one, from live peers
-// that have it, one after another.
-func (t *Table) FetchBundle(ctx context.Context, r slugconfig.Revision) ([]byte, error) {
+// that have it, one after another, and names the peer that sent it. The error names those that
+// did not.
+func (t *Table) FetchBundle(ctx context.Context, r slugconfig.Revision) ([]byte, slugname.Process, error) {
+	err := ErrNoBundle
 	hasRevision := map[slugname.Process]bool{}
 	for _, s := range t.Statuses() {
 		hasRevision[s.Process] = s.Alive && s.Revision >= r
@@ -364,13 +366,14 @@
 			continue
 		}
 		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
-		answer, err := t.cfg.Call(callCtx, p, Message{Protocol: Protocol, WantBundle: r})
+		answer, callErr := t.cfg.Call(callCtx, p, Message{Protocol: Protocol, WantBundle: r})
 		cancel()
-		if err == nil && answer.Bundle != nil {
-			return answer.Bundle, nil
+		if callErr == nil && answer.Bundle != nil {
+			return answer.Bundle, p.Process, nil
 		}
+		err = errors.Wrapf(err, "%s: %v", p.Process, callErr)
 	}
-	return nil, ErrNoBundle
+	return nil, "", err
 }
 
 // digest returns the entry of this process and those of other rows, maxDigestRows at most.
