Take processes that were replaced for dead (CONFIG)

A process counted as alive until its heartbeat was 4 s old for each 40 rows, and the rows of the dead counted too: 12 s after 40 of 66 hosts had been killed and started again. A process that learned of a row took its owner for alive for as long again.

A process now counts as ended as soon as another one of its kind on its host was heard later. Its row is no longer part of digests and does not extend the time. Rows carry the heartbeat and its age, so that a row of a dead process does not make it alive. Heartbeats decide, and not the times in records, because wall clocks may jump.

TestReplacedProcessCountsAsAlive and TestRowOfDeadProcessMakesItAlive failed before.

--- a/internal/membership/slugpeer/liveness.go
+++ b/internal/membership/slugpeer/liveness.go
@@ -34,8 +34,8 @@
 		if state.row.Process == "" {
 			continue
 		}
-		age := now.Sub(state.heartbeatAt)
-		s := Status{Row: state.row, Alive: id == t.self || age < timeout, HeardLately: id == t.self || age < partition, LastConfirmed: state.confirmedAt}
+		age, replaced := now.Sub(state.heartbeatAt), t.replaced(id)
+		s := Status{Row: state.row, Alive: id == t.self || age < timeout && !replaced, HeardLately: id == t.self || age < partition && !replaced, LastConfirmed: state.confirmedAt}
 		if id == t.self {
 			s.LastConfirmed = t.cfg.LastConfirmed()
 		}
@@ -56,10 +56,51 @@
 	defer t.mu.Unlock()
 	id := slugmember.IDOf(p)
 	state := t.rows[id]
-	return id == t.self || state != nil && state.row.Process != "" && time.Since(state.heartbeatAt) < t.aliveTimeout()
+	return id == t.self || state != nil && state.row.Process != "" && !t.replaced(id) && time.Since(state.heartbeatAt) < t.aliveTimeout()
 }
 
-// splitByLiveness returns the other processes, separated into live and silent ones.
+// slot is what one process at a time runs in: a host, for each kind of process.
+type slot struct {
+	host slugname.Host
+	kind slugmember.Kind
+	// process is set for processes whose host is not known.
+	process slugname.Process
+}
+
+// slotOf returns the slot of the process with a row.
+func slotOf(r Row) slot {
+	if r.Host == "" {
+		return slot{process: r.Process}
+	}
+	return slot{host: r.Host, kind: r.Kind}
+}
+
+// heard records that the heartbeat of a process may have grown; t.mu must be held. Heartbeats
+// decide which process of a slot is the latest, since the wall clocks of hosts may jump.
+func (t *Table) heard(id slugmember.ID) {
+	state := t.rows[id]
+	s := slotOf(state.row)
+	latest := t.rows[t.latest[s]]
+	if latest == nil || !latest.heartbeatAt.After(state.heartbeatAt) {
+		t.latest[s] = id
+	}
+}
+
+// replaced reports whether another process of the slot was heard later; t.mu must be held.
+func (t *Table) replaced(id slugmember.ID) bool {
+	return t.latest[slotOf(t.rows[id].row)] != id
+}
+
+// forget removes a row; t.mu must be held.
+func (t *Table) forget(id slugmember.ID) {
+	if s := slotOf(t.rows[id].row); t.latest[s] == id {
+		delete(t.latest, s)
+	}
+	delete(t.rows, id)
+}
+
+// splitByLiveness returns the other processes that have not been replaced, separated into live and
+// silent ones.
 func (t *Table) splitByLiveness() (alive, silent []slugmember.Record) {
 	now := time.Now()
 	peers := t.cfg.Peers()
@@ -70,7 +111,7 @@
 		id := slugmember.IDOf(p.Process)
 		state := t.rows[id]
 		switch {
-		case id == t.self:
+		case id == t.self || state != nil && t.replaced(id):
 		case state != nil && state.row.Process != "" && now.Sub(state.heartbeatAt) < timeout:
 			alive = append(alive, p)
 		default:
@@ -93,5 +134,6 @@
 	return baseAliveTimeout * time.Duration(t.digests())
 }
 
-// digests returns the number of digests that hold all rows; t.mu must be held.
-func (t *Table) digests() int { return 1 + len(t.rows)/maxDigestRows }
+// digests returns the number of digests that hold the rows of all processes that have not been
+// replaced; t.mu must be held.
+func (t *Table) digests() int { return 1 + len(t.latest)/maxDigestRows }
--- a/internal/membership/slugpeer/row.go
+++ b/internal/membership/slugpeer/row.go
@@ -151,6 +151,11 @@
 type VersionedRow struct {
 	Version uint32 `cbor:"1,keyasint"`
 	Row     Row    `cbor:"2,keyasint"`
+	// Heartbeat and HeartbeatAge are those of an Entry. Without them, the row of a process that
+	// has ended would make it look alive to a process that did not know it. Earlier builds send
+	// neither.
+	Heartbeat    uint32 `cbor:"3,keyasint,omitempty"`
+	HeartbeatAge uint32 `cbor:"4,keyasint,omitempty"`
 }
 
 // Message is a request or an answer between processes.
--- a/internal/membership/slugpeer/table.go
+++ b/internal/membership/slugpeer/table.go
@@ -118,6 +118,9 @@
 
 	mu   sync.Mutex
 	rows map[slugmember.ID]*rowState
+	// latest holds the process of each slot that was heard last. The others have ended, since a
+	// host runs one process of a kind at a time.
+	latest map[slot]slugmember.ID
 	// lastSilentCall is when a silent process was last called.
 	lastSilentCall time.Time
 }
@@ -130,8 +133,9 @@
 	if cfg.Interval == nil {
 		cfg.Interval = func() time.Duration { return DefaultInterval }
 	}
-	t := &Table{cfg: cfg, self: slugmember.IDOf(cfg.Self.Process), rows: map[slugmember.ID]*rowState{}}
+	t := &Table{cfg: cfg, self: slugmember.IDOf(cfg.Self.Process), rows: map[slugmember.ID]*rowState{}, latest: map[slot]slugmember.ID{}}
 	t.rows[t.self] = &rowState{version: 1, row: Row{Process: cfg.Self.Process, Kind: cfg.Self.Kind, Host: cfg.Self.Host}, heartbeatAt: time.Now()}
+	t.heard(t.self)
 	return t
 }
 
@@ -188,9 +192,10 @@
 	self := t.rows[t.self]
 	self.heartbeat++
 	self.heartbeatAt, self.confirmedAt = now, t.cfg.LastConfirmed()
+	t.heard(t.self)
 	for id, state := range t.rows {
 		if id != t.self && now.Sub(state.heartbeatAt) > silentRowTTL {
-			delete(t.rows, id)
+			t.forget(id)
 		}
 	}
 }
@@ -388,7 +393,7 @@
 		if len(out) >= maxDigestRows {
 			break
 		}
-		if id != t.self {
+		if id != t.self && !t.replaced(id) {
 			out = append(out, state.entry(id, now))
 		}
 	}
@@ -400,6 +405,11 @@
 	return Entry{ID: id, Version: s.version, Heartbeat: s.heartbeat, ConfirmedAge: confirmedAge(s.confirmedAt), HeartbeatAge: ageUnits(now.Sub(s.heartbeatAt))}
 }
 
+// versionedRow returns the row as sent to peers.
+func (s *rowState) versionedRow(now time.Time) VersionedRow {
+	return VersionedRow{Version: s.version, Row: s.row, Heartbeat: s.heartbeat, HeartbeatAge: ageUnits(now.Sub(s.heartbeatAt))}
+}
+
 // confirmedAge returns the age of a confirmation in units of ageUnit.
 func confirmedAge(confirmedAt slugclock.Instant) uint32 {
 	if confirmedAt.IsZero() {
@@ -425,7 +435,7 @@
 		case state == nil || state.row.Process == "" || state.version < e.Version:
 			want = append(want, e.ID)
 		case state.version > e.Version:
-			newer = append(newer, VersionedRow{state.version, state.row})
+			newer = append(newer, state.versionedRow(time.Now()))
 		}
 	}
 	return newer, want
@@ -438,7 +448,7 @@
 	var out []VersionedRow
 	for _, id := range want {
 		if state := t.rows[id]; state != nil && state.row.Process != "" {
-			out = append(out, VersionedRow{state.version, state.row})
+			out = append(out, state.versionedRow(time.Now()))
 		}
 	}
 	return out
@@ -483,12 +493,21 @@
 	if changed {
 		state.version, state.row = r.Version, r.Row
 	}
+	state.mergeHeartbeat(r.Heartbeat, r.HeartbeatAge, now)
+	t.heard(id)
 	t.mu.Unlock()
 	if changed && t.cfg.RowChanged != nil {
 		t.cfg.RowChanged(r.Row)
 	}
 }
 
+// mergeHeartbeat takes a heartbeat that a peer saw some time ago, unless a later one is known.
+func (s *rowState) mergeHeartbeat(heartbeat, age uint32, now time.Time) {
+	if heartbeat > s.heartbeat {
+		s.heartbeat, s.heartbeatAt = heartbeat, now.Add(-time.Duration(min(age, unknownAge))*ageUnit)
+	}
+}
+
 // mergeEntry updates the heartbeat and the freshness of a known row from a digest entry.
 func (t *Table) mergeEntry(e Entry, now time.Time, requestSentAt slugclock.Instant) {
 	if e.ID == t.self {
@@ -500,9 +519,8 @@
 		t.mu.Unlock()
 		return
 	}
-	if e.Heartbeat > state.heartbeat {
-		state.heartbeat, state.heartbeatAt = e.Heartbeat, now.Add(-time.Duration(min(e.HeartbeatAge, unknownAge))*ageUnit)
-	}
+	state.mergeHeartbeat(e.Heartbeat, e.HeartbeatAge, now)
+	t.heard(e.ID)
 	if confirmedAt := requestSentAt.Add(-time.Duration(e.ConfirmedAge) * ageUnit); !requestSentAt.IsZero() && e.ConfirmedAge < unknownAge && confirmedAt.After(state.confirmedAt) {
 		state.confirmedAt = confirmedAt
 	}
