Let all watches of a host know which sources are silent (CONFIG)

Each watch found out for itself that a process does not answer, 1.1 s each time, and began with the same one again after the next success.

A process that did not answer a follow call is now asked last by all watches of the host, until it answers or 5 s are over. One that answers that it has nothing newer is not silent.

--- a/internal/daemon/slughost/share.go
+++ b/internal/daemon/slughost/share.go
@@ -16,6 +16,7 @@
 	"github.com/sassafraslug/sassafraslug/internal/membership/slugmember"
 	"github.com/sassafraslug/sassafraslug/internal/membership/slugmirror"
 	"github.com/sassafraslug/sassafraslug/internal/membership/slugpeer"
+	"github.com/sassafraslug/sassafraslug/internal/membership/slugsilence"
 	"github.com/sassafraslug/sassafraslug/internal/membership/slugtakeup"
 	"github.com/sassafraslug/sassafraslug/internal/membership/slugwatcher"
 )
@@ -36,6 +37,9 @@
 	// minCallLimit is the shortest time for a follow call. It covers a busy connection to a
 	// sound host.
 	minCallLimit = 200 * time.Millisecond
+	// sourceSilenceHold is how long a process that did not answer a follow call is asked last. It
+	// is about the time until its peers notice that it has ended.
+	sourceSilenceHold = 5 * time.Second
 	// storeFailureHold is how long after a failed call to the store a process does not
 	// watch on behalf of others.
 	storeFailureHold = 5 * time.Second
@@ -70,6 +74,9 @@
 type watchSharing struct {
 	host    *Host
 	mirrors map[string]*slugmirror.Mirror
+	// silence holds the processes that answered no follow call lately. Each watch learns from it
+	// what the others have found.
+	silence *slugsilence.Silence
 	// lastWatch is when this process last watched the store as one of the chosen watchers, in
 	// nanoseconds since the Unix epoch.
 	lastWatch atomic.Int64
@@ -80,7 +87,7 @@
 
 // newWatchSharing returns a watchSharing with an empty mirror for each watched prefix.
 func newWatchSharing(h *Host) *watchSharing {
-	w := &watchSharing{host: h, mirrors: map[string]*slugmirror.Mirror{}}
+	w := &watchSharing{host: h, mirrors: map[string]*slugmirror.Mirror{}, silence: slugsilence.New(sourceSilenceHold)}
 	for _, prefix := range []string{slugmember.Prefix, h.adapter.ConfigName, h.adapter.EntryPrefix, slugevidence.Prefix, slugtakeup.Prefix} {
 		w.mirrors[prefix] = slugmirror.New()
 	}
@@ -173,14 +180,17 @@
 }
 
 // watchers returns the processes that watch the store: near are those in this data centre,
-// far those in others.
+// far those in others. Those that did not answer lately come last.
 func (w *watchSharing) watchers() (near, far []slugname.Process) {
 	var candidates []slugwatcher.Candidate
 	for _, p := range w.host.livePeers() {
 		candidates = append(candidates, slugwatcher.Candidate{Process: p.Process, DataCentre: p.Record.DataCentre, Failing: p.StoreUnavailable, Capacity: p.Record.Capacity})
 	}
 	self := w.host.member.Self()
-	return slugwatcher.Choose(self.Process, self.DataCentre, candidates)
+	near, far = slugwatcher.Choose(self.Process, self.DataCentre, candidates)
+	near, silentNear := w.silence.Split(near)
+	far, silentFar := w.silence.Split(far)
+	return near, slices.Concat(far, silentNear, silentFar)
 }
 
 // source returns a source that follows a process as long as the process's data is younger
@@ -194,6 +204,7 @@
 		}
 		defer cancel()
 		changes, err := w.follow(callCtx, to, slugpeer.Follow{Prefix: prefix, After: after}, min(wait, peerFollowWait), limit)
+		w.observe(ctx, to.Process, err)
 		if err != nil {
 			w.host.log.Error(slugevent.WatchMoved, err, slugevent.Fields{"prefix": prefix, "process": to.Process, "after": after, "tookMs": slugclock.Since(asked).Milliseconds()})
 			return changes, errors.Mark(err, slugstore.ErrSourceUnavailable)
@@ -202,6 +213,20 @@
 	}}
 }
 
+// observe records whether a process has answered a follow call. One that answers that it has
+// nothing newer is not silent.
+func (w *watchSharing) observe(ctx context.Context, p slugname.Process, err error) {
+	switch {
+	case err == nil || errors.Is(err, slugstore.ErrSourceBehind) || errors.Is(err, errNoData):
+		w.silence.Answered(p)
+	case ctx.Err() == nil:
+		w.silence.Failed(p)
+	}
+}
+
+// errNoData is returned by a process that has received no objects yet.
+var errNoData = errors.New("peer has no data yet")
+
 // follow asks a process for changes. It rejects an answer without changes if the process's
 // data is older than limit.
 func (w *watchSharing) follow(ctx context.Context, to slugmember.Record, f slugpeer.Follow, wait, limit time.Duration) (slugstore.Changes, error) {
@@ -215,7 +240,7 @@
 	}
 	changes := answer.Changes
 	if changes == nil || changes.Revision == 0 {
-		return slugstore.Changes{}, errors.New("peer has no data yet")
+		return slugstore.Changes{}, errNoData
 	}
 	// The peer answered at this time or later.
 	answered := asked.Add(time.Duration(changes.HeldMs) * time.Millisecond)
