Fetch a configuration from several peers in turn (CONFIG)

Callers saw requests handled by a version older than one that was confirmed 3 s before.

A host that learns from peers that there is a newer version asked those that have it one after the other, 1 s each, and allowed 1 s for all of them: one silent peer, always the first of the list, used it up. Nothing was tried again until a peer reported the version once more. After that only the watch could bring it.

A failed fetch is repeated after 200 ms until the version is in effect.

--- a/internal/membership/slugconfigfollower/follower.go
+++ b/internal/membership/slugconfigfollower/follower.go
@@ -20,6 +20,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugbackoff"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugclock"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugevent"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugname"
@@ -58,8 +59,10 @@
 	// DefaultWait is the default of Config.Wait. It bounds how long a connection that was
 	// silently lost can hide a change.
 	DefaultWait = 1500 * time.Millisecond
-	// fetchTimeout bounds the fetch of a version from a peer.
+	// fetchTimeout bounds the fetch of a version from peers.
 	fetchTimeout = time.Second
+	// fetchRetryInterval is the time between a failed fetch and the next one.
+	fetchRetryInterval = 200 * time.Millisecond
 )
 
 // Follower keeps the newest configuration in effect.
@@ -271,18 +274,37 @@
 			return
 		case <-f.freshness.NewerReported():
 		}
+		if f.cfg.FromPeer != nil {
+			f.fetchNewest(ctx)
+		}
+	}
+}
+
+// fetchNewest fetches the newest version that peers have reported until it is in effect, ctx ends
+// or what they send cannot be read. Peers report a version rarely, so it tries again by itself.
+func (f *Follower) fetchNewest(ctx context.Context) {
+	began, failures := slugclock.Now(), 0
+	for ctx.Err() == nil {
 		wanted := f.freshness.NewestReported()
-		if f.cfg.FromPeer == nil || wanted <= f.Version() {
-			continue
+		if wanted <= f.Version() {
+			return
 		}
 		callCtx, cancel := context.WithTimeout(ctx, fetchTimeout)
-		began := slugclock.Now()
 		encoded, peer, err := f.cfg.FromPeer(callCtx, wanted)
 		cancel()
 		if err != nil {
-			f.cfg.Log.Error(slugevent.ConfigurationNotFetched, err, slugevent.Fields{"inForce": f.Version(), "wanted": wanted, "tookMs": millisecondsSince(began)})
+			if failures++; failures == 1 {
+				f.cfg.Log.Error(slugevent.ConfigurationNotFetched, err, slugevent.Fields{"inForce": f.Version(), "wanted": wanted, "tookMs": millisecondsSince(began)})
+			}
+			_ = slugbackoff.Sleep(ctx, fetchRetryInterval)
 			continue
 		}
-		f.apply(encoded, arrival{via: viaReport, source: string(peer)})
+		from := arrival{via: viaReport, source: string(peer), failures: failures}
+		if failures > 0 {
+			from.failingFor = slugclock.Since(began)
+		}
+		if !f.apply(encoded, from) || f.Version() < wanted {
+			return
+		}
 	}
 }
--- a/internal/membership/slugpeer/table_test.go
+++ b/internal/membership/slugpeer/table_test.go
@@ -119,3 +119,35 @@
 	}
 	assert.Equal(t, len(reached), hosts)
 }
+
+// TestSilentPeerUsesUpFetch guards against a fetch of the configuration that waits for one silent
+// peer after the other until its time is over, while another one would answer.
+func TestSilentPeerUsesUpFetch(t *testing.T) {
+	for _, answering := range []slugname.Process{"p-1", "p-5"} {
+		synctest.Test(t, func(t *testing.T) {
+			records := []slugmember.Record{{Process: "self"}}
+			for i := range 6 {
+				records = append(records, slugmember.Record{Process: slugname.Process(fmt.Sprint("p-", i))})
+			}
+			table := New(Config{
+				Self: records[0], LastConfirmed: slugclock.Now, Peers: func() []slugmember.Record { return records },
+				Call: func(ctx context.Context, to slugmember.Record, _ Message) (Message, error) {
+					if to.Process == answering {
+						return Message{Bundle: []byte("8")}, ctx.Err()
+					}
+					<-ctx.Done()
+					return Message{}, ctx.Err()
+				},
+			})
+			for _, r := range records[1:] {
+				table.mergeRow(VersionedRow{Version: 1, Row: Row{Process: r.Process, Revision: 8}}, time.Now())
+			}
+			ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+			defer cancel()
+			bundle, from, err := table.FetchBundle(ctx, 8)
+			assert.NilError(t, err)
+			assert.Equal(t, string(bundle), "8")
+			assert.Equal(t, from, answering)
+		})
+	}
+}
