Apply versions of the configuration in their order (CONFIG)

The watch and the fetch from peers both put versions into effect, and called InForce after they had released the lock: an older version could be applied after a newer one. The host then told its peers that it has the older one, beside the confirmation of the newer one, which confirms the older one at hosts that have it, and it gave out the quotas of the older one until the next change.

Versions now take effect one after the other, InForce included.

TestOlderVersionTakesEffectLast failed before: 8 was applied before 7.

--- a/internal/membership/slugconfigfollower/follower.go
+++ b/internal/membership/slugconfigfollower/follower.go
@@ -44,7 +44,8 @@
 	// store. It is called before the first one of the store takes effect, because the store
 	// may have been restored from a copy; nil means that there are no such peers.
 	AskPeers func(context.Context) [][]byte
-	// InForce is called after each change of the version in effect; it may be nil.
+	// InForce is called after each change of the version in effect, in the order of the
+	// versions; it may be nil.
 	InForce func(*slugrouting.Table)
 	// Wait is how long one watch call waits for a change. It bounds the age of the last
 	// confirmation, so it must be much shorter than the time within which a revoked key
@@ -71,6 +72,10 @@
 	freshness *slugfreshness.Tracker
 	table     atomic.Pointer[slugrouting.Table]
 
+	// applying is held while a version takes effect, so that InForce is called for one version
+	// after the other.
+	applying sync.Mutex
+
 	mu sync.Mutex
 	// encoded is the encoded configuration in effect.
 	encoded []byte
@@ -233,12 +238,13 @@
 		f.cfg.Log.Error(slugevent.ConfigurationUnreadable, err, slugevent.Fields{"inForce": f.Version()})
 		return false
 	}
-	f.mu.Lock()
+	f.applying.Lock()
+	defer f.applying.Unlock()
 	previous := f.Version()
 	if t.Version <= previous {
-		f.mu.Unlock()
 		return true
 	}
+	f.mu.Lock()
 	f.table.Store(t)
 	f.encoded = encoded
 	f.mu.Unlock()
--- a/internal/membership/slugconfigfollower/follower_test.go
+++ b/internal/membership/slugconfigfollower/follower_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"strconv"
+	"sync"
 	"testing"
 	"time"
 
@@ -57,6 +58,39 @@
 	}, poll.WithTimeout(5*time.Second), poll.WithDelay(time.Millisecond))
 }
 
+// TestOlderVersionTakesEffectLast guards against an older version that is applied after a newer one,
+// because one comes from the store and the other from a peer.
+func TestOlderVersionTakesEffectLast(t *testing.T) {
+	var mu sync.Mutex
+	var applied []slugconfig.Revision
+	var f *Follower
+	started := make(chan struct{})
+	f = runFollower(t, Config{
+		FromPeer: func(context.Context, slugconfig.Revision) ([]byte, slugname.Process, error) { return []byte("8"), "peer", nil },
+		InForce: func(table *slugrouting.Table) {
+			<-started
+			if table.Version == 7 {
+				f.ObservePeer(8, slugclock.Now())
+				time.Sleep(50 * time.Millisecond)
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			applied = append(applied, table.Version)
+		},
+	})
+	close(started)
+	awaitVersion(t, f, 8)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		mu.Lock()
+		defer mu.Unlock()
+		if len(applied) == 2 {
+			return poll.Success()
+		}
+		return poll.Continue("%d versions were applied", len(applied))
+	}, poll.WithTimeout(5*time.Second))
+	assert.DeepEqual(t, applied, []slugconfig.Revision{7, 8})
+}
+
 // TestFailedFetchIsNotRepeated guards against a version that is not fetched again after a failure,
 // until a peer reports it once more.
 func TestFailedFetchIsNotRepeated(t *testing.T) {
