Read a revision after its confirmation (CONFIG)

A process tells its peers which revision it has, and when that was last known to be the newest. The two were read apart: between a change and the update of the row, peers were told the older revision with the confirmation of the newer one, and hosts with the older one, which may have a revoked key, took it for confirmed.

TestOlderRevisionIsConfirmed failed before.

--- a/internal/daemon/slughost/join.go
+++ b/internal/daemon/slughost/join.go
@@ -65,7 +65,7 @@
 	h.clock = slugpeerclock.New()
 	h.table = slugpeer.New(slugpeer.Config{
 		Clock: h.clock.OwnTime, ClockReported: h.clock.AddSample,
-		Self: h.member.Self(), Call: transport.Call, Peers: h.member.Records, LastConfirmed: h.follower.LastConfirmed,
+		Self: h.member.Self(), Call: transport.Call, Peers: h.member.Records, LastConfirmed: h.follower.LastConfirmed, Revision: h.follower.Version,
 		RevisionConfirmed: h.follower.ObservePeer, Bundle: h.follower.Encoded, Fanout: exchangeFanout, Interval: h.exchangeInterval,
 		Follow: h.sharedWatches.Serve, UsageReported: h.usageAggregate.Update, Announce: h.handleAnnouncement, Ends: h.handleEnds, Notices: h.noticesOfPeer,
 		Origins: func(list []slugorigin.Origin) { h.takeUps.Merge(list) },
--- a/internal/daemon/slugnode/node.go
+++ b/internal/daemon/slugnode/node.go
@@ -150,6 +150,7 @@
 			lastConfirmed, _ := n.Follower.LastConfirmed()
 			return lastConfirmed
 		},
+		Revision:          n.Follower.Revision,
 		RowChanged:        n.cfg.PeerRowChanged,
 		Evidence:          n.cfg.Evidence,
 		RevisionConfirmed: n.Follower.ObservePeer,
--- a/internal/membership/slugconfigfollower/follower_test.go
+++ b/internal/membership/slugconfigfollower/follower_test.go
@@ -66,7 +66,9 @@
 	var f *Follower
 	started := make(chan struct{})
 	f = runFollower(t, Config{
-		FromPeer: func(context.Context, slugconfig.Revision) ([]byte, slugname.Process, error) { return []byte("8"), "peer", nil },
+		FromPeer: func(context.Context, slugconfig.Revision) ([]byte, slugname.Process, error) {
+			return []byte("8"), "peer", nil
+		},
 		InForce: func(table *slugrouting.Table) {
 			<-started
 			if table.Version == 7 {
--- a/internal/membership/slugpeer/liveness_test.go
+++ b/internal/membership/slugpeer/liveness_test.go
@@ -10,9 +10,25 @@
 	"github.com/sassafraslug/sassafraslug/internal/base/slugclock"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugname"
 	"github.com/sassafraslug/sassafraslug/internal/membership/slugmember"
+	"github.com/sassafraslug/sassafraslug/internal/version/slugconfig"
 	"gotest.tools/v3/assert"
 )
 
+// TestOlderRevisionIsConfirmed guards against peers that take the confirmation of a revision that
+// has just taken effect for one of the revision before, which may still have a revoked key.
+func TestOlderRevisionIsConfirmed(t *testing.T) {
+	revision := slugconfig.Revision(7)
+	table := New(Config{Self: slugmember.Record{Process: "self"}, Revision: func() slugconfig.Revision { return revision }, LastConfirmed: func() slugclock.Instant {
+		revision = 8
+		return slugclock.Now()
+	}})
+	table.Update(func(r *Row) { r.Revision = 7 })
+	before := table.rows[table.self].version
+	table.advanceHeartbeat()
+	assert.Equal(t, table.Self().Revision, slugconfig.Revision(8))
+	assert.Equal(t, table.rows[table.self].version, before+1)
+}
+
 // cluster is a set of tables that call each other directly.
 type cluster map[slugname.Process]*Table
 
--- a/internal/membership/slugpeer/table.go
+++ b/internal/membership/slugpeer/table.go
@@ -29,6 +29,8 @@
 	// LastConfirmed returns when the configuration of this process was last confirmed to be
 	// the newest.
 	LastConfirmed func() slugclock.Instant
+	// Revision returns the revision in effect; nil means that only Update sets that of the row.
+	Revision func() slugconfig.Revision
 	// RowChanged is called for each row of a peer that is new or has changed; it may be nil.
 	RowChanged func(Row)
 	// RevisionConfirmed is called with the revision of a peer and the time at which the peer
@@ -193,6 +195,14 @@
 	self := t.rows[t.self]
 	self.heartbeat++
 	self.heartbeatAt, self.confirmedAt = now, t.cfg.LastConfirmed()
+	// The revision is read after the confirmation: peers must not take that of a newer revision
+	// for one of the revision in the row.
+	if t.cfg.Revision != nil {
+		if r := t.cfg.Revision(); r > self.row.Revision {
+			self.row.Revision = r
+			self.version++
+		}
+	}
 	t.heard(t.self)
 	for id, state := range t.rows {
 		if id != t.self && now.Sub(state.heartbeatAt) > silentRowTTL {
