--- a/internal/daemon/slughost/join.go
+++ b/internal/daemon/slughost/join.go
@@ -58,8 +58,9 @@
 		FromPeer: func(ctx context.Context, r revision) ([]byte, slugname.Process, error) {
 			return h.table.FetchBundle(ctx, r)
 		},
-		AskPeers: h.configsOfPeers, InForce: h.configChanged, Log: h.log, Wait: h.configWait,
-		SharedWatch: h.sharedWatches.SharedWatchWithin(h.adapter.ConfigName, h.configWait, h.configWatchMaxAge),
+		AskPeers: h.configsOfPeers, InForce: h.configChanged, Log: h.log, Wait: func() time.Duration { return configWait(h.settings()) },
+		SharedWatch: h.sharedWatches.SharedWatchWithin(h.adapter.ConfigName,
+			func() time.Duration { return configWait(h.settings()) }, func() time.Duration { return configMaxFollowerAge(h.settings()) }),
 	})
 	h.registry = slugregistry.New(slugregistry.Config{Decode: h.adapter.DecodeEntry, Changed: h.updatePlacers, StoreAnswersOthers: h.storeReachable, Era: h.store.Era, Ended: h.endpointEnded, Log: h.log})
 	h.clock = slugpeerclock.New()
--- a/internal/daemon/slughost/share.go
+++ b/internal/daemon/slughost/share.go
@@ -10,6 +10,7 @@
 	"github.com/sassafraslug/sassafraslug/internal/base/slugclock"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugevent"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugname"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugsettings"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugstore"
 	"github.com/sassafraslug/sassafraslug/internal/membership/slugconfigfollower"
 	"github.com/sassafraslug/sassafraslug/internal/membership/slugevidence"
@@ -59,14 +60,13 @@
 
 // configWait returns how long one watch call for the configuration waits. A watcher that is
 // silently cut off from the store passes nothing on for as long.
-func (h *Host) configWait() time.Duration {
-	s := h.settings()
+func configWait(s *slugsettings.Settings) time.Duration {
 	return min(slugconfigfollower.DefaultWait, time.Duration(configWaitFraction*float64(s.Revoke)), time.Duration(configWaitOfApply*float64(s.ConfigApply)))
 }
 
-// configWatchMaxAge returns the age of the configuration at which a follower asks the store.
-func (h *Host) configWatchMaxAge() time.Duration {
-	return h.configWait() + time.Duration(configAgeOfApply*float64(h.settings().ConfigApply))
+// configMaxFollowerAge returns the age of the configuration at which a follower asks the store.
+func configMaxFollowerAge(s *slugsettings.Settings) time.Duration {
+	return configWait(s) + time.Duration(configAgeOfApply*float64(s.ConfigApply))
 }
 
 // watchSharing lets a few processes watch the store, while the others follow those
@@ -179,6 +179,14 @@
 	return max(maxAge-age, minCallLimit)
 }
 
+// followTimeout returns the time after which a follow call that may wait is given up.
+func followTimeout(wait, callLimit time.Duration) time.Duration {
+	if callLimit == 0 {
+		return wait + peerCallMargin
+	}
+	return min(wait+peerCallMargin, callLimit)
+}
+
 // watchers returns the processes that watch the store: near are those in this data centre,
 // far those in others. Those that did not answer lately come last.
 func (w *watchSharing) watchers() (near, far []slugname.Process) {
@@ -187,7 +195,11 @@
 		candidates = append(candidates, slugwatcher.Candidate{Process: p.Process, DataCentre: p.Record.DataCentre, Failing: p.StoreUnavailable, Capacity: p.Record.Capacity})
 	}
 	self := w.host.member.Self()
-	near, far = slugwatcher.Choose(self.Process, self.DataCentre, candidates)
+	return w.silentLast(slugwatcher.Choose(self.Process, self.DataCentre, candidates))
+}
+
+// silentLast moves processes that did not answer lately to the end.
+func (w *watchSharing) silentLast(near, far []slugname.Process) (soundNear, others []slugname.Process) {
 	near, silentNear := w.silence.Split(near)
 	far, silentFar := w.silence.Split(far)
 	return near, slices.Concat(far, silentNear, silentFar)
@@ -198,12 +210,7 @@
 func (w *watchSharing) source(to slugmember.Record, limit, callLimit time.Duration) *slugstore.Source {
 	return &slugstore.Source{Name: string(to.Process), Follow: func(ctx context.Context, prefix string, after slugstore.Version, wait time.Duration) (slugstore.Changes, error) {
 		asked := slugclock.Now()
-		callCtx, cancel := ctx, func() {}
-		if callLimit > 0 {
-			callCtx, cancel = context.WithTimeout(ctx, callLimit)
-		}
-		defer cancel()
-		changes, err := w.follow(callCtx, to, slugpeer.Follow{Prefix: prefix, After: after}, min(wait, peerFollowWait), limit)
+		changes, err := w.follow(ctx, to, slugpeer.Follow{Prefix: prefix, After: after}, min(wait, peerFollowWait), callLimit, limit)
 		w.observe(ctx, to.Process, err)
 		if err != nil {
 			w.host.log.Error(slugevent.WatchMoved, err, slugevent.Fields{"prefix": prefix, "process": to.Process, "after": after, "tookMs": slugclock.Since(asked).Milliseconds()})
@@ -229,8 +236,8 @@
 
 // follow asks a process for changes. It rejects an answer without changes if the process's
 // data is older than limit.
-func (w *watchSharing) follow(ctx context.Context, to slugmember.Record, f slugpeer.Follow, wait, limit time.Duration) (slugstore.Changes, error) {
-	ctx, cancel := context.WithTimeout(ctx, wait+peerCallMargin)
+func (w *watchSharing) follow(ctx context.Context, to slugmember.Record, f slugpeer.Follow, wait, callLimit, limit time.Duration) (slugstore.Changes, error) {
+	ctx, cancel := context.WithTimeout(ctx, followTimeout(wait, callLimit))
 	defer cancel()
 	f.WaitMs = uint32(wait.Milliseconds())
 	asked := slugclock.Now()
