Leave a sound peer time to answer a limited call (CONFIG)

The limit of a follow call ends it when the configuration is as old as it may be, but the peer still held the call open for half a second: with a bound of 2 s, or beside a slow store, a sound peer had less than 0.1 s to answer, and would count as silent. The hold is now shortened with the limit, so that 0.3 s remain, and is 0.1 s at least, which bounds the rate of calls.

TestSoundPeerHasNoTimeToAnswer failed before: held for 350 ms of 640 ms.

--- a/internal/daemon/slughost/share.go
+++ b/internal/daemon/slughost/share.go
@@ -35,9 +35,12 @@
 	// peerAgeMargin is added to the wait of a watch call to the store to get the age at
 	// which a watcher's data is too old, so that the process asks another source.
 	peerAgeMargin = 600 * time.Millisecond
-	// minCallLimit is the shortest time for a follow call. It covers a busy connection to a
-	// sound host.
-	minCallLimit = 200 * time.Millisecond
+	// minCallLimit is the shortest time for a follow call, and what remains of a longer one after
+	// the peer has held it open. It covers a busy connection to a sound host.
+	minCallLimit = 300 * time.Millisecond
+	// minFollowHold is the shortest time for which a peer is asked to hold a follow call open,
+	// unless the call before has failed. It bounds the rate of calls to a peer without news.
+	minFollowHold = 100 * time.Millisecond
 	// sourceSilenceHold is how long a process that did not answer a follow call is asked last. It
 	// is about the time until its peers notice that it has ended.
 	sourceSilenceHold = 5 * time.Second
@@ -179,12 +182,15 @@
 	return max(maxAge-age, minCallLimit)
 }
 
-// followTimeout returns the time after which a follow call that may wait is given up.
-func followTimeout(wait, callLimit time.Duration) time.Duration {
+// followTimes returns how long a peer may hold a follow call open, and the time after which the call
+// is given up. A limit shortens the hold too, so that a sound peer always has time to answer.
+func followTimes(wait, callLimit time.Duration) (hold, timeout time.Duration) {
+	hold = min(wait, peerFollowWait)
 	if callLimit == 0 {
-		return wait + peerCallMargin
+		return hold, hold + peerCallMargin
 	}
-	return min(wait+peerCallMargin, callLimit)
+	hold = min(hold, max(minFollowHold, callLimit-minCallLimit))
+	return hold, min(hold+peerCallMargin, max(callLimit, hold+minCallLimit))
 }
 
 // watchers returns the processes that watch the store: near are those in this data centre,
@@ -210,7 +216,8 @@
 func (w *watchSharing) source(to slugmember.Record, limit, callLimit time.Duration) *slugstore.Source {
 	return &slugstore.Source{Name: string(to.Process), Follow: func(ctx context.Context, prefix string, after slugstore.Version, wait time.Duration) (slugstore.Changes, error) {
 		asked := slugclock.Now()
-		changes, err := w.follow(ctx, to, slugpeer.Follow{Prefix: prefix, After: after}, min(wait, peerFollowWait), callLimit, limit)
+		hold, timeout := followTimes(wait, callLimit)
+		changes, err := w.follow(ctx, to, slugpeer.Follow{Prefix: prefix, After: after, WaitMs: uint32(hold.Milliseconds())}, timeout, limit)
 		w.observe(ctx, to.Process, err)
 		if err != nil {
 			w.host.log.Error(slugevent.WatchMoved, err, slugevent.Fields{"prefix": prefix, "process": to.Process, "after": after, "tookMs": slugclock.Since(asked).Milliseconds()})
@@ -236,10 +243,9 @@
 
 // follow asks a process for changes. It rejects an answer without changes if the process's
 // data is older than limit.
-func (w *watchSharing) follow(ctx context.Context, to slugmember.Record, f slugpeer.Follow, wait, callLimit, limit time.Duration) (slugstore.Changes, error) {
-	ctx, cancel := context.WithTimeout(ctx, followTimeout(wait, callLimit))
+func (w *watchSharing) follow(ctx context.Context, to slugmember.Record, f slugpeer.Follow, timeout, limit time.Duration) (slugstore.Changes, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	f.WaitMs = uint32(wait.Milliseconds())
 	asked := slugclock.Now()
 	answer, err := w.host.transport.Call(ctx, to, slugpeer.Message{Protocol: slugpeer.Protocol, Follow: &f})
 	if err != nil {
--- a/internal/daemon/slughost/share_test.go
+++ b/internal/daemon/slughost/share_test.go
@@ -51,7 +51,8 @@
 			return age + roundTrip
 		case silent(source):
 			w.silence.Failed(source)
-			age += followTimeout(wait, callLimit(age, configMaxFollowerAge(s)))
+			_, timeout := followTimes(wait, callLimit(age, configMaxFollowerAge(s)))
+			age += timeout
 		default:
 			age += roundTrip
 		}
@@ -90,6 +91,20 @@
 	}
 }
 
+// TestSoundPeerHasNoTimeToAnswer guards against a limit of a follow call that ends before a sound
+// peer, which holds the call open, answers, and against calls that a peer does not hold open at all.
+func TestSoundPeerHasNoTimeToAnswer(t *testing.T) {
+	for _, apply := range []time.Duration{time.Second, 2 * time.Second, 3 * time.Second, 10 * time.Second} {
+		settings := slugsettings.Defaults()
+		settings.ConfigApply = apply
+		for age := time.Duration(0); age < 2*apply; age += 10 * time.Millisecond {
+			hold, timeout := followTimes(configWait(settings), callLimit(age, configMaxFollowerAge(settings)))
+			assert.Assert(t, timeout-hold >= minCallLimit, "held for %s of %s at the age %s", hold, timeout, age)
+			assert.Assert(t, hold >= minFollowHold, "held for %s at the age %s", hold, age)
+		}
+	}
+}
+
 // TestFollowersAskStoreAtBoundedRate guards against the followers of a large system that all ask
 // the store at short intervals because no watcher has news.
 func TestFollowersAskStoreAtBoundedRate(t *testing.T) {
