--- a/internal/base/slugstore/watch.go
+++ b/internal/base/slugstore/watch.go
@@ -119,6 +119,7 @@
 
 // Source provides the objects in place of the store, for example a peer that watches it.
 type Source struct {
+	// Name identifies the source in a Response.
 	Name string
 	// Follow waits for changes after a version; version 0 requests all objects.
 	Follow func(ctx context.Context, prefix string, after Version, wait time.Duration) (Changes, error)
--- a/internal/daemon/slughost/join.go
+++ b/internal/daemon/slughost/join.go
@@ -53,14 +53,14 @@
 	transport.SetLookup(h.member.ByCertificate)
 	h.detour = h.newDetour()
 	transport.SetStreams(h.detour.Serve)
+	wait := func() time.Duration { return configWait(h.settings()) }
 	h.follower = slugconfigfollower.New(slugconfigfollower.Config{
 		Name: h.adapter.ConfigName, Store: h.store.For("config"), Decode: h.adapter.DecodeConfig,
 		FromPeer: func(ctx context.Context, r revision) ([]byte, slugname.Process, error) {
 			return h.table.FetchBundle(ctx, r)
 		},
-		AskPeers: h.configsOfPeers, InForce: h.configChanged, Log: h.log, Wait: func() time.Duration { return configWait(h.settings()) },
-		SharedWatch: h.sharedWatches.SharedWatchWithin(h.adapter.ConfigName,
-			func() time.Duration { return configWait(h.settings()) }, func() time.Duration { return configMaxFollowerAge(h.settings()) }),
+		AskPeers: h.configsOfPeers, InForce: h.configChanged, Log: h.log, Wait: wait,
+		SharedWatch: h.sharedWatches.SharedWatchWithin(h.adapter.ConfigName, wait, func() time.Duration { return configMaxFollowerAge(h.settings()) }),
 	})
 	h.registry = slugregistry.New(slugregistry.Config{Decode: h.adapter.DecodeEntry, Changed: h.updatePlacers, StoreAnswersOthers: h.storeReachable, Era: h.store.Era, Ended: h.endpointEnded, Log: h.log})
 	h.clock = slugpeerclock.New()
--- a/internal/daemon/slughost/share.go
+++ b/internal/daemon/slughost/share.go
@@ -151,9 +151,10 @@
 		if slices.Contains(near, self) {
 			w.lastWatch.Store(time.Now().UnixNano())
 		}
+		oldest := maxAge()
 		source := slugwatcher.Next(self, near, far, slugwatcher.Situation{
 			Failures: failures, StoreFails: w.host.store.Failing(storeRetryInterval), Hosts: w.host.hostCount(),
-			Age: age, MaxAge: maxAge(), SinceStore: slugclock.Since(storeAsked),
+			Age: age, MaxAge: oldest, SinceStore: slugclock.Since(storeAsked),
 		})
 		if source == slugwatcher.Store {
 			storeAsked = slugclock.Now()
@@ -169,7 +170,7 @@
 		if !known {
 			return nil
 		}
-		return w.source(r, wait()+peerAgeMargin, callLimit(age, maxAge()))
+		return w.source(r, wait()+peerAgeMargin, callLimit(age, oldest))
 	}
 }
 
--- a/internal/membership/slugpeer/liveness.go
+++ b/internal/membership/slugpeer/liveness.go
@@ -34,8 +34,7 @@
 		if state.row.Process == "" {
 			continue
 		}
-		age, replaced := now.Sub(state.heartbeatAt), t.replaced(id)
-		s := Status{Row: state.row, Alive: id == t.self || age < timeout && !replaced, HeardLately: id == t.self || age < partition && !replaced, LastConfirmed: state.confirmedAt}
+		s := Status{Row: state.row, Alive: t.heardWithin(id, timeout, now), HeardLately: t.heardWithin(id, partition, now), LastConfirmed: state.confirmedAt}
 		if id == t.self {
 			s.LastConfirmed = t.cfg.LastConfirmed()
 		}
@@ -54,9 +53,14 @@
 func (t *Table) Alive(p slugname.Process) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	id := slugmember.IDOf(p)
+	return t.heardWithin(slugmember.IDOf(p), t.aliveTimeout(), time.Now())
+}
+
+// heardWithin reports whether a process is this one, or was heard within a time and has not been
+// replaced; t.mu must be held.
+func (t *Table) heardWithin(id slugmember.ID, limit time.Duration, now time.Time) bool {
 	state := t.rows[id]
-	return id == t.self || state != nil && state.row.Process != "" && !t.replaced(id) && time.Since(state.heartbeatAt) < t.aliveTimeout()
+	return id == t.self || state != nil && state.row.Process != "" && !t.replaced(id) && now.Sub(state.heartbeatAt) < limit
 }
 
 // slot is what one process at a time runs in: a host, for each kind of process.
@@ -112,7 +116,7 @@
 		state := t.rows[id]
 		switch {
 		case id == t.self || state != nil && t.replaced(id):
-		case state != nil && state.row.Process != "" && now.Sub(state.heartbeatAt) < timeout:
+		case t.heardWithin(id, timeout, now):
 			alive = append(alive, p)
 		default:
 			silent = append(silent, p)
