Log where the time of a request went, and how long its caller was unseen (GONE)

Callers' requests reached endpoints after the callers had left, and no log line said when a request had arrived, what it waited for, or when it was handed to an endpoint.

A Presence in the context of each request (slugpresence) now holds what its connection tells of the caller: when its last bytes arrived in the kernel (TCP_INFO), when they were read, and when the caller was last known to be there. The sender to endpoints records each handover with its purpose, its cause and the times of choice, connection and write, on both request paths. Events 400, 412 and 413 carry it in the field timing; the product's own interface logs 412 for requests that it served, too.

Nothing is decided by it yet.

--- a/internal/base/slugsocket/conn.go
+++ b/internal/base/slugsocket/conn.go
@@ -104,12 +104,8 @@
 
 // closed reports whether the socket is closed, by a failure or by this process.
 func (c *Conn) closed() bool {
-	raw, err := c.tcp.SyscallConn()
-	if err != nil {
-		return true
-	}
-	var info *unix.TCPInfo
-	if raw.Control(func(fd uintptr) { info, err = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO) }) != nil {
+	info, err := tcpInfo(c.tcp)
+	if errors.Is(err, net.ErrClosed) {
 		return true
 	}
 	return err == nil && info.State == stateClosed
--- /dev/null
+++ b/internal/base/slugsocket/state.go
@@ -0,0 +1,61 @@
+package slugsocket
+
+import (
+	"net"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// stateEnded is the state of a socket whose peer has ended its direction, or both.
+const stateEnded = unix.BPF_TCP_CLOSE_WAIT
+
+// State is what the kernel has received on a connection, whether or not it was read.
+type State struct {
+	// Ended is set if the peer has ended its direction. It may still read.
+	Ended bool
+	// Closed is set if the connection was reset, or was closed on this side.
+	Closed bool
+	// DataAge is the time since the last data arrived, and SegmentAge that since the last
+	// segment, which includes acknowledgements and the end of a direction.
+	DataAge, SegmentAge time.Duration
+}
+
+// stateful is a connection that tells its own State.
+type stateful interface{ State() (State, error) }
+
+// StateOf returns the State of a connection. It fails if the connection has none.
+func StateOf(c net.Conn) (State, error) {
+	switch c := c.(type) {
+	case stateful:
+		return c.State()
+	case *net.TCPConn:
+		info, err := tcpInfo(c)
+		if err != nil {
+			return State{}, err
+		}
+		return State{
+			Ended: info.State == stateEnded, Closed: info.State == stateClosed,
+			DataAge: milliseconds(info.Last_data_recv), SegmentAge: milliseconds(info.Last_ack_recv),
+		}, nil
+	}
+	return State{}, syscall.ENOTSOCK
+}
+
+// milliseconds converts a time of the kernel.
+func milliseconds(n uint32) time.Duration { return time.Duration(n) * time.Millisecond }
+
+// tcpInfo returns what the kernel tells of a connection.
+func tcpInfo(c *net.TCPConn) (*unix.TCPInfo, error) {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return nil, err
+	}
+	var info *unix.TCPInfo
+	var infoErr error
+	if err := raw.Control(func(fd uintptr) { info, infoErr = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO) }); err != nil {
+		return nil, err
+	}
+	return info, infoErr
+}
--- a/internal/connection/slugsend/sender.go
+++ b/internal/connection/slugsend/sender.go
@@ -26,6 +26,7 @@
 	"github.com/sassafraslug/sassafraslug/internal/base/slugfault"
 	"github.com/sassafraslug/sassafraslug/internal/base/slughttp"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugmemory"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugpresence"
 )
 
 const (
@@ -77,6 +78,8 @@
 	Repeatable bool
 	// Sent is called as soon as the request has a connection; it may be nil.
 	Sent func()
+	// Purpose says what the endpoint is to do, and Cause why it is asked, for the log.
+	Purpose, Cause string
 }
 
 // New returns a Sender.
@@ -171,15 +174,25 @@
 func (s *Sender) Open(ctx context.Context, request Request) (*Exchange, error) {
 	var mu sync.Mutex
 	e := &Exchange{memory: s.memory}
+	presence := slugpresence.Of(ctx)
+	handover := slugpresence.Handover{Purpose: request.Purpose, Cause: request.Cause, DecidedAt: time.Now()}
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(i httptrace.GotConnInfo) {
 			mu.Lock()
 			e.Sent, e.Reused, e.conn = true, i.Reused, i.Conn
+			handover.ConnectedAt, handover.SeenAt = time.Now(), presence.SeenAt()
 			mu.Unlock()
 			if request.Sent != nil {
 				request.Sent()
 			}
 		},
+		WroteRequest: func(i httptrace.WroteRequestInfo) {
+			mu.Lock()
+			defer mu.Unlock()
+			if i.Err == nil {
+				handover.WrittenAt = time.Now()
+			}
+		},
 	})
 	r, err := s.newHTTPRequest(ctx, request)
 	if err != nil {
@@ -200,12 +213,24 @@
 	// completes after Do has returned.
 	snapshot := *e
 	snapshot.Response = resp
+	if e.Sent {
+		handover.Address, handover.Through = r.URL.Host, peerOf(e.conn, r.URL.Host)
+		presence.Record(handover)
+	}
 	if resp != nil {
 		snapshot.boundFailure()
 	}
 	return &snapshot, slugfault.Wrap(err, "send request", r.URL.Host)
 }
 
+// peerOf returns the address of the peer through which a connection to an endpoint leads, or "".
+func peerOf(c net.Conn, endpoint string) string {
+	if a := c.RemoteAddr().String(); a != endpoint {
+		return a
+	}
+	return ""
+}
+
 // Send sends a request and returns the response. sent is false only if no byte of the
 // request was written to a connection.
 func (s *Sender) Send(ctx context.Context, request Request) (resp *http.Response, sent bool, err error) {
--- a/internal/daemon/slugserve/connection.go
+++ b/internal/daemon/slugserve/connection.go
@@ -85,6 +85,8 @@
 	idleFor   time.Duration
 	// unanswered is set while bytes have been read since the last write.
 	unanswered bool
+	// readAt is when bytes were last read.
+	readAt time.Time
 	// readErr is the error of the last failed read.
 	readErr error
 	// closedAt is when this process closed the connection, zero while it is open.
@@ -115,6 +117,7 @@
 		c.noteStall(err)
 	}
 	if n > 0 {
+		c.readAt = time.Now()
 		c.unanswered = true
 		c.beginRequest()
 		c.take(p[:n])
--- a/internal/daemon/slugserve/server.go
+++ b/internal/daemon/slugserve/server.go
@@ -220,6 +220,7 @@
 		return
 	}
 	defer end()
+	r = c.withPresence(r)
 	tracked := &responseWriter{ResponseWriter: w, shuttingDown: s.shuttingDown.Load}
 	defer s.handlePanic(tracked, r)
 	if http2 {
--- a/internal/request/slugadmit/admitter.go
+++ b/internal/request/slugadmit/admitter.go
@@ -18,7 +18,9 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugevent"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugname"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugpresence"
 	"github.com/sassafraslug/sassafraslug/internal/decision/sluglimit"
 	"github.com/sassafraslug/sassafraslug/internal/decision/slugpick"
 	"github.com/sassafraslug/sassafraslug/internal/decision/slugqueue"
@@ -94,6 +96,25 @@
 	releases []func()
 }
 
+// LogFields returns the fields of the log line about the end of a request.
+func (c *Call) LogFields(ctx context.Context) slugevent.Fields {
+	f := slugevent.Fields{
+		"request": c.ID, "workspace": c.Workspace, "tookMs": time.Since(c.Received).Milliseconds(), "timing": slugpresence.Of(ctx).Timing(),
+	}
+	if c.Service != nil {
+		f["service"] = c.Service.Name
+	}
+	return f
+}
+
+// AttemptCause says why an attempt is made, for the log.
+func AttemptCause(repeated bool) string {
+	if repeated {
+		return "retry"
+	}
+	return "first"
+}
+
 // Release releases the memory and the limits that the call holds.
 func (c *Call) Release() {
 	for _, f := range c.releases {
@@ -125,6 +146,7 @@
 // call even if it refuses the request.
 func (a *Admitter) Begin(r *http.Request) (*Call, *slugrefusal.Refusal) {
 	c := &Call{ID: NewRequestID(), Received: time.Now(), Class: slugmanifest.ClassStandard}
+	slugpresence.Of(r.Context()).MarkRead()
 	if x := r.Header.Get(ClassHeader); x != "" {
 		c.Class = slugmanifest.Class(x)
 	}
--- a/internal/request/slugchat/attempt.go
+++ b/internal/request/slugchat/attempt.go
@@ -130,6 +130,7 @@
 	}
 	return a.cfg.Sender.Open(ctx, slugsend.Request{
 		Method: http.MethodPost, URL: "http://" + a.assignment.Address + a.path, Header: a.header(), Body: body, Repeatable: true,
+		Purpose: "run", Cause: slugadmit.AttemptCause(a.mayHaveRun),
 	})
 }
 
--- a/internal/request/slugchat/chat.go
+++ b/internal/request/slugchat/chat.go
@@ -333,14 +333,15 @@
 func (x *exchange) finish(ctx context.Context, refusal *slugrefusal.Refusal) {
 	x.recordUsage(refusal == nil)
 	x.recordObjectives(ctx, refusal)
+	f := x.call.LogFields(ctx)
 	if refusal == nil {
+		x.cfg.Log.Emit(slugevent.RequestServed, f)
 		return
 	}
 	if x.cfg.Refused != nil {
 		x.cfg.Refused(refusal)
 	}
-	x.cfg.Log.Emit(slugevent.RequestRefused, slugevent.Fields{
-		"request": x.call.ID, "code": refusal.Code, "ran": refusal.Ran, "workspace": x.call.Workspace,
-	})
+	f["code"], f["ran"] = refusal.Code, refusal.Ran
+	x.cfg.Log.Emit(slugevent.RequestRefused, f)
 	x.writer.Refuse(refusal)
 }
--- a/internal/request/slugdispatch/decode.go
+++ b/internal/request/slugdispatch/decode.go
@@ -151,6 +151,7 @@
 	a.silence = d.watchSilence(a.choice, a.run)
 	request := d.cfg.Codec.EncodeRun(d.call, t)
 	request.Sent = d.observeStart(a.choice, &a.start, a.onSent)
+	request.Purpose, request.Cause = "decode", d.attemptCause(d.decodeSent)
 	a.exchange, err = d.open(ctx, a.choice, a.run, request)
 	if a.exchange.Sent {
 		d.sends++
--- a/internal/request/slugdispatch/dispatcher.go
+++ b/internal/request/slugdispatch/dispatcher.go
@@ -24,6 +24,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugevent"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugname"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugpresence"
 	"github.com/sassafraslug/sassafraslug/internal/connection/slugsend"
 	"github.com/sassafraslug/sassafraslug/internal/decision/slugbudget"
 	"github.com/sassafraslug/sassafraslug/internal/decision/slughedge"
@@ -180,8 +181,11 @@
 // dispatch is the state of one request, over all of its attempts.
 type dispatch struct {
 	*Dispatcher
-	call       *Call
-	w          http.ResponseWriter
+	call     *Call
+	w        http.ResponseWriter
+	presence *slugpresence.Presence
+	// beside says why attempts are made beside another one; empty if they are not.
+	beside     string
 	table      *slugrouting.Table
 	route      *slugrouting.Route
 	service    *slugrouting.Service
@@ -237,7 +241,7 @@
 func (d *Dispatcher) Serve(ctx context.Context, c *Call, w http.ResponseWriter) error {
 	d.running.Add(1)
 	defer d.running.Add(-1)
-	req := &dispatch{Dispatcher: d, call: c, w: w, lastEvent: c.ResumeAfter}
+	req := &dispatch{Dispatcher: d, call: c, w: w, presence: slugpresence.Of(ctx), lastEvent: c.ResumeAfter}
 	if refusal := req.admit(); refusal != nil {
 		req.logRefusal(refusal)
 		return refusal
@@ -516,7 +520,9 @@
 
 // logRefusal logs a request that was refused before it was sent anywhere.
 func (d *dispatch) logRefusal(r *slugrefusal.Refusal) {
-	f := slugevent.Fields{"request": d.call.ID, "code": r.Code, "reason": r.Message, "ran": r.Ran, "retryAfterMs": r.RetryAfter.Milliseconds()}
+	f := slugevent.Fields{
+		"request": d.call.ID, "code": r.Code, "reason": r.Message, "ran": r.Ran, "retryAfterMs": r.RetryAfter.Milliseconds(), "timing": d.presence.Timing(),
+	}
 	if d.table != nil {
 		f["configuration"], f["wordAgeMs"] = d.table.Version, d.cfg.ConfigurationAge().Milliseconds()
 	}
@@ -530,7 +536,7 @@
 	f := slugevent.Fields{
 		"request": d.call.ID, "route": d.route.Name, "service": d.service.Name, "workspace": d.workspaceName(),
 		"endpoints": d.endpoints, "firstMs": d.timeToFirst.Milliseconds(), "tookMs": took.Milliseconds(), "sends": d.sends,
-		"configuration": d.table.Version, "wordAgeMs": d.cfg.ConfigurationAge().Milliseconds(),
+		"configuration": d.table.Version, "wordAgeMs": d.cfg.ConfigurationAge().Milliseconds(), "timing": d.presence.Timing(),
 	}
 	var refusal *slugrefusal.Refusal
 	switch {
--- a/internal/request/slugdispatch/plain.go
+++ b/internal/request/slugdispatch/plain.go
@@ -99,6 +99,7 @@
 	if d.route.Kind == slugrouting.Stream {
 		request.Sent = d.observeStart(c, start, nil)
 	}
+	request.Purpose, request.Cause = "run", d.attemptCause(d.sends > 0)
 	e, err := d.open(ctx, c, run, request)
 	sent = e.Sent
 	if sent {
@@ -175,6 +176,20 @@
 	return e, nil
 }
 
+// attemptCause says why an attempt is made, for the log. repeated is set if it is not the first of
+// its kind.
+func (d *dispatch) attemptCause(repeated bool) string {
+	switch {
+	case d.beside != "":
+		return d.beside
+	case repeated:
+		return "retry"
+	case d.call.ResumeAfter != "":
+		return "takeUp"
+	}
+	return "first"
+}
+
 // begin returns the run of the request at the chosen endpoint.
 func (d *dispatch) begin(c *slugplacement.Choice) *slugquarantine.Run {
 	return d.quarantine.Begin(slugquarantine.Start{Endpoint: c.Name, Incarnation: c.Incarnation}, d.subject, time.Now())
--- a/internal/request/slugdispatch/race.go
+++ b/internal/request/slugdispatch/race.go
@@ -105,7 +105,7 @@
 // does.
 func (d *dispatch) forkExtra() *dispatch {
 	f := *d
-	f.endpoints, f.sends = nil, 0
+	f.beside, f.endpoints, f.sends = "extra", nil, 0
 	f.excluded, f.ranAt, f.reserved = slices.Clone(d.excluded), slices.Clone(d.ranAt), reservation{}
 	return &f
 }
--- a/internal/request/slugdispatch/standby.go
+++ b/internal/request/slugdispatch/standby.go
@@ -119,7 +119,7 @@
 func (d *dispatch) fork(a *decodeAttempt) *dispatch {
 	f := *d
 	f.w, f.hedger = nil, nil
-	f.endpoints, f.sends = nil, 0
+	f.beside, f.endpoints, f.sends = "standby", nil, 0
 	f.excluded = append(slices.Clone(d.excluded), a.choice.Name)
 	f.ranAt = add(slices.Clone(d.ranAt), a.choice.Name)
 	f.decodeSent, f.startCounted = true, true
--- a/internal/request/slugdispatch/stream.go
+++ b/internal/request/slugdispatch/stream.go
@@ -244,7 +244,9 @@
 	defer d.watchSilence(c, run).Stop()
 	sentAt := time.Now()
 	c.Sent(sentAt)
-	e, err := d.open(callCtx, c, run, d.cfg.Codec.EncodePrefill(d.call, d.target(c)))
+	request := d.cfg.Codec.EncodePrefill(d.call, d.target(c))
+	request.Purpose, request.Cause = "prefill", d.attemptCause(d.sends > 0)
+	e, err := d.open(callCtx, c, run, request)
 	if e.Sent {
 		d.sends++
 	}
--- a/internal/request/slugplaincall/plain.go
+++ b/internal/request/slugplaincall/plain.go
@@ -218,15 +218,16 @@
 		x.cfg.Ledger.Add(slugledger.Key{Workspace: x.call.Workspace, Service: x.call.Service.Name}, slugledger.Totals{Requests: 1})
 	}
 	x.recordObjective(refusal)
+	f := x.call.LogFields(x.r.Context())
 	if refusal == nil {
+		x.cfg.Log.Emit(slugevent.RequestServed, f)
 		return
 	}
 	if x.cfg.Refused != nil {
 		x.cfg.Refused(refusal)
 	}
-	x.cfg.Log.Emit(slugevent.RequestRefused, slugevent.Fields{
-		"request": x.call.ID, "code": refusal.Code, "ran": refusal.Ran, "workspace": x.call.Workspace,
-	})
+	f["code"], f["ran"] = refusal.Code, refusal.Ran
+	x.cfg.Log.Emit(slugevent.RequestRefused, f)
 	if x.statusWritten {
 		// The status is already written, so abort the connection to tell the caller that
 		// the response is incomplete.
--- a/internal/request/slugplaincall/send.go
+++ b/internal/request/slugplaincall/send.go
@@ -69,6 +69,7 @@
 	defer cancel()
 	e, err := x.cfg.Sender.Open(ctx, slugsend.Request{
 		Method: x.r.Method, URL: x.url(assignment.Address), Header: x.header.Clone(), Body: x.call.Body, Repeatable: x.route.Idempotent,
+		Purpose: "run", Cause: slugadmit.AttemptCause(x.mayHaveRun),
 	})
 	if err != nil {
 		return x.sendFailed(e.Sent, err)
