Hand on no request whose caller left or whose time is over (GONE)

Callers saw nothing, but endpoints got requests over a second after their callers had left.

Cause: what was known of the caller when a request was read counted until it was written. The end of the caller's connection lies in the kernel behind the request; net/http reads it in a goroutine that begins with the handler, so that a handler that does not wait is faster. A host that is short of processor time or stood still reads, hands on and only then notices.

Fix, at the one place through which all requests to endpoints go on both request paths, after the last wait and before the write (slugsend): the state of the caller's connection in the kernel (TCP_INFO), which shows its end whether or not it was read; on HTTP/2 the frames that had arrived are handled first; the deadline, by the clock that counts suspensions; the context, whose timer may not have run. The connection of a refused request is closed, and its context keeps net/http from taking the next one. Received is when the request had arrived, as TCP_INFO tells, and the time that endpoints are told is what is left at the write. A request whose caller left before it was read is dropped at once (event 439). Keyed calls go on.

It runs only with a request, never by itself.

--- a/internal/base/slugevent/event.go
+++ b/internal/base/slugevent/event.go
@@ -130,6 +130,7 @@
 	PathRestored
 	EndpointsUnreached
 	NoticeUntold
+	CallerLeft
 )
 
 var descriptions = map[Event]Description{
@@ -195,6 +196,7 @@
 	UsageSkipped:            {logrus.WarnLevel, "usage windows not reported", "none; the store was restored, and an earlier holder of the duty may have reported these windows with other counts"},
 	RecordReloaded:          {logrus.WarnLevel, "record of a duty read again after a restore of the store", "none"},
 	DrainsUnreadable:        {logrus.WarnLevel, "drains cannot be decoded", "find out who wrote the object; the drains of before stay in effect"},
+	CallerLeft:              {logrus.InfoLevel, "request dropped because its caller had left before it was read", "none, unless many requests are dropped: this host is short of processor time, or stood still; timing is described at event 412"},
 	RequestRefused:          {logrus.InfoLevel, "request refused", "the field code gives the reason; timing is described at event 412"},
 	StreamResumed:           {logrus.InfoLevel, "response stream resumed at the same endpoint", "none"},
 	StreamContinued:         {logrus.InfoLevel, "response stream continued at another endpoint", "none"},
--- a/internal/base/slugpresence/presence.go
+++ b/internal/base/slugpresence/presence.go
@@ -11,6 +11,7 @@
 //	...
 //	received := slugpresence.Of(ctx).MarkRead()
 //	...
+//	if slugpresence.Of(ctx).Left(ctx) { ... }
 //	slugpresence.Of(ctx).Record(handover)
 package slugpresence
 
@@ -26,6 +27,10 @@
 	// ArrivedAt returns when the last bytes that were read on the connection arrived, as far as
 	// that is known.
 	ArrivedAt func() time.Time
+	// Left reports whether the caller has left, by all that the kernel has received, whether or not
+	// it was read. It may wait a moment for what has arrived to be read, until ctx ends. Nil means
+	// that it is not known.
+	Left func(ctx context.Context) bool
 	// EndAge returns how long ago the caller ended its connection; false means that it has not,
 	// or that this is not known. It may be nil.
 	EndAge func() (time.Duration, bool)
@@ -64,6 +69,27 @@
 // key is the context key of a Presence.
 type key struct{}
 
+// Left reports whether the caller has left.
+func (p *Presence) Left(ctx context.Context) bool {
+	if p == nil || p.cfg.Left == nil {
+		return false
+	}
+	now := time.Now()
+	if p.cfg.Left(ctx) {
+		return true
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.seenAt = now
+	return false
+}
+
+// Without returns a context for work that goes on without its caller.
+func Without(ctx context.Context) context.Context {
+	var none *Presence
+	return none.Context(context.WithoutCancel(ctx))
+}
+
 // Context returns a context that carries the Presence.
 func (p *Presence) Context(ctx context.Context) context.Context {
 	return context.WithValue(ctx, key{}, p)
--- a/internal/base/slugsocket/state.go
+++ b/internal/base/slugsocket/state.go
@@ -59,3 +59,26 @@
 	}
 	return info, infoErr
 }
+
+// Unread returns the number of bytes that have arrived and were not read.
+func Unread(c net.Conn) (int, error) { return queued(c, unix.SIOCINQ) }
+
+// Unacknowledged returns the number of bytes that were written and that the peer has not
+// acknowledged.
+func Unacknowledged(c net.Conn) (int, error) { return queued(c, unix.SIOCOUTQ) }
+
+// queued returns the length of a queue of a socket.
+func queued(c net.Conn, request uint) (n int, err error) {
+	t, ok := c.(*net.TCPConn)
+	if !ok {
+		return 0, syscall.ENOTSOCK
+	}
+	raw, err := t.SyscallConn()
+	if err != nil {
+		return 0, err
+	}
+	if controlErr := raw.Control(func(fd uintptr) { n, err = unix.IoctlGetInt(int(fd), request) }); controlErr != nil {
+		return 0, controlErr
+	}
+	return n, err
+}
--- a/internal/base/slugsocket/state_test.go
+++ b/internal/base/slugsocket/state_test.go
@@ -68,3 +68,17 @@
 	_, err = StateOf(other)
 	assert.Assert(t, errors.Is(err, syscall.ENOTSOCK), "%v", err)
 }
+
+// BenchmarkStateOf measures what a look at a connection costs.
+func BenchmarkStateOf(b *testing.B) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(b, err)
+	defer func() { _ = l.Close() }()
+	c, err := net.Dial("tcp", l.Addr().String())
+	assert.NilError(b, err)
+	defer func() { _ = c.Close() }()
+	for b.Loop() {
+		_, err = StateOf(c)
+	}
+	assert.NilError(b, err)
+}
--- /dev/null
+++ b/internal/connection/slugsend/handover_test.go
@@ -0,0 +1,152 @@
+package slugsend
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugpresence"
+	"gotest.tools/v3/assert"
+)
+
+// slowDial returns a Dial that calls during while it opens a connection.
+func slowDial(during func()) func(context.Context, string, string) (net.Conn, error) {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		during()
+		return NewDialer(UserTimeout).DialContext(ctx, network, address)
+	}
+}
+
+// countingServer answers requests, and counts them and the connections.
+func countingServer(t *testing.T) (url string, requests, conns *atomic.Int64) {
+	t.Helper()
+	requests, conns = &atomic.Int64{}, &atomic.Int64{}
+	s := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		requests.Add(1)
+		_, _ = w.Write([]byte(r.Header.Get("X-Left")))
+	}))
+	s.Config.ConnState = func(_ net.Conn, state http.ConnState) {
+		if state == http.StateNew {
+			conns.Add(1)
+		}
+	}
+	s.Start()
+	t.Cleanup(s.Close)
+	return s.URL, requests, conns
+}
+
+// TestRequestIsWrittenAfterWaitForConnection guards against a request whose caller leaves, or whose
+// time passes, while it waits for a connection, and that is written nevertheless.
+func TestRequestIsWrittenAfterWaitForConnection(t *testing.T) {
+	url, requests, _ := countingServer(t)
+	for _, repeatable := range []bool{false, true} {
+		var left, late atomic.Bool
+		presence := slugpresence.New(slugpresence.Config{ArrivedAt: time.Now, Left: func(context.Context) bool { return left.Load() }})
+		ctx, cancel := context.WithCancel(presence.Context(t.Context()))
+		for _, test := range []struct {
+			name   string
+			during func()
+			want   error
+		}{
+			{"the caller leaves", func() { left.Store(true) }, ErrCallerLeft},
+			{"the time passes", func() { late.Store(true) }, ErrTimeOver},
+			{"the request is canceled", cancel, context.Canceled},
+		} {
+			left.Store(false)
+			late.Store(false)
+			s := New(Config{Dial: slowDial(test.during)})
+			e, err := s.Open(ctx, Request{Method: http.MethodPost, URL: url, Header: http.Header{}, Repeatable: repeatable, Ready: func(http.Header) error {
+				if late.Load() {
+					return ErrTimeOver
+				}
+				return nil
+			}})
+			assert.Assert(t, errors.Is(err, test.want), "%s: %v", test.name, err)
+			assert.Assert(t, !e.Sent, test.name)
+		}
+		cancel()
+		assert.Equal(t, len(presence.Timing().Handovers), 0)
+	}
+	time.Sleep(50 * time.Millisecond)
+	assert.Equal(t, requests.Load(), int64(0))
+}
+
+// TestDeadlineOfContextIsOverButNotNoticed guards against a request that is written after the
+// deadline of its context, whose timer has not run yet.
+func TestDeadlineOfContextIsOverButNotNoticed(t *testing.T) {
+	url, requests, _ := countingServer(t)
+	e, err := New(Config{}).Open(lateContext{t.Context()}, Request{Method: http.MethodGet, URL: url})
+	assert.Assert(t, errors.Is(err, ErrTimeOver), "%v", err)
+	assert.Assert(t, !e.Sent)
+	assert.Equal(t, requests.Load(), int64(0))
+}
+
+// lateContext is a context whose deadline has passed and that has not ended.
+type lateContext struct{ context.Context }
+
+// Deadline implements context.Context.
+func (lateContext) Deadline() (time.Time, bool) { return time.Now().Add(-time.Second), true }
+
+// TestRefusedRequestUsesUpConnections guards against a request that must not be written, and for
+// which net/http takes one idle connection after another.
+func TestRefusedRequestUsesUpConnections(t *testing.T) {
+	url, requests, conns := countingServer(t)
+	s := New(Config{})
+	open := func(ctx context.Context, ready func(http.Header) error) error {
+		e, err := s.Open(ctx, Request{Method: http.MethodGet, URL: url, Header: http.Header{}, Repeatable: true, Ready: ready})
+		if err == nil {
+			time.Sleep(50 * time.Millisecond) // Others open connections of their own meanwhile.
+			_ = e.Response.Body.Close()
+		}
+		return err
+	}
+	const kept = 5
+	done := make(chan error, kept)
+	for range kept {
+		go func() { done <- open(t.Context(), nil) }()
+	}
+	for range kept {
+		assert.NilError(t, <-done)
+	}
+	assert.Equal(t, conns.Load(), int64(kept))
+	refused := 0
+	err := open(t.Context(), func(http.Header) error { refused++; return ErrTimeOver })
+	assert.Assert(t, errors.Is(err, ErrTimeOver), "%v", err)
+	assert.Equal(t, refused, 1)
+	for range kept - 1 {
+		go func() { done <- open(t.Context(), nil) }()
+	}
+	for range kept - 1 {
+		assert.NilError(t, <-done)
+	}
+	assert.Equal(t, conns.Load(), int64(kept), "connections were opened anew")
+	assert.Equal(t, requests.Load(), int64(2*kept-1))
+}
+
+// TestHeaderStatesTimeBeforeConnection guards against a header that states what was left of the
+// time before the request had a connection, and against a handover that is not recorded.
+func TestHeaderStatesTimeBeforeConnection(t *testing.T) {
+	url, _, _ := countingServer(t)
+	presence := slugpresence.New(slugpresence.Config{ArrivedAt: time.Now})
+	presence.MarkRead()
+	s := New(Config{Dial: slowDial(func() { time.Sleep(100 * time.Millisecond) })})
+	e, err := s.Open(presence.Context(t.Context()), Request{
+		Method: http.MethodGet, URL: url, Header: http.Header{"X-Left": {"before"}}, Purpose: "run", Cause: "first",
+		Ready: func(h http.Header) error { h.Set("X-Left", "after"); return nil },
+	})
+	assert.NilError(t, err)
+	b := make([]byte, 16)
+	n, _ := e.Response.Body.Read(b)
+	assert.Equal(t, string(b[:n]), "after")
+	assert.NilError(t, e.Response.Body.Close())
+	handovers := presence.Timing().Handovers
+	assert.Equal(t, len(handovers), 1)
+	h := handovers[0]
+	assert.Assert(t, h.To == strings.TrimPrefix(url, "http://") && h.Purpose == "run" && h.Cause == "first" && h.ConnectMs >= 90 && h.WriteMs >= 0, "%+v", h)
+}
--- a/internal/connection/slugsend/sender.go
+++ b/internal/connection/slugsend/sender.go
@@ -17,8 +17,6 @@
 	"io"
 	"net"
 	"net/http"
-	"net/http/httptrace"
-	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -26,7 +24,6 @@
 	"github.com/sassafraslug/sassafraslug/internal/base/slugfault"
 	"github.com/sassafraslug/sassafraslug/internal/base/slughttp"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugmemory"
-	"github.com/sassafraslug/sassafraslug/internal/base/slugpresence"
 )
 
 const (
@@ -78,6 +75,9 @@
 	Repeatable bool
 	// Sent is called as soon as the request has a connection; it may be nil.
 	Sent func()
+	// Ready is called when the request has a connection, before it is written. It may change the
+	// header, and its error keeps the request from being written. It may be nil.
+	Ready func(http.Header) error
 	// Purpose says what the endpoint is to do, and Cause why it is asked, for the log.
 	Purpose, Cause string
 }
@@ -117,8 +117,8 @@
 type Exchange struct {
 	// Response is the response, or nil if there is none.
 	Response *http.Response
-	// Sent is true as soon as the request has a connection. It is false only if no byte of
-	// the request was written to one.
+	// Sent is true as soon as the request has a connection on which it may be written. It is
+	// false only if no byte of the request was written.
 	Sent bool
 	// Reused is set if the connection has served another request before.
 	Reused bool
@@ -169,34 +169,20 @@
 }
 
 // Open sends a request and waits for the response headers. The Exchange is never nil,
-// even if there is an error. Reading the body of a failure, which has a status of 400 or
+// even if there is an error. A request whose caller has left, as the Presence in ctx tells, or whose
+// time is over when it has a connection, is not written: the error is ErrCallerLeft, ErrTimeOver, that
+// of Request.Ready, or the cause with which ctx ended. Reading the body of a failure, which has a status of 400 or
 // more, fails if that is longer than 4 MiB or takes longer than 2 s.
 func (s *Sender) Open(ctx context.Context, request Request) (*Exchange, error) {
-	var mu sync.Mutex
-	e := &Exchange{memory: s.memory}
-	presence := slugpresence.Of(ctx)
-	handover := slugpresence.Handover{Purpose: request.Purpose, Cause: request.Cause, DecidedAt: time.Now()}
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(i httptrace.GotConnInfo) {
-			mu.Lock()
-			e.Sent, e.Reused, e.conn = true, i.Reused, i.Conn
-			handover.ConnectedAt, handover.SeenAt = time.Now(), presence.SeenAt()
-			mu.Unlock()
-			if request.Sent != nil {
-				request.Sent()
-			}
-		},
-		WroteRequest: func(i httptrace.WroteRequestInfo) {
-			mu.Lock()
-			defer mu.Unlock()
-			if i.Err == nil {
-				handover.WrittenAt = time.Now()
-			}
-		},
-	})
-	r, err := s.newHTTPRequest(ctx, request)
+	h := newHandover(ctx, request, s.memory)
+	r, err := s.newHTTPRequest(h.ctx, request)
 	if err != nil {
-		return e, slugfault.Wrap(err, "create request", request.URL)
+		h.cancel(err)
+		return h.exchange, slugfault.Wrap(err, "create request", request.URL)
+	}
+	if err := h.check(); err != nil {
+		h.cancel(err)
+		return h.exchange, slugfault.Wrap(err, "send request", r.URL.Host)
 	}
 	c := s.fresh
 	if request.Repeatable {
@@ -207,28 +193,11 @@
 	if err == nil {
 		s.responded(r.URL.Host, sentAt, resp)
 	}
-	mu.Lock()
-	defer mu.Unlock()
-	// Copy the exchange, because the trace callback may still write to it if a dial
-	// completes after Do has returned.
-	snapshot := *e
-	snapshot.Response = resp
-	if e.Sent {
-		handover.Address, handover.Through = r.URL.Host, peerOf(e.conn, r.URL.Host)
-		presence.Record(handover)
-	}
-	if resp != nil {
-		snapshot.boundFailure()
-	}
-	return &snapshot, slugfault.Wrap(err, "send request", r.URL.Host)
-}
-
-// peerOf returns the address of the peer through which a connection to an endpoint leads, or "".
-func peerOf(c net.Conn, endpoint string) string {
-	if a := c.RemoteAddr().String(); a != endpoint {
-		return a
+	e, refusal := h.end(r.URL.Host, resp)
+	if refusal != nil {
+		err = refusal
 	}
-	return ""
+	return e, slugfault.Wrap(err, "send request", r.URL.Host)
 }
 
 // Send sends a request and returns the response. sent is false only if no byte of the
--- a/internal/daemon/slugserve/connection.go
+++ b/internal/daemon/slugserve/connection.go
@@ -85,8 +85,10 @@
 	idleFor   time.Duration
 	// unanswered is set while bytes have been read since the last write.
 	unanswered bool
-	// readAt is when bytes were last read.
-	readAt time.Time
+	// readAt is when bytes were last read, readBytes the number of all bytes that were read, and
+	// handled that number at the beginning of the last read.
+	readAt             time.Time
+	readBytes, handled int64
 	// readErr is the error of the last failed read.
 	readErr error
 	// closedAt is when this process closed the connection, zero while it is open.
@@ -102,6 +104,7 @@
 		defer c.mu.Unlock()
 		return 0, c.refuse()
 	}
+	c.handled = c.readBytes
 	c.mu.Unlock()
 	n, err := c.Conn.Read(p)
 	c.mu.Lock()
@@ -118,6 +121,7 @@
 	}
 	if n > 0 {
 		c.readAt = time.Now()
+		c.readBytes += int64(n)
 		c.unanswered = true
 		c.beginRequest()
 		c.take(p[:n])
--- a/internal/daemon/slugserve/presence.go
+++ b/internal/daemon/slugserve/presence.go
@@ -1,16 +1,27 @@
 package slugserve
 
 import (
+	"context"
+	"net"
 	"net/http"
 	"time"
 
+	"github.com/cockroachdb/errors"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugbackoff"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugpresence"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugsocket"
 )
 
+const (
+	// catchUpTimeout bounds the wait for what has arrived on an HTTP/2 connection to be read.
+	catchUpTimeout = 100 * time.Millisecond
+	// catchUpInterval is the time between looks at what was read.
+	catchUpInterval = time.Millisecond
+)
+
 // withPresence returns a request whose context tells of its caller.
 func (c *connection) withPresence(r *http.Request) *http.Request {
-	p := slugpresence.New(slugpresence.Config{ArrivedAt: c.arrivedAt, EndAge: c.endAge})
+	p := slugpresence.New(slugpresence.Config{ArrivedAt: c.arrivedAt, Left: c.left, EndAge: c.endAge})
 	return r.WithContext(p.Context(r.Context()))
 }
 
@@ -37,3 +48,45 @@
 	}
 	return s.SegmentAge, true
 }
+
+// left reports whether the caller of a request has left, though the end of its connection, or of
+// its HTTP/2 stream, may not have been read. The context of the request ends with that of a stream.
+func (c *connection) left(ctx context.Context) bool {
+	s, err := slugsocket.StateOf(c.Conn)
+	switch {
+	case err != nil:
+		return errors.Is(err, net.ErrClosed)
+	case s.Closed, s.Ended:
+		return true
+	}
+	c.catchUp(ctx)
+	return ctx.Err() != nil
+}
+
+// catchUp waits until what has arrived on an HTTP/2 connection so far was read and handled.
+func (c *connection) catchUp(ctx context.Context) {
+	c.mu.Lock()
+	http2, target := c.http2, c.readBytes
+	c.mu.Unlock()
+	if !http2 {
+		return
+	}
+	unread, err := slugsocket.Unread(c.Conn)
+	if err != nil {
+		return
+	}
+	target += int64(unread)
+	for until := time.Now().Add(catchUpTimeout); c.handledBytes() < target && time.Now().Before(until); {
+		if slugbackoff.Sleep(ctx, catchUpInterval) != nil {
+			return
+		}
+	}
+}
+
+// handledBytes returns the number of bytes that were read and, on an HTTP/2 connection, handled:
+// the library reads again only when it has handled the frames that it has read.
+func (c *connection) handledBytes() int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.handled
+}
--- a/internal/daemon/slugserve/write.go
+++ b/internal/daemon/slugserve/write.go
@@ -2,13 +2,12 @@
 
 import (
 	"fmt"
-	"net"
 	"os"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugevent"
-	"golang.org/x/sys/unix"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugsocket"
 )
 
 // Write implements net.Conn. It fails if the caller takes no byte for the time of
@@ -41,7 +40,8 @@
 		if err == nil || !errors.Is(err, os.ErrDeadlineExceeded) || !c.open() {
 			return written, err
 		}
-		now := untaken(c.Conn)
+		// 0 if that is not known.
+		now, _ := slugsocket.Unacknowledged(c.Conn)
 		if n > 0 || now < queued {
 			still, begun = 0, time.Now()
 		}
@@ -64,21 +64,3 @@
 	defer c.mu.Unlock()
 	return c.closedAt.IsZero()
 }
-
-// untaken returns the number of bytes that were written and that the peer has not acknowledged,
-// or 0 if that is not known.
-func untaken(conn net.Conn) int {
-	t, ok := conn.(*net.TCPConn)
-	if !ok {
-		return 0
-	}
-	raw, err := t.SyscallConn()
-	if err != nil {
-		return 0
-	}
-	n := 0
-	if raw.Control(func(fd uintptr) { n, err = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ) }) != nil || err != nil {
-		return 0
-	}
-	return n
-}
--- a/internal/request/slugadmit/admitter.go
+++ b/internal/request/slugadmit/admitter.go
@@ -18,9 +18,11 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugclock"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugevent"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugname"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugpresence"
+	"github.com/sassafraslug/sassafraslug/internal/connection/slugsend"
 	"github.com/sassafraslug/sassafraslug/internal/decision/sluglimit"
 	"github.com/sassafraslug/sassafraslug/internal/decision/slugpick"
 	"github.com/sassafraslug/sassafraslug/internal/decision/slugqueue"
@@ -74,8 +76,10 @@
 
 // Call is the state of one request.
 type Call struct {
-	ID       RequestID
+	ID RequestID
+	// Received is when the head of the request had arrived, and readAt when it was read.
 	Received time.Time
+	readAt   slugclock.Instant
 	Key      Key
 	Hash     slugconfig.KeyHash
 	// Workspace is empty on open routes, which do not authenticate.
@@ -96,6 +100,15 @@
 	releases []func()
 }
 
+// CheckTime fails if the call must not be handed to an endpoint any more, since its deadline has
+// passed. A started call goes on beyond it. Its parameter makes it a slugsend.Request.Ready.
+func (c *Call) CheckTime(http.Header) error {
+	if !c.Started && slugclock.Since(c.readAt) >= c.Deadline.Sub(c.readAt.Time()) {
+		return slugsend.ErrTimeOver
+	}
+	return nil
+}
+
 // LogFields returns the fields of the log line about the end of a request.
 func (c *Call) LogFields(ctx context.Context) slugevent.Fields {
 	f := slugevent.Fields{
@@ -145,8 +158,7 @@
 // Begin creates the call of a request and reads its class and deadline. It returns a
 // call even if it refuses the request.
 func (a *Admitter) Begin(r *http.Request) (*Call, *slugrefusal.Refusal) {
-	c := &Call{ID: NewRequestID(), Received: time.Now(), Class: slugmanifest.ClassStandard}
-	slugpresence.Of(r.Context()).MarkRead()
+	c := &Call{ID: NewRequestID(), Received: slugpresence.Of(r.Context()).MarkRead(), readAt: slugclock.Now(), Class: slugmanifest.ClassStandard}
 	if x := r.Header.Get(ClassHeader); x != "" {
 		c.Class = slugmanifest.Class(x)
 	}
--- a/internal/request/slugchat/attempt.go
+++ b/internal/request/slugchat/attempt.go
@@ -72,6 +72,9 @@
 	e, err := a.send(streamCtx)
 	if err != nil {
 		a.watch.stop()
+		if errors.Is(err, slugsend.ErrCallerLeft) || errors.Is(err, slugsend.ErrTimeOver) {
+			return slugpick.OutcomeCanceled, false, a.markRan(slugrefusal.NotRun(slugrefusal.CodeDeadline, "%s", err), nil)
+		}
 		if !e.Sent {
 			return slugpick.OutcomeFailed, true, slugrefusal.NotRun(slugrefusal.CodeEndpointFailed, "%s", err)
 		}
@@ -129,7 +132,7 @@
 		return &slugsend.Exchange{}, err
 	}
 	return a.cfg.Sender.Open(ctx, slugsend.Request{
-		Method: http.MethodPost, URL: "http://" + a.assignment.Address + a.path, Header: a.header(), Body: body, Repeatable: true,
+		Method: http.MethodPost, URL: "http://" + a.assignment.Address + a.path, Header: a.header(), Body: body, Repeatable: true, Ready: a.call.CheckTime,
 		Purpose: "run", Cause: slugadmit.AttemptCause(a.mayHaveRun),
 	})
 }
--- a/internal/request/slugdispatch/call.go
+++ b/internal/request/slugdispatch/call.go
@@ -30,7 +30,7 @@
 	Key string
 	// Timeout is the timeout that the caller asked for; 0 means none.
 	Timeout time.Duration
-	// Received is the time at which the request had been read completely.
+	// Received is the time at which the request had arrived completely. It may have been read later.
 	Received time.Time
 	// Prompt describes the prompt of a model request, for placement.
 	Prompt slugplacement.Job
@@ -100,6 +100,9 @@
 type Codec struct {
 	// EncodeRun encodes a request that the endpoint is to run.
 	EncodeRun func(*Call, Target) slugsend.Request
+	// SetRemaining replaces the time remaining until the request's deadline in a header of a run or
+	// prefill.
+	SetRemaining func(http.Header, time.Duration)
 	// EncodePrefill encodes a request of which the endpoint processes only the prompt.
 	EncodePrefill func(*Call, Target) slugsend.Request
 	// EncodeRelease encodes a request to delete a KV cache that is no longer needed.
--- a/internal/request/slugdispatch/dispatcher.go
+++ b/internal/request/slugdispatch/dispatcher.go
@@ -22,6 +22,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugclock"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugevent"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugname"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugpresence"
@@ -184,6 +185,8 @@
 	call     *Call
 	w        http.ResponseWriter
 	presence *slugpresence.Presence
+	// stop ends all attempts.
+	stop context.CancelCauseFunc
 	// beside says why attempts are made beside another one; empty if they are not.
 	beside     string
 	table      *slugrouting.Table
@@ -197,6 +200,8 @@
 	quarantine *slugquarantine.Tracker
 	subject    slugquarantine.Subject
 	deadline   time.Time
+	// beganAt is when the request was passed to Serve.
+	beganAt slugclock.Instant
 	// firstBy is when the caller leaves if no event has reached it; zero means at the deadline.
 	firstBy time.Time
 
@@ -241,7 +246,11 @@
 func (d *Dispatcher) Serve(ctx context.Context, c *Call, w http.ResponseWriter) error {
 	d.running.Add(1)
 	defer d.running.Add(-1)
-	req := &dispatch{Dispatcher: d, call: c, w: w, presence: slugpresence.Of(ctx), lastEvent: c.ResumeAfter}
+	req := &dispatch{Dispatcher: d, call: c, w: w, presence: slugpresence.Of(ctx), beganAt: slugclock.Now(), lastEvent: c.ResumeAfter}
+	if req.presence.Left(ctx) {
+		d.cfg.Log.Emit(slugevent.CallerLeft, slugevent.Fields{"request": c.ID, "timing": req.presence.Timing()})
+		return ErrCallerDisconnected
+	}
 	if refusal := req.admit(); refusal != nil {
 		req.logRefusal(refusal)
 		return refusal
@@ -254,6 +263,8 @@
 	if req.hedger != nil {
 		req.hedger.RecordRequest()
 	}
+	ctx, req.stop = context.WithCancelCause(ctx)
+	defer req.stop(nil)
 	ctx, cancel := context.WithDeadlineCause(ctx, req.deadline, errDeadline)
 	defer cancel()
 	err := req.forward(ctx)
@@ -332,6 +343,9 @@
 			return refusal
 		}
 	}
+	if d.remaining() <= 0 {
+		return slugrefusal.NotRun(slugrefusal.CodeDeadline, "the deadline passed before the request was read")
+	}
 	if d.route.Patience > 0 {
 		d.firstBy = d.call.Received.Add(d.route.Patience - responseMargin)
 	}
@@ -440,6 +454,17 @@
 // remaining returns the time until the deadline.
 func (d *dispatch) remaining() time.Duration { return time.Until(d.deadline) }
 
+// ready sets the time until the deadline in the header of a request that is about to be written, or
+// fails if there is none left. A time in which the host was suspended counts.
+func (d *dispatch) ready(h http.Header) error {
+	left := d.deadline.Sub(d.beganAt.Time()) - slugclock.Since(d.beganAt)
+	if left <= 0 {
+		return slugsend.ErrTimeOver
+	}
+	d.cfg.Codec.SetRemaining(h, left)
+	return nil
+}
+
 // target returns the parameters of an attempt at the chosen endpoint.
 func (d *dispatch) target(choice *slugplacement.Choice) Target {
 	return Target{
@@ -465,7 +490,7 @@
 			code = slugrefusal.CodeTimeout
 		}
 		return slugrefusal.MayHaveRun(code, "%v", cause)
-	case d.remaining() <= 0:
+	case d.remaining() <= 0, errors.Is(context.Cause(ctx), errDeadline):
 		return slugrefusal.NotRun(slugrefusal.CodeDeadline, "%v", cause)
 	}
 	return slugrefusal.NotRun(slugrefusal.CodeOverloaded, "%v", cause).WithRetryAfter(d.retryAfter())
--- a/internal/request/slugdispatch/plain.go
+++ b/internal/request/slugdispatch/plain.go
@@ -148,8 +148,15 @@
 // open sends a request to the chosen endpoint and reads the header of the response. It
 // records the rate limit that the response states, and what it says about the endpoint.
 func (d *dispatch) open(ctx context.Context, c *slugplacement.Choice, run *slugquarantine.Run, request slugsend.Request) (*slugsend.Exchange, error) {
+	request.Ready = d.ready
 	sentAt := time.Now()
 	e, err := d.cfg.Open(ctx, request)
+	switch {
+	case errors.Is(err, slugsend.ErrCallerLeft):
+		d.stop(err)
+	case errors.Is(err, slugsend.ErrTimeOver):
+		d.stop(errDeadline)
+	}
 	if err != nil || e.Response == nil {
 		return e, err
 	}
@@ -235,7 +242,7 @@
 		return slugplacement.Silent
 	case errors.Is(cause, errOutrun):
 		return slugplacement.Outrun
-	case errors.Is(err, errCaller), cause != nil && !errors.Is(cause, errDeadline):
+	case errors.Is(err, errCaller), errors.Is(err, slugsend.ErrTimeOver), cause != nil && !errors.Is(cause, errDeadline):
 		return slugplacement.Abandoned
 	case !e.Sent:
 		return slugplacement.Silent
--- a/internal/request/slugplaincall/plain.go
+++ b/internal/request/slugplaincall/plain.go
@@ -21,6 +21,7 @@
 	"github.com/sassafraslug/sassafraslug/internal/authority/slugledger"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugevent"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugname"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugpresence"
 	"github.com/sassafraslug/sassafraslug/internal/connection/slugsend"
 	"github.com/sassafraslug/sassafraslug/internal/decision/slugburn"
 	"github.com/sassafraslug/sassafraslug/internal/decision/slugpick"
@@ -187,7 +188,7 @@
 // continues if the caller disconnects, so that a later call with the same key finds the
 // outcome.
 func (x *exchange) sendClaimed(claim slugclaim.Claim) *slugrefusal.Refusal {
-	ctx, cancel := context.WithDeadline(context.WithoutCancel(x.r.Context()), x.call.Deadline)
+	ctx, cancel := context.WithDeadline(slugpresence.Without(x.r.Context()), x.call.Deadline)
 	defer cancel()
 	var answer slugclaim.Answer
 	refusal := x.send(ctx, &answer)
--- a/internal/request/slugplaincall/send.go
+++ b/internal/request/slugplaincall/send.go
@@ -69,6 +69,7 @@
 	defer cancel()
 	e, err := x.cfg.Sender.Open(ctx, slugsend.Request{
 		Method: x.r.Method, URL: x.url(assignment.Address), Header: x.header.Clone(), Body: x.call.Body, Repeatable: x.route.Idempotent,
+		Ready:   x.call.CheckTime,
 		Purpose: "run", Cause: slugadmit.AttemptCause(x.mayHaveRun),
 	})
 	if err != nil {
@@ -98,6 +99,9 @@
 // sendFailed handles an attempt without a complete response.
 func (x *exchange) sendFailed(sent bool, err error) (slugpick.Outcome, bool, *slugrefusal.Refusal) {
 	x.mayHaveRun = x.mayHaveRun || sent
+	if errors.Is(err, slugsend.ErrCallerLeft) || errors.Is(err, slugsend.ErrTimeOver) {
+		return slugpick.OutcomeCanceled, false, x.markRan(slugrefusal.NotRun(slugrefusal.CodeDeadline, "%s", err))
+	}
 	outcome := slugpick.OutcomeFailed
 	if errors.Is(err, context.Canceled) || errors.Is(err, context.DeadlineExceeded) {
 		outcome = slugpick.OutcomeCanceled
