--- a/internal/base/slughead/counter.go
+++ b/internal/base/slughead/counter.go
@@ -91,6 +91,8 @@
 	// left is what is left of the body or the chunk, and chunked is set if the body has chunks.
 	left    int64
 	chunked bool
+	// whole is the number of requests that were read whole and are not over.
+	whole int
 	// http2 is set if the request line is that of the HTTP/2 preface.
 	http2 bool
 }
@@ -108,12 +110,16 @@
 // InBody reports whether a head was read and its body or trailer is not complete.
 func (c *Counter) InBody() bool { return c.state >= stateBody && c.state <= stateTrailer }
 
+// InRequest reports whether a request was read whole and is not over.
+func (c *Counter) InRequest() bool { return c.whole > 0 }
+
 // Cost returns the memory of the current head, or of the last one if it is complete.
 func (c *Counter) Cost() slugmemory.Bytes { return Cost(c.lines, c.size) }
 
 // EndRequest notes that the last request is over, so that the counter does not stay in a body
 // that net/http has found complete, or in empty lines after it. What was read of the next head is kept.
 func (c *Counter) EndRequest() {
+	c.whole = max(0, c.whole-1)
 	if c.InBody() || c.state == stateBlank {
 		c.state, c.length = stateStart, 0
 	}
@@ -203,7 +209,7 @@
 		c.state = stateChunkSize
 	case stateTrailer:
 		if line == "" {
-			c.state = stateStart
+			c.endBody()
 		}
 	}
 }
@@ -231,14 +237,20 @@
 	case c.left > 0:
 		c.state = stateBody
 	default:
-		c.state = stateStart
+		c.endBody()
 	}
 }
 
+// endBody goes on after the last byte of a request.
+func (c *Counter) endBody() {
+	c.state = stateStart
+	c.whole++
+}
+
 // endData goes on after a body or the data of a chunk.
 func (c *Counter) endData() {
 	if c.state == stateBody {
-		c.state = stateStart
+		c.endBody()
 		return
 	}
 	c.state = stateChunkEnd
--- a/internal/base/slugsocket/state.go
+++ b/internal/base/slugsocket/state.go
@@ -20,6 +20,8 @@
 	// DataAge is the time since the last data arrived, and SegmentAge that since the last
 	// segment, which includes acknowledgements and the end of a direction.
 	DataAge, SegmentAge time.Duration
+	// RoundTrip is the usual time until an acknowledgement arrives.
+	RoundTrip time.Duration
 }
 
 // stateful is a connection that tells its own State.
@@ -37,7 +39,7 @@
 		}
 		return State{
 			Ended: info.State == stateEnded, Closed: info.State == stateClosed,
-			DataAge: milliseconds(info.Last_data_recv), SegmentAge: milliseconds(info.Last_ack_recv),
+			DataAge: milliseconds(info.Last_data_recv), SegmentAge: milliseconds(info.Last_ack_recv), RoundTrip: time.Duration(info.Rtt) * time.Microsecond,
 		}, nil
 	}
 	return State{}, syscall.ENOTSOCK
--- a/internal/daemon/slugserve/connection.go
+++ b/internal/daemon/slugserve/connection.go
@@ -94,6 +94,7 @@
 	// closedAt is when this process closed the connection, zero while it is open.
 	closedAt time.Time
 	intake
+	background
 }
 
 // Read implements net.Conn. It drops what it has read if the connection was closed
@@ -105,8 +106,19 @@
 		return 0, c.refuse()
 	}
 	c.handled = c.readBytes
+	beside := c.inBackground(p)
+	n := 0
+	if !beside {
+		n = c.takeAhead(p)
+	}
 	c.mu.Unlock()
-	n, err := c.Conn.Read(p)
+	var err error
+	switch {
+	case beside:
+		err = c.readBackground()
+	case n == 0:
+		n, err = c.Conn.Read(p)
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.closedAt.IsZero() {
@@ -149,8 +161,9 @@
 }
 
 // beginHandling reports whether the connection is open, so that a request that was read on
-// it may be handled, and whether it speaks HTTP/2.
-func (c *connection) beginHandling() (http2, ok bool) {
+// it may be handled, and whether it speaks HTTP/2. interim is set if its caller accepts interim
+// responses.
+func (c *connection) beginHandling(interim bool) (http2, ok bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.closedAt.IsZero() {
@@ -161,6 +174,7 @@
 		c.streams++
 	} else {
 		c.handling = true
+		c.interim = interim
 	}
 	return c.http2, true
 }
@@ -183,7 +197,7 @@
 		return
 	}
 	c.endIntake()
-	if c.unanswered {
+	if c.unanswered || len(c.ahead) > 0 {
 		c.mu.Unlock()
 		return
 	}
@@ -250,6 +264,7 @@
 	if first {
 		c.closedAt = time.Now()
 	}
+	c.abortBackground()
 	if c.idleTimer != nil {
 		c.idleTimer.Stop()
 	}
--- a/internal/daemon/slugserve/intake.go
+++ b/internal/daemon/slugserve/intake.go
@@ -106,7 +106,7 @@
 
 // endIntake forgets the request that was answered; c.mu is held.
 func (c *connection) endIntake() {
-	c.handling = false
+	c.handling, c.responding, c.provenAt = false, false, time.Time{}
 	c.counter.EndRequest()
 	c.hold.Release()
 	if !c.counter.InHead() && !c.counter.InBody() {
@@ -125,6 +125,7 @@
 	defer c.mu.Unlock()
 	c.aborted = !t.IsZero() && !t.After(time.Now())
 	if c.aborted {
+		c.abortBackground()
 		return c.Conn.SetReadDeadline(t)
 	}
 	return c.setDeadline(t)
--- a/internal/daemon/slugserve/presence.go
+++ b/internal/daemon/slugserve/presence.go
@@ -56,8 +56,10 @@
 	switch {
 	case err != nil:
 		return errors.Is(err, net.ErrClosed)
-	case s.Closed, s.Ended:
+	case s.Closed:
 		return true
+	case s.Ended:
+		return !c.reads(ctx.Done()) || ctx.Err() != nil
 	}
 	c.catchUp(ctx)
 	return ctx.Err() != nil
--- a/internal/daemon/slugserve/server.go
+++ b/internal/daemon/slugserve/server.go
@@ -205,7 +205,7 @@
 // serveHTTP passes a request to the handler, unless its connection is closed.
 func (s *Server) serveHTTP(w http.ResponseWriter, r *http.Request) {
 	c := connectionOf(r.Context())
-	http2, ok := c.beginHandling()
+	http2, ok := c.beginHandling(r.ProtoAtLeast(1, 1))
 	if !ok {
 		s.cfg.Log.Emit(slugevent.RequestAfterClose, slugevent.Fields{"caller": r.RemoteAddr, "path": r.URL.Path, "closedMs": c.closedFor().Milliseconds()})
 		panic(http.ErrAbortHandler)
--- a/internal/daemon/slugserve/write.go
+++ b/internal/daemon/slugserve/write.go
@@ -14,7 +14,7 @@
 // Bounds.WriteStall.
 func (c *connection) Write(p []byte) (int, error) {
 	c.mu.Lock()
-	c.unanswered = false
+	c.unanswered, c.responding = false, true
 	stalled := c.writeStalled
 	c.mu.Unlock()
 	if stalled {
