Discard the requests of closed connections to endpoints (GONE)

Endpoints got requests that had been given up: behind lost packets, a full window or a lost path, the kernel delivers what it holds after the close, with the end of the connection behind it (all 3.9 MB in TestBytesAreDeliveredAfterClose).

A connection to an endpoint that is closed while the endpoint has not acknowledged all of it is now reset, which discards the rest, as connections for orders always were. One whose bytes have all arrived is closed in the ordinary way (TestCloseResetsQuietConnection): nothing that the endpoint still writes looks like a failure to it because of this, and refusals are read before their connection is closed. What an endpoint's own kernel holds when it falls silent is not taken back: Linux hands out bytes that arrived before a reset.

One ioctl for each connection that is closed.

--- a/internal/base/slugsocket/conn.go
+++ b/internal/base/slugsocket/conn.go
@@ -58,6 +58,15 @@
 	return errors.CombineErrors(c.tcp.SetLinger(0), c.tcp.Close())
 }
 
+// Discard closes the connection. If the peer has not acknowledged all that was written, it does so by
+// a reset, and the kernel delivers nothing of that any more.
+func (c *Conn) Discard() error {
+	if n, err := Unacknowledged(c.tcp); err == nil && n > 0 {
+		return c.Reset()
+	}
+	return c.tcp.Close()
+}
+
 // Read implements net.Conn.
 func (c *Conn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
--- a/internal/connection/slugsend/dialer.go
+++ b/internal/connection/slugsend/dialer.go
@@ -22,7 +22,8 @@
 }
 
 // NewDialer returns a Dialer that sets TCP_USER_TIMEOUT on its connections, and uses
-// the same duration for keep-alive probes.
+// the same duration for keep-alive probes. Closing one of its connections discards what the peer has
+// not acknowledged: a request that was given up is not delivered when the path or the peer goes on.
 func NewDialer(userTimeout time.Duration) *Dialer {
 	return &Dialer{dialer: &net.Dialer{
 		Timeout:   dialTimeout,
@@ -57,9 +58,15 @@
 	case d.resets:
 		return resetConn{c}, nil
 	}
-	return c, nil
+	return discardConn{c}, nil
 }
 
+// discardConn is a TCP connection whose unacknowledged data are discarded when it is closed.
+type discardConn struct{ *slugsocket.Conn }
+
+// Close implements net.Conn.
+func (c discardConn) Close() error { return c.Discard() }
+
 // resetConn is a TCP connection that is closed by a reset.
 type resetConn struct{ *slugsocket.Conn }
 
