Soak: callers that leave, and the promise GONE

The soak did not cover callers that leave. Six further callers for each host, drawn apart from all others, leave each of their requests after up to 0.8 s; GONE is broken by a request, or one for its prompt, that reaches an endpoint more than 0.5 s after that. A stop of the host excuses nothing; spans in which the soak itself holds bytes to an endpoint back do.

The planted faults of slugcheck have one for each case.

--- a/internal/operate/slugcheck/observation.go
+++ b/internal/operate/slugcheck/observation.go
@@ -53,6 +53,8 @@
 	TimedOut End = "timedOut"
 	// Abandoned means that the caller gave up a stream without events for too long.
 	Abandoned End = "abandoned"
+	// Left means that the caller closed the connection before its time limit.
+	Left End = "left"
 )
 
 // Event is an event of a stream, as the endpoint marked it.
@@ -72,6 +74,9 @@
 	Host int
 	// SentAt is when the last byte was sent.
 	SentAt, EndedAt time.Time
+	// LeaveAt is when the caller closes the connection if the response is not complete by then;
+	// zero means that it waits.
+	LeaveAt time.Time
 	// Deadline is the end of the caller's time limit, which is no later than that of the
 	// route.
 	Deadline time.Time
@@ -106,6 +111,12 @@
 	At         time.Time
 }
 
+// Hold is a span in which the soak passes bytes on late between hosts and an endpoint.
+type Hold struct {
+	Endpoint string
+	From, To time.Time
+}
+
 // Outage is a span in which a host did not run because of the soak, or in which the soak itself
 // was held up by the machine.
 type Outage struct {
@@ -136,10 +147,13 @@
 type Observation struct {
 	Attempts []Attempt
 	Arrivals []Arrival
-	Breaks   []Break
-	Outages  []Outage
-	Exits    []Exit
-	Memory   []Memory
+	// Prompts are the requests for a prompt only.
+	Prompts []Arrival
+	Holds   []Hold
+	Breaks  []Break
+	Outages []Outage
+	Exits   []Exit
+	Memory  []Memory
 }
 
 // Promise is the name of a promise.
@@ -153,6 +167,7 @@
 	Twice   Promise = "TWICE"
 	Refused Promise = "REFUSED"
 	Ended   Promise = "ENDED"
+	Gone    Promise = "GONE"
 	// MemoryUsed is broken by a process that uses more memory than it may.
 	MemoryUsed Promise = "MEMORY"
 )
@@ -171,7 +186,7 @@
 
 // Check returns all broken promises in order of time.
 func (o *Observation) Check() []Broken {
-	out := slices.Concat(o.lost(), o.mixed(), o.order(), o.twice(), o.refused(), o.ended(), o.memory())
+	out := slices.Concat(o.lost(), o.mixed(), o.order(), o.twice(), o.refused(), o.gone(), o.ended(), o.memory())
 	slices.SortStableFunc(out, func(a, b Broken) int { return a.At.Compare(b.At) })
 	return out
 }
