Look at callers' connections behind a connection limit, and in tests without sockets (GONE)

The gate of the product's own interface limits its connections by netutil.LimitListener, which hides the socket: neither the end of a caller nor the bytes that it has not taken could be seen there. slugserve has a listener of its own for that, whose connections give access to the one below, and slugsocket looks through all layers.

The connections of the in-memory network tell their state, too.

--- a/internal/base/slugsocket/state.go
+++ b/internal/base/slugsocket/state.go
@@ -24,13 +24,25 @@
 	RoundTrip time.Duration
 }
 
-// stateful is a connection that tells its own State.
-type stateful interface{ State() (State, error) }
+// Stateful is a connection that tells its own State, for tests without sockets. What was written has
+// arrived as soon as Write has returned.
+type Stateful interface{ State() (State, error) }
+
+// unwrap returns the innermost connection.
+func unwrap(c net.Conn) net.Conn {
+	for {
+		outer, ok := c.(interface{ NetConn() net.Conn })
+		if !ok {
+			return c
+		}
+		c = outer.NetConn()
+	}
+}
 
 // StateOf returns the State of a connection. It fails if the connection has none.
 func StateOf(c net.Conn) (State, error) {
-	switch c := c.(type) {
-	case stateful:
+	switch c := unwrap(c).(type) {
+	case Stateful:
 		return c.State()
 	case *net.TCPConn:
 		info, err := tcpInfo(c)
@@ -67,11 +79,16 @@
 
 // Unacknowledged returns the number of bytes that were written and that the peer has not
 // acknowledged.
-func Unacknowledged(c net.Conn) (int, error) { return queued(c, unix.SIOCOUTQ) }
+func Unacknowledged(c net.Conn) (int, error) {
+	if _, ok := unwrap(c).(Stateful); ok {
+		return 0, nil
+	}
+	return queued(c, unix.SIOCOUTQ)
+}
 
 // queued returns the length of a queue of a socket.
 func queued(c net.Conn, request uint) (n int, err error) {
-	t, ok := c.(*net.TCPConn)
+	t, ok := unwrap(c).(*net.TCPConn)
 	if !ok {
 		return 0, syscall.ENOTSOCK
 	}
--- a/internal/daemon/slugserve/server.go
+++ b/internal/daemon/slugserve/server.go
@@ -39,7 +39,6 @@
 	"github.com/sassafraslug/sassafraslug/internal/base/slugevent"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugfault"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugmemory"
-	"golang.org/x/net/netutil"
 )
 
 const (
@@ -131,7 +130,7 @@
 		return nil, slugfault.Wrap(err, "listen", cfg.Address)
 	}
 	if cfg.MaxConnections > 0 {
-		s.listener = netutil.LimitListener(s.listener, cfg.MaxConnections)
+		s.listener = newLimitedListener(s.listener, cfg.MaxConnections)
 	}
 	s.listener = &listener{Listener: s.listener, server: s}
 	s.server = s.newHTTPServer()
--- a/internal/standin/slugmesh/conn.go
+++ b/internal/standin/slugmesh/conn.go
@@ -6,6 +6,8 @@
 	"os"
 	"sync"
 	"time"
+
+	"github.com/sassafraslug/sassafraslug/internal/base/slugsocket"
 )
 
 // windowBytes limits the bytes in flight in one direction of a connection.
@@ -229,6 +231,20 @@
 	_ = c.Close()
 }
 
+// State implements slugsocket.Stateful.
+func (c *conn) State() (slugsocket.State, error) {
+	c.mu.Lock()
+	closed := c.closed
+	c.mu.Unlock()
+	if closed {
+		return slugsocket.State{}, net.ErrClosed
+	}
+	c.in.mu.Lock()
+	defer c.in.mu.Unlock()
+	delivered := !c.in.blocked()
+	return slugsocket.State{Ended: delivered && c.in.writerClosed && !c.in.reset, Closed: delivered && c.in.reset}, nil
+}
+
 // LocalAddr returns the address of the listener, at both ends of the connection.
 func (c *conn) LocalAddr() net.Addr { return address(c.address) }
 
