Ask the kernel for the age of a caller's end only when the end was noticed

One look at the connection less for each request that is served. No change of behaviour beside the field endMs of the log, which stays -1 for callers that are there.

--- a/internal/daemon/slugserve/connection.go
+++ b/internal/daemon/slugserve/connection.go
@@ -89,8 +89,10 @@
 	// handled that number at the beginning of the last read.
 	readAt             time.Time
 	readBytes, handled int64
-	// readErr is the error of the last failed read.
-	readErr error
+	// readErr is the error of the last failed read, and endNoticed is set once the caller was found
+	// to have ended its direction.
+	readErr    error
+	endNoticed bool
 	// closedAt is when this process closed the connection, zero while it is open.
 	closedAt time.Time
 	intake
--- a/internal/daemon/slugserve/presence.go
+++ b/internal/daemon/slugserve/presence.go
@@ -40,8 +40,15 @@
 	return at
 }
 
-// endAge returns how long ago the caller ended the connection, as far as the kernel tells.
+// endAge returns how long ago the caller ended the connection, as far as the kernel tells. It looks
+// only if the end was noticed.
 func (c *connection) endAge() (time.Duration, bool) {
+	c.mu.Lock()
+	noticed := c.endNoticed || c.readErr != nil
+	c.mu.Unlock()
+	if !noticed {
+		return 0, false
+	}
 	s, err := slugsocket.StateOf(c.Conn)
 	if err != nil || !s.Ended {
 		return 0, false
@@ -59,6 +66,9 @@
 	case s.Closed:
 		return true
 	case s.Ended:
+		c.mu.Lock()
+		c.endNoticed = true
+		c.mu.Unlock()
 		return !c.reads(ctx.Done()) || ctx.Err() != nil
 	}
 	c.catchUp(ctx)
