Wait 300 ms for the acknowledgement of a caller that has ended its direction

400 ms, and the time to end the work at the endpoint, left too little of the 0.5 s within which that must end if the caller has left and its acknowledgement or reset is lost. 300 ms still hold a repeated segment.

--- a/internal/daemon/slugserve/background.go
+++ b/internal/daemon/slugserve/background.go
@@ -20,7 +20,7 @@
 	endCheckInterval = 250 * time.Millisecond
 	// proofTimeout bounds the time in which a caller that has ended its direction has to
 	// acknowledge an interim response, and minProofWait is the least time between two looks.
-	proofTimeout = 400 * time.Millisecond
+	proofTimeout = 300 * time.Millisecond
 	minProofWait = 2 * time.Millisecond
 	// proofAge is how long a proof holds that a caller still reads. It is shorter than
 	// endCheckInterval.
