Read in the background into the buffer of net/http until bytes arrive

A buffer of 1 KB was allocated for each request, though nearly all have nothing to read beside their handler. Tests of slugserve passed twice with the race detector, and those of slugsoakrig for sound and pipelined callers once.

--- a/internal/daemon/slugserve/background.go
+++ b/internal/daemon/slugserve/background.go
@@ -67,8 +67,8 @@
 }
 
 // readBackground waits until the caller has left or net/http makes it return, and returns the error
-// that tells which.
-func (c *connection) readBackground() error {
+// that tells which. p is the buffer of net/http.
+func (c *connection) readBackground(p []byte) error {
 	abort := make(chan struct{})
 	c.mu.Lock()
 	if c.aborted || !c.closedAt.IsZero() {
@@ -77,13 +77,14 @@
 	}
 	c.abort = abort
 	c.mu.Unlock()
-	var b [1 << 10]byte
 	for {
-		n, err := c.Conn.Read(b[:min(len(b), c.roomAhead())])
+		n, err := c.Conn.Read(p[:min(len(p), c.roomAhead())])
 		if n > 0 {
 			c.mu.Lock()
-			c.ahead, c.readAt = append(c.ahead, b[:n]...), time.Now()
+			c.ahead, c.readAt = append(c.ahead, p[:n]...), time.Now()
 			c.mu.Unlock()
+			// Most connections have nothing to read here, and need no buffer of their own.
+			p = make([]byte, maxAhead)
 		}
 		switch {
 		case errors.Is(err, io.EOF), err == nil && c.roomAhead() == 0:
--- a/internal/daemon/slugserve/connection.go
+++ b/internal/daemon/slugserve/connection.go
@@ -117,7 +117,7 @@
 	var err error
 	switch {
 	case beside:
-		err = c.readBackground()
+		err = c.readBackground(p)
 	case n == 0:
 		n, err = c.Conn.Read(p)
 	}
