--- a/internal/daemon/slugserve/stream_test.go
+++ b/internal/daemon/slugserve/stream_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/sassafraslug/sassafraslug/internal/base/slugevent"
 	"github.com/sassafraslug/sassafraslug/internal/base/slugmemory"
+	"github.com/sassafraslug/sassafraslug/internal/base/slugpresence"
 	"golang.org/x/net/http2"
 	"golang.org/x/net/http2/hpack"
 	"gotest.tools/v3/assert"
@@ -21,6 +22,7 @@
 type streamCaller struct {
 	t *testing.T
 	*http2.Framer
+	conn net.Conn
 	// ended takes the IDs of streams that the server has reset or answered with a status, and is
 	// closed with the connection.
 	ended chan string
@@ -42,7 +44,7 @@
 	})
 	_, err = io.WriteString(conn, http2.ClientPreface)
 	assert.NilError(t, err)
-	c := &streamCaller{t, http2.NewFramer(conn, conn), make(chan string, 100)}
+	c := &streamCaller{t, http2.NewFramer(conn, conn), conn, make(chan string, 100)}
 	assert.NilError(t, c.WriteSettings(http2.Setting{ID: http2.SettingInitialWindowSize, Val: 0}))
 	go c.read()
 	return s, c
@@ -84,6 +86,29 @@
 	assert.NilError(c.t, c.WriteHeaders(http2.HeadersFrameParam{StreamID: id, BlockFragment: block.Bytes(), EndHeaders: true, EndStream: method == http.MethodGet}))
 }
 
+// TestStreamIsResetBehindItsHead guards against a stream whose reset arrived with its head, and whose
+// caller counts as there because the reset has not been read.
+func TestStreamIsResetBehindItsHead(t *testing.T) {
+	left := make(chan bool)
+	_, c := startStreams(t, Config{Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		left <- slugpresence.Of(r.Context()).Left(r.Context())
+	})})
+	unnoticed := 0
+	for n := range 100 {
+		id := uint32(2*n + 1)
+		var out bytes.Buffer
+		both := &streamCaller{t: t, Framer: http2.NewFramer(&out, nil)}
+		both.open(id, http.MethodGet, 0)
+		assert.NilError(t, both.WriteRSTStream(id, http2.ErrCodeCancel))
+		_, err := c.conn.Write(out.Bytes())
+		assert.NilError(t, err)
+		if !<-left {
+			unnoticed++
+		}
+	}
+	assert.Equal(t, unnoticed, 0)
+}
+
 // Guards against streams whose heads exceed the memory together, and against memory that is not
 // given back.
 func TestStreamMemory(t *testing.T) {
