--- a/internal/base/slughttp/conn.go
+++ b/internal/base/slughttp/conn.go
@@ -20,6 +20,9 @@
 	malformed error
 }
 
+// NetConn returns the connection below.
+func (c *conn) NetConn() net.Conn { return c.Conn }
+
 // expectHead expects the response to the next request.
 func (c *conn) expectHead() {
 	c.mu.Lock()
--- a/internal/connection/slugsend/handover.go
+++ b/internal/connection/slugsend/handover.go
@@ -56,36 +56,46 @@
 	if deadline, ok := h.ctx.Deadline(); ok && !time.Now().Before(deadline) {
 		return ErrTimeOver
 	}
+	if h.request.CheckTime != nil {
+		if err := h.request.CheckTime(); err != nil {
+			return err
+		}
+	}
 	if h.presence.Left(h.ctx) {
 		return ErrCallerLeft
 	}
 	return nil
 }
 
-// connected is called when the request has a connection, before it is written there. It closes the
-// connection of a request that must not be written, whose context keeps net/http from taking
-// another one.
+// connected is called when the request has a connection, before it is encoded.
 func (h *handover) connected(i httptrace.GotConnInfo) {
-	err := h.check()
-	if err == nil && h.request.Ready != nil {
-		err = h.request.Ready(h.request.Header)
+	h.mu.Lock()
+	h.record.ConnectedAt = time.Now()
+	h.mu.Unlock()
+	if h.request.SetRemaining != nil {
+		h.request.SetRemaining(h.request.Header)
 	}
+	if h.request.Connected != nil {
+		h.request.Connected()
+	}
+	// On a host without processor time to spare, the goroutine that writes may run much later.
+	guard(i.Conn, func() error { return h.beginWrite(i) })
+}
+
+// beginWrite is called right before the first byte is written, and fails if the request must not be.
+// net/http then closes the connection, and takes no other one as the context has ended.
+func (h *handover) beginWrite(i httptrace.GotConnInfo) error {
+	err := h.check()
+	h.mu.Lock()
+	defer h.mu.Unlock()
 	if err != nil {
-		h.mu.Lock()
 		h.refusal = err
-		h.mu.Unlock()
 		h.cancel(err)
-		_ = i.Conn.Close()
-		return
-	}
-	h.mu.Lock()
-	e := h.exchange
-	e.Sent, e.Reused, e.conn = true, i.Reused, i.Conn
-	h.record.ConnectedAt, h.record.SeenAt = time.Now(), h.presence.SeenAt()
-	h.mu.Unlock()
-	if h.request.Sent != nil {
-		h.request.Sent()
+		return err
 	}
+	h.exchange.Sent, h.exchange.Reused, h.exchange.conn = true, i.Reused, i.Conn
+	h.record.SeenAt = h.presence.SeenAt()
+	return nil
 }
 
 // written is called when the request was written, or that has failed.
--- a/internal/connection/slugsend/sender.go
+++ b/internal/connection/slugsend/sender.go
@@ -73,11 +73,14 @@
 	// Repeatable allows sending the request more than once. Repeatable requests use
 	// pooled connections.
 	Repeatable bool
-	// Sent is called as soon as the request has a connection; it may be nil.
-	Sent func()
-	// Ready is called when the request has a connection, before it is written. It may change the
-	// header, and its error keeps the request from being written. It may be nil.
-	Ready func(http.Header) error
+	// Connected is called as soon as the request has a connection; it may be nil.
+	Connected func()
+	// SetRemaining is called when the request has a connection, and sets in the header what is left
+	// of its time; it may be nil.
+	SetRemaining func(http.Header)
+	// CheckTime fails if the time of the request is over. It is called right before the request is
+	// written, and may be nil.
+	CheckTime func() error
 	// Purpose says what the endpoint is to do, and Cause why it is asked, for the log.
 	Purpose, Cause string
 }
@@ -91,7 +94,7 @@
 }
 
 func newClient(cfg Config, fresh bool) *http.Client {
-	transport := slughttp.NewTransport(cfg.Dial)
+	transport := slughttp.NewTransport(guardDial(cfg.Dial))
 	transport.DisableKeepAlives, transport.DisableCompression = fresh, true
 	transport.IdleConnTimeout, transport.MaxIdleConnsPerHost = idleTimeout, maxIdlePerHost
 	return &http.Client{
@@ -117,8 +120,8 @@
 type Exchange struct {
 	// Response is the response, or nil if there is none.
 	Response *http.Response
-	// Sent is true as soon as the request has a connection on which it may be written. It is
-	// false only if no byte of the request was written.
+	// Sent is true as soon as the first byte is written. It is false only if no byte of the request
+	// was written.
 	Sent bool
 	// Reused is set if the connection has served another request before.
 	Reused bool
@@ -170,9 +173,10 @@
 
 // Open sends a request and waits for the response headers. The Exchange is never nil,
 // even if there is an error. A request whose caller has left, as the Presence in ctx tells, or whose
-// time is over when it has a connection, is not written: the error is ErrCallerLeft, ErrTimeOver, that
-// of Request.Ready, or the cause with which ctx ended. Reading the body of a failure, which has a status of 400 or
-// more, fails if that is longer than 4 MiB or takes longer than 2 s.
+// time is over before its first byte is written, is not written: the error is ErrCallerLeft,
+// ErrTimeOver, that of Request.CheckTime, or the cause with which ctx ended. Reading the body of a
+// failure, which has a status of 400 or more, fails if that is longer than 4 MiB or takes longer
+// than 2 s.
 func (s *Sender) Open(ctx context.Context, request Request) (*Exchange, error) {
 	h := newHandover(ctx, request, s.memory)
 	r, err := s.newHTTPRequest(h.ctx, request)
--- a/internal/request/slugadmit/admitter.go
+++ b/internal/request/slugadmit/admitter.go
@@ -101,8 +101,8 @@
 }
 
 // CheckTime fails if the call must not be handed to an endpoint any more, since its deadline has
-// passed. A started call goes on beyond it. Its parameter makes it a slugsend.Request.Ready.
-func (c *Call) CheckTime(http.Header) error {
+// passed. A started call goes on beyond it.
+func (c *Call) CheckTime() error {
 	if !c.Started && slugclock.Since(c.readAt) >= c.Deadline.Sub(c.readAt.Time()) {
 		return slugsend.ErrTimeOver
 	}
--- a/internal/request/slugchat/attempt.go
+++ b/internal/request/slugchat/attempt.go
@@ -132,7 +132,7 @@
 		return &slugsend.Exchange{}, err
 	}
 	return a.cfg.Sender.Open(ctx, slugsend.Request{
-		Method: http.MethodPost, URL: "http://" + a.assignment.Address + a.path, Header: a.header(), Body: body, Repeatable: true, Ready: a.call.CheckTime,
+		Method: http.MethodPost, URL: "http://" + a.assignment.Address + a.path, Header: a.header(), Body: body, Repeatable: true, CheckTime: a.call.CheckTime,
 		Purpose: "run", Cause: slugadmit.AttemptCause(a.mayHaveRun),
 	})
 }
--- a/internal/request/slugdispatch/decode.go
+++ b/internal/request/slugdispatch/decode.go
@@ -90,9 +90,9 @@
 	exchange  *slugsend.Exchange
 	// after is the ID of the event after which the endpoint resumes the stream.
 	after string
-	// onSent is called as soon as the request has a connection; it may be nil.
-	onSent func()
-	start  startEvidence
+	// onConnected is called as soon as the request has a connection; it may be nil.
+	onConnected func()
+	start       startEvidence
 }
 
 // attemptDecode has the response generated at one endpoint and relays it; if the endpoint
@@ -150,7 +150,7 @@
 	a.run = d.begin(a.choice)
 	a.silence = d.watchSilence(a.choice, a.run)
 	request := d.cfg.Codec.EncodeRun(d.call, t)
-	request.Sent = d.observeStart(a.choice, &a.start, a.onSent)
+	request.Connected = d.observeStart(a.choice, &a.start, a.onConnected)
 	request.Purpose, request.Cause = "decode", d.attemptCause(d.decodeSent)
 	a.exchange, err = d.open(ctx, a.choice, a.run, request)
 	if a.exchange.Sent {
--- a/internal/request/slugdispatch/dispatcher.go
+++ b/internal/request/slugdispatch/dispatcher.go
@@ -454,17 +454,25 @@
 // remaining returns the time until the deadline.
 func (d *dispatch) remaining() time.Duration { return time.Until(d.deadline) }
 
-// ready sets the time until the deadline in the header of a request that is about to be written, or
-// fails if there is none left. A time in which the host was suspended counts.
-func (d *dispatch) ready(h http.Header) error {
-	left := d.deadline.Sub(d.beganAt.Time()) - slugclock.Since(d.beganAt)
-	if left <= 0 {
+// remainingWithSuspensions returns the time until the deadline, to which a time in which the host was
+// suspended counts.
+func (d *dispatch) remainingWithSuspensions() time.Duration {
+	return d.deadline.Sub(d.beganAt.Time()) - slugclock.Since(d.beganAt)
+}
+
+// checkTime fails if the deadline has passed.
+func (d *dispatch) checkTime() error {
+	if d.remainingWithSuspensions() <= 0 {
 		return slugsend.ErrTimeOver
 	}
-	d.cfg.Codec.SetRemaining(h, left)
 	return nil
 }
 
+// setRemaining sets the time until the deadline in the header of a request.
+func (d *dispatch) setRemaining(h http.Header) {
+	d.cfg.Codec.SetRemaining(h, d.remainingWithSuspensions())
+}
+
 // target returns the parameters of an attempt at the chosen endpoint.
 func (d *dispatch) target(choice *slugplacement.Choice) Target {
 	return Target{
--- a/internal/request/slugdispatch/plain.go
+++ b/internal/request/slugdispatch/plain.go
@@ -97,7 +97,7 @@
 	}
 	request, start := d.cfg.Codec.EncodeRun(d.call, d.target(c)), &startEvidence{}
 	if d.route.Kind == slugrouting.Stream {
-		request.Sent = d.observeStart(c, start, nil)
+		request.Connected = d.observeStart(c, start, nil)
 	}
 	request.Purpose, request.Cause = "run", d.attemptCause(d.sends > 0)
 	e, err := d.open(ctx, c, run, request)
@@ -148,7 +148,7 @@
 // open sends a request to the chosen endpoint and reads the header of the response. It
 // records the rate limit that the response states, and what it says about the endpoint.
 func (d *dispatch) open(ctx context.Context, c *slugplacement.Choice, run *slugquarantine.Run, request slugsend.Request) (*slugsend.Exchange, error) {
-	request.Ready = d.ready
+	request.CheckTime, request.SetRemaining = d.checkTime, d.setRemaining
 	sentAt := time.Now()
 	e, err := d.cfg.Open(ctx, request)
 	switch {
--- a/internal/request/slugdispatch/standby.go
+++ b/internal/request/slugdispatch/standby.go
@@ -361,7 +361,7 @@
 	attemptCtx, a := f.newDecodeAttempt(s.ctx, c, prefilled)
 	stop := context.AfterFunc(ctx, func() { a.cancel(context.Cause(ctx)) })
 	// Until the request has a connection, nothing works on it but the silent endpoint.
-	a.onSent = func() {
+	a.onConnected = func() {
 		overlap := time.AfterFunc(maxOverlap, func() { s.replace(attemptCtx, events) })
 		context.AfterFunc(attemptCtx, func() { overlap.Stop() })
 	}
--- a/internal/request/slugdispatch/start.go
+++ b/internal/request/slugdispatch/start.go
@@ -38,14 +38,14 @@
 
 // observeStart wraps the function that is called when a request to the chosen endpoint gets
 // its connection, which may be the first one to another start of the endpoint.
-func (d *dispatch) observeStart(c *slugplacement.Choice, start *startEvidence, sent func()) func() {
+func (d *dispatch) observeStart(c *slugplacement.Choice, start *startEvidence, connected func()) func() {
 	return func() {
 		now := time.Now()
 		start.known.Store(d.cfg.StartKnown(c.Address, c.Incarnation, now))
 		start.connectedAt.Store(&now)
 		d.cfg.CheckStart(c.Address, c.Incarnation)
-		if sent != nil {
-			sent()
+		if connected != nil {
+			connected()
 		}
 	}
 }
--- a/internal/request/slugplaincall/send.go
+++ b/internal/request/slugplaincall/send.go
@@ -69,8 +69,7 @@
 	defer cancel()
 	e, err := x.cfg.Sender.Open(ctx, slugsend.Request{
 		Method: x.r.Method, URL: x.url(assignment.Address), Header: x.header.Clone(), Body: x.call.Body, Repeatable: x.route.Idempotent,
-		Ready:   x.call.CheckTime,
-		Purpose: "run", Cause: slugadmit.AttemptCause(x.mayHaveRun),
+		CheckTime: x.call.CheckTime, Purpose: "run", Cause: slugadmit.AttemptCause(x.mayHaveRun),
 	})
 	if err != nil {
 		return x.sendFailed(e.Sent, err)
