Do not take requests for older than they are (LOST)

What callers saw: a request counted as having arrived up to 4 ms before it was sent, so that it was ended that much before its deadline.

Cause: since requests count from their arrival, which Linux states as an age in milliseconds that it counts in ticks. What arrived right before a tick counts as one tick old right after it, 4 ms here.

Fix: ages are lower bounds now, less a tick of 10 ms, the longest there is.

--- a/internal/base/slugsocket/state.go
+++ b/internal/base/slugsocket/state.go
@@ -17,8 +17,9 @@
 	Ended bool
 	// Closed is set if the connection was reset, or was closed on this side.
 	Closed bool
-	// DataAge is the time since the last data arrived, and SegmentAge that since the last
-	// segment, which includes acknowledgements and the end of a direction.
+	// DataAge is the least time since the last data arrived, and SegmentAge that since the last
+	// segment, which includes acknowledgements and the end of a direction. Both may be up to two
+	// maxTicks longer.
 	DataAge, SegmentAge time.Duration
 	// RoundTrip is the usual time until an acknowledgement arrives.
 	RoundTrip time.Duration
@@ -51,14 +52,18 @@
 		}
 		return State{
 			Ended: info.State == stateEnded, Closed: info.State == stateClosed,
-			DataAge: milliseconds(info.Last_data_recv), SegmentAge: milliseconds(info.Last_ack_recv), RoundTrip: time.Duration(info.Rtt) * time.Microsecond,
+			DataAge: age(info.Last_data_recv), SegmentAge: age(info.Last_ack_recv), RoundTrip: time.Duration(info.Rtt) * time.Microsecond,
 		}, nil
 	}
 	return State{}, syscall.ENOTSOCK
 }
 
-// milliseconds converts a time of the kernel.
-func milliseconds(n uint32) time.Duration { return time.Duration(n) * time.Millisecond }
+// maxTick is the longest time between two ticks of the kernel's clock, by which it counts ages.
+const maxTick = 10 * time.Millisecond
+
+// age returns the least age for one that the kernel states in milliseconds. What arrived right before
+// a tick counts as one tick old right after it.
+func age(n uint32) time.Duration { return max(0, time.Duration(n)*time.Millisecond-maxTick) }
 
 // tcpInfo returns what the kernel tells of a connection.
 func tcpInfo(c *net.TCPConn) (*unix.TCPInfo, error) {
--- a/internal/base/slugsocket/state_test.go
+++ b/internal/base/slugsocket/state_test.go
@@ -58,6 +58,25 @@
 	assert.Assert(t, s.SegmentAge < s.DataAge, "%+v", s)
 }
 
+// TestBytesCountAsOlderThanTheyAre guards against bytes that count as having arrived before they were
+// sent, because the kernel counts their age in ticks.
+func TestBytesCountAsOlderThanTheyAre(t *testing.T) {
+	c, peer := connect(t)
+	b := make([]byte, len(message))
+	for range 300 {
+		sentAt := time.Now()
+		_, err := io.WriteString(peer, message)
+		assert.NilError(t, err)
+		_, err = io.ReadFull(c, b)
+		assert.NilError(t, err)
+		s, err := StateOf(c.tcp)
+		assert.NilError(t, err)
+		early := sentAt.Sub(time.Now().Add(-s.DataAge))
+		assert.Assert(t, early <= 0, "bytes arrived %s before they were sent", early)
+		time.Sleep(time.Millisecond)
+	}
+}
+
 // TestStateOfClosedConnection guards against a closed connection whose State looks open.
 func TestStateOfClosedConnection(t *testing.T) {
 	c, _ := connect(t)
