--- a/internal/base/slugsocket/state.go
+++ b/internal/base/slugsocket/state.go
@@ -23,6 +23,8 @@
 	DataAge, SegmentAge time.Duration
 	// RoundTrip is the usual time until an acknowledgement arrives.
 	RoundTrip time.Duration
+	// Received is the number of bytes that have arrived so far, 0 if that is not known.
+	Received int64
 }
 
 // Stateful is a connection that tells its own State, for tests without sockets. What was written has
@@ -53,6 +55,7 @@
 		return State{
 			Ended: info.State == stateEnded, Closed: info.State == stateClosed,
 			DataAge: age(info.Last_data_recv), SegmentAge: age(info.Last_ack_recv), RoundTrip: time.Duration(info.Rtt) * time.Microsecond,
+			Received: int64(info.Bytes_received),
 		}, nil
 	}
 	return State{}, syscall.ENOTSOCK
--- a/internal/base/slugsocket/state_test.go
+++ b/internal/base/slugsocket/state_test.go
@@ -63,7 +63,7 @@
 func TestBytesCountAsOlderThanTheyAre(t *testing.T) {
 	c, peer := connect(t)
 	b := make([]byte, len(message))
-	for range 300 {
+	for n := range 300 {
 		sentAt := time.Now()
 		_, err := io.WriteString(peer, message)
 		assert.NilError(t, err)
@@ -71,6 +71,7 @@
 		assert.NilError(t, err)
 		s, err := StateOf(c.tcp)
 		assert.NilError(t, err)
+		assert.Equal(t, s.Received, int64((n+1)*len(message)))
 		early := sentAt.Sub(time.Now().Add(-s.DataAge))
 		assert.Assert(t, early <= 0, "bytes arrived %s before they were sent", early)
 		time.Sleep(time.Millisecond)
--- a/internal/daemon/slugserve/presence.go
+++ b/internal/daemon/slugserve/presence.go
@@ -71,24 +71,28 @@
 		c.mu.Unlock()
 		return !c.reads(ctx.Done()) || ctx.Err() != nil
 	}
-	c.catchUp(ctx)
+	c.catchUp(ctx, s.Received)
 	return ctx.Err() != nil
 }
 
-// catchUp waits until what has arrived on an HTTP/2 connection so far was read and handled.
-func (c *connection) catchUp(ctx context.Context) {
+// catchUp waits until what has arrived on an HTTP/2 connection so far was read and handled: that
+// many bytes, or 0 if the kernel does not tell.
+func (c *connection) catchUp(ctx context.Context, received int64) {
 	c.mu.Lock()
-	http2, target := c.http2, c.readBytes
+	http2, read := c.http2, c.readBytes
 	c.mu.Unlock()
 	if !http2 {
 		return
 	}
-	unread, err := slugsocket.Unread(c.Conn)
-	if err != nil {
-		return
+	if received == 0 {
+		// Bytes that are being read just now are missed.
+		unread, err := slugsocket.Unread(c.Conn)
+		if err != nil {
+			return
+		}
+		received = read + int64(unread)
 	}
-	target += int64(unread)
-	for until := time.Now().Add(catchUpTimeout); c.handledBytes() < target && time.Now().Before(until); {
+	for until := time.Now().Add(catchUpTimeout); c.handledBytes() < received && time.Now().Before(until); {
 		if slugbackoff.Sleep(ctx, catchUpInterval) != nil {
 			return
 		}
