Accept responses without a body on connections that serve the next request

What callers saw: 502, or a second attempt, for a safe request whose response has no body, while others are sent to the same endpoint.

Cause: net/http returns a connection to its pool before it hands over a response without a body. If the next request gets the connection in between, it resets what the transport knows of the head that was read, so that the response of the first request looks like one that began before it. It was refused, and the connection was closed under the next request.

Fix: what was read of a head belongs to the response of one request. Before, a response that came too early could also make the one that is due that of the next request. Now a connection on which a request begins before the response to the one before is not read any more (TestResponseAnswersNextRequest).

--- a/internal/base/slughttp/response_test.go
+++ b/internal/base/slughttp/response_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -95,20 +96,64 @@
 	for _, early := range []bool{false, true} {
 		client, server := net.Pipe()
 		c := &conn{Conn: client}
+		var r *response
 		if !early {
-			c.expectHead()
+			r = c.expectResponse()
 		}
 		go func() { _, _ = io.WriteString(server, head) }()
 		_, err := io.ReadFull(c, make([]byte, len(head)))
 		assert.NilError(t, err)
 		if early {
-			c.expectHead()
+			r = c.expectResponse()
 		}
-		assert.Equal(t, c.headComplete(), !early)
+		assert.Equal(t, c.headComplete(r), !early)
 		assert.NilError(t, c.Close())
 	}
 }
 
+// TestResponseWithoutBodyIsRefused guards against a response without a body that is refused because
+// the next request has got its connection before the head is looked at.
+func TestResponseWithoutBodyIsRefused(t *testing.T) {
+	client, requests := serve(t, func(int64) string { return "HTTP/1.1 204 No Content\r\n\r\n" })
+	const callers, each = 16, 250
+	failures := make(chan error, callers*each)
+	var running sync.WaitGroup
+	for range callers {
+		running.Go(func() {
+			for range each {
+				if _, err := get(client); err != nil {
+					failures <- err
+				}
+			}
+		})
+	}
+	running.Wait()
+	if n := len(failures); n > 0 {
+		t.Fatalf("%d of %d requests failed, the first with: %v", n, callers*each, <-failures)
+	}
+	assert.Equal(t, requests.Load(), int64(callers*each))
+}
+
+// TestResponseAnswersNextRequest guards against a response that arrives after its request was given
+// another one, and that is taken for the response to the next request.
+func TestResponseAnswersNextRequest(t *testing.T) {
+	const head = "HTTP/1.1 204 x\r\n\r\n"
+	client, server := net.Pipe()
+	defer func() { _ = client.Close() }()
+	c := &conn{Conn: client}
+	go func() { _, _ = io.WriteString(server, head+head) }()
+	_, err := io.ReadFull(c, make([]byte, len(head)))
+	assert.NilError(t, err)
+	first := c.expectResponse()
+	next := c.expectResponse()
+	n, err := c.Read(make([]byte, len(head)))
+	assert.NilError(t, err)
+	assert.Equal(t, n, 1, "net/http sends the request again")
+	_, err = c.Read(make([]byte, len(head)))
+	assert.Assert(t, errors.Is(err, ErrUnrequested), "%v", err)
+	assert.Assert(t, !c.headComplete(first) && !c.headComplete(next))
+}
+
 // TestResponseOverTLS guards against responses of an https server that are refused, or that are not
 // checked.
 func TestResponseOverTLS(t *testing.T) {
--- a/internal/base/slughttp/transport.go
+++ b/internal/base/slughttp/transport.go
@@ -85,36 +85,41 @@
 	return c, nil
 }
 
+// exchange is a request that has a connection.
+type exchange struct {
+	conn     *conn
+	response *response
+}
+
 // RoundTrip implements http.RoundTripper.
 func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
-	var used atomic.Pointer[conn]
+	var latest atomic.Pointer[exchange]
 	ctx := httptrace.WithClientTrace(r.Context(), &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) {
 		if c, ok := i.Conn.(*conn); ok {
-			c.expectHead()
-			used.Store(c)
+			latest.Store(&exchange{c, c.expectResponse()})
 		}
 	}})
 	resp, err := t.Transport.RoundTrip(r.WithContext(ctx))
-	c := used.Load()
+	e := latest.Load()
 	switch {
-	case err != nil && c != nil:
+	case err != nil && e != nil:
 		// The error of net/http may be that of a part of the head.
-		return nil, errors.CombineErrors(c.malformedHead(), err)
+		return nil, errors.CombineErrors(e.conn.refused(), err)
 	case err != nil:
 		return nil, err
-	case c == nil || !c.headComplete():
-		return nil, errors.CombineErrors(ErrUnrequested, abort(resp, c))
+	case e == nil || !e.conn.headComplete(e.response):
+		return nil, errors.CombineErrors(ErrUnrequested, abort(resp, e))
 	case len(resp.TransferEncoding) > 0:
-		resp.Body = &chunkedBody{ReadCloser: resp.Body, resp: resp, conn: c}
+		resp.Body = &chunkedBody{ReadCloser: resp.Body, resp: resp, conn: e.conn}
 	}
 	return resp, nil
 }
 
 // abort ends the connection of a response.
-func abort(resp *http.Response, c *conn) error {
+func abort(resp *http.Response, e *exchange) error {
 	var err error
-	if c != nil {
-		err = c.Close()
+	if e != nil {
+		err = e.conn.Close()
 	}
 	return errors.CombineErrors(err, resp.Body.Close())
 }
