tests: count the connections that a refused request takes

It relied on five requests being under way within 50 ms of each other, and later on net/http keeping all of their connections, which it does not if the end of a write is noticed 50 ms late.

The server now answers when all five requests are there, and the connections that the refused request takes are counted where it takes them: one, which was in use before.

--- a/internal/connection/slugsend/handover_test.go
+++ b/internal/connection/slugsend/handover_test.go
@@ -5,7 +5,9 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"net/http/httptrace"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -23,12 +25,14 @@
 	}
 }
 
-// countingServer answers requests, and counts them and the connections.
-func countingServer(t *testing.T) (url string, requests, conns *atomic.Int64) {
+// countingServer answers requests, and counts them and the connections. It calls during before each
+// answer.
+func countingServer(t *testing.T, during func()) (url string, requests, conns *atomic.Int64) {
 	t.Helper()
 	requests, conns = &atomic.Int64{}, &atomic.Int64{}
 	s := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		requests.Add(1)
+		during()
 		_, _ = w.Write([]byte(r.Header.Get("X-Left")))
 	}))
 	s.Config.ConnState = func(_ net.Conn, state http.ConnState) {
@@ -44,7 +48,7 @@
 // TestRequestIsWrittenAfterWaitForConnection guards against a request whose caller leaves, or whose
 // time passes, while it waits for a connection, and that is written nevertheless.
 func TestRequestIsWrittenAfterWaitForConnection(t *testing.T) {
-	url, requests, _ := countingServer(t)
+	url, requests, _ := countingServer(t, func() {})
 	for _, repeatable := range []bool{false, true} {
 		var left, late atomic.Bool
 		presence := slugpresence.New(slugpresence.Config{ArrivedAt: time.Now, Left: func(context.Context) bool { return left.Load() }})
@@ -80,7 +84,7 @@
 // TestRequestIsWrittenLongAfterItHasConnection guards against a request whose caller leaves, or whose
 // time passes, while the goroutine that is to write it waits for a processor.
 func TestRequestIsWrittenLongAfterItHasConnection(t *testing.T) {
-	url, requests, _ := countingServer(t)
+	url, requests, _ := countingServer(t, func() {})
 	s := New(Config{})
 	for _, repeatable := range []bool{false, true} {
 		for _, want := range []error{ErrCallerLeft, ErrTimeOver, context.Canceled} {
@@ -120,7 +124,7 @@
 // TestDeadlineOfContextIsOverButNotNoticed guards against a request that is written after the
 // deadline of its context, whose timer has not run yet.
 func TestDeadlineOfContextIsOverButNotNoticed(t *testing.T) {
-	url, requests, _ := countingServer(t)
+	url, requests, _ := countingServer(t, func() {})
 	e, err := New(Config{}).Open(lateContext{t.Context()}, Request{Method: http.MethodGet, URL: url})
 	assert.Assert(t, errors.Is(err, ErrTimeOver), "%v", err)
 	assert.Assert(t, !e.Sent)
@@ -136,17 +140,21 @@
 // TestRefusedRequestUsesUpConnections guards against a request that must not be written, and for
 // which net/http takes one idle connection after another.
 func TestRefusedRequestUsesUpConnections(t *testing.T) {
-	url, requests, conns := countingServer(t)
+	var arriving sync.WaitGroup
+	url, requests, conns := countingServer(t, func() {
+		arriving.Done()
+		arriving.Wait()
+	})
 	s := New(Config{})
 	open := func(ctx context.Context, checkTime func() error) error {
 		e, err := s.Open(ctx, Request{Method: http.MethodGet, URL: url, Repeatable: true, CheckTime: checkTime})
 		if err == nil {
-			time.Sleep(50 * time.Millisecond) // Others open connections of their own meanwhile.
 			_ = e.Response.Body.Close()
 		}
 		return err
 	}
 	const kept = 5
+	arriving.Add(kept)
 	done := make(chan error, kept)
 	for range kept {
 		go func() { done <- open(t.Context(), nil) }()
@@ -155,29 +163,28 @@
 		assert.NilError(t, <-done)
 	}
 	assert.Equal(t, conns.Load(), int64(kept))
-	checks := 0
-	err := open(t.Context(), func() error {
+	taken, checks := 0, 0
+	ctx := httptrace.WithClientTrace(t.Context(), &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) {
+		assert.Check(t, i.Reused)
+		taken++
+	}})
+	err := open(ctx, func() error {
 		if checks++; checks == 1 {
 			return nil // It has no connection yet.
 		}
 		return ErrTimeOver
 	})
 	assert.Assert(t, errors.Is(err, ErrTimeOver), "%v", err)
+	assert.Equal(t, taken, 1)
 	assert.Equal(t, checks, 2)
-	for range kept - 1 {
-		go func() { done <- open(t.Context(), nil) }()
-	}
-	for range kept - 1 {
-		assert.NilError(t, <-done)
-	}
-	assert.Equal(t, conns.Load(), int64(kept), "connections were opened anew")
-	assert.Equal(t, requests.Load(), int64(2*kept-1))
+	assert.Equal(t, conns.Load(), int64(kept), "a connection was opened anew")
+	assert.Equal(t, requests.Load(), int64(kept))
 }
 
 // TestHeaderStatesTimeBeforeConnection guards against a header that states what was left of the
 // time before the request had a connection, and against a handover that is not recorded.
 func TestHeaderStatesTimeBeforeConnection(t *testing.T) {
-	url, _, _ := countingServer(t)
+	url, _, _ := countingServer(t, func() {})
 	presence := slugpresence.New(slugpresence.Config{ArrivedAt: time.Now})
 	presence.MarkRead()
 	s := New(Config{Dial: slowDial(func() { time.Sleep(100 * time.Millisecond) })})
