slugclock: one function for the time until a deadline with suspensions

The admission and the dispatcher each subtracted the time since an Instant. No change of behaviour. Also renames guard of slugsend to setGuard.

--- a/internal/base/slugclock/clock.go
+++ b/internal/base/slugclock/clock.go
@@ -79,6 +79,9 @@
 	return max(i.runtime.Sub(j.runtime), i.sinceBoot-j.sinceBoot)
 }
 
+// Until returns the time until t. A suspension of the host since i counts, by which t is sooner.
+func (i Instant) Until(t time.Time) time.Duration { return t.Sub(i.runtime) - Since(i) }
+
 // Since returns the time elapsed since i, including suspensions, or Forever if i is the
 // zero Instant.
 func Since(i Instant) time.Duration {
--- a/internal/base/slugclock/clock_test.go
+++ b/internal/base/slugclock/clock_test.go
@@ -47,3 +47,11 @@
 func TestSinceZeroInstantIsForever(t *testing.T) {
 	assert.Equal(t, Since(Instant{}), Forever)
 }
+
+// Guards against a deadline that a suspension does not bring nearer.
+func TestUntilIncludesSuspension(t *testing.T) {
+	now := time.Now()
+	suspended := Instant{runtime: now, sinceBoot: bootClock() - time.Minute}
+	left := suspended.Until(now.Add(time.Hour))
+	assert.Assert(t, left <= 59*time.Minute && left > 58*time.Minute, "%s", left)
+}
--- a/internal/connection/slugsend/guard.go
+++ b/internal/connection/slugsend/guard.go
@@ -25,8 +25,8 @@
 	}
 }
 
-// guard sets the function that is called before the next write on a connection of a Sender.
-func guard(c net.Conn, f func() error) {
+// setGuard sets the function that is called before the next write on a connection of a Sender.
+func setGuard(c net.Conn, f func() error) {
 	for {
 		switch outer := c.(type) {
 		case *guardedConn:
--- a/internal/connection/slugsend/handover.go
+++ b/internal/connection/slugsend/handover.go
@@ -79,7 +79,7 @@
 		h.request.Connected()
 	}
 	// On a host without processor time to spare, the goroutine that writes may run much later.
-	guard(i.Conn, func() error { return h.beginWrite(i) })
+	setGuard(i.Conn, func() error { return h.beginWrite(i) })
 }
 
 // beginWrite is called right before the first byte is written, and fails if the request must not be.
--- a/internal/request/slugadmit/admitter.go
+++ b/internal/request/slugadmit/admitter.go
@@ -103,7 +103,7 @@
 // CheckTime fails if the call must not be handed to an endpoint any more, since its deadline has
 // passed. A started call goes on beyond it.
 func (c *Call) CheckTime() error {
-	if !c.Started && slugclock.Since(c.readAt) >= c.Deadline.Sub(c.readAt.Time()) {
+	if !c.Started && c.readAt.Until(c.Deadline) <= 0 {
 		return slugsend.ErrTimeOver
 	}
 	return nil
--- a/internal/request/slugdispatch/dispatcher.go
+++ b/internal/request/slugdispatch/dispatcher.go
@@ -457,7 +457,7 @@
 // remainingWithSuspensions returns the time until the deadline, to which a time in which the host was
 // suspended counts.
 func (d *dispatch) remainingWithSuspensions() time.Duration {
-	return d.deadline.Sub(d.beganAt.Time()) - slugclock.Since(d.beganAt)
+	return d.beganAt.Until(d.deadline)
 }
 
 // checkTime fails if the deadline has passed.
