soak: judge GONE by when the kernel received a request (GONE)

A proxy now records for each read when the kernel had received the bytes (Last_data_recv), and that time counts. So it is no longer excused that a fault of the soak holds bytes up on the way, which hid each late request to such an endpoint. The caller's side is exact too: a caller has left when its connection is closed, or when its time limit is over, counted from when the request was written; before, one that waited counted as gone a second after its limit.

--- a/internal/operate/slugcheck/check_test.go
+++ b/internal/operate/slugcheck/check_test.go
@@ -39,12 +39,14 @@
 func cut(a *Attempt)    { a.End, a.Events = Closed, a.Events[:2] }
 func unread(a *Attempt) { a.End, a.Status, a.EndedAt = Closed, 0, at(100*time.Millisecond) }
 
-// leave makes an attempt one whose caller left, and late is an arrival more than goneSlack after that.
-func leave(a *Attempt) { a.End, a.Status, a.Events, a.EndedAt = Left, 0, nil, at(100*time.Millisecond) }
+// leave makes an attempt one whose caller left, and late is a request sent more than goneSlack after that.
+func leave(a *Attempt) {
+	a.End, a.Status, a.Events, a.EndedAt, a.GoneAt = Left, 0, nil, at(90*time.Millisecond), at(100*time.Millisecond)
+}
 
-var late = Arrival{ID: "r", Endpoint: "e", Connection: "c", At: at(601 * time.Millisecond), Ran: true}
+var late = Arrival{ID: "r", Endpoint: "e", Connection: "c", SentAt: at(601 * time.Millisecond), At: at(602 * time.Millisecond), Ran: true}
 
-var arrival = Arrival{ID: "r", Endpoint: "e", Connection: "c", At: at(10 * time.Millisecond), Ran: true}
+var arrival = Arrival{ID: "r", Endpoint: "e", Connection: "c", SentAt: at(9 * time.Millisecond), At: at(10 * time.Millisecond), Ran: true}
 
 // Each planted fault must be found by the checker of its promise and by no other.
 func TestPlantedFaults(t *testing.T) {
@@ -80,7 +82,7 @@
 		{"sent on after its caller left", Observation{Attempts: []Attempt{with(plain(Safe), leave)}, Arrivals: []Arrival{late}}, Gone},
 		{"prompt sent on after its caller gave up", Observation{Attempts: []Attempt{with(stream(Once), func(a *Attempt) { leave(a); a.End = Abandoned })}, Prompts: []Arrival{late}}, Gone},
 		{"sent on by a host that was stopped", Observation{Attempts: []Attempt{with(plain(Unsafe), leave)}, Arrivals: []Arrival{late}, Outages: []Outage{{0, at(0), at(time.Second), false}}}, Gone},
-		{"sent on to an endpoint beside one that is held", Observation{Attempts: []Attempt{with(plain(Unsafe), leave)}, Arrivals: []Arrival{late}, Holds: []Hold{{"f", at(0), at(time.Second)}}}, Gone},
+		{"sent on after the caller's time was over", Observation{Attempts: []Attempt{with(plain(Safe), func(a *Attempt) { a.GoneAt = at(100 * time.Millisecond) })}, Arrivals: []Arrival{late}}, Gone},
 		{"too much memory", Observation{Memory: []Memory{{"host-0", 100, 100}, {"host-1", 101, 100}}}, MemoryUsed},
 		{"ended by itself", Observation{Exits: []Exit{{"host-0", at(0), "exit status 2"}}}, Ended},
 	} {
@@ -104,10 +106,9 @@
 		{Attempts: []Attempt{with(plain(Safe), func(a *Attempt) { a.End, a.Status, a.EndedAt = TimedOut, 0, at(4*time.Second) })}, Outages: []Outage{{AllHosts, at(time.Second), at(2 * time.Second), false}}},
 		{Attempts: []Attempt{with(stream(Once), func(a *Attempt) { cut(a); a.End = Abandoned })}, Arrivals: []Arrival{arrival}},
 		{Attempts: []Attempt{plain(Safe)}, Arrivals: []Arrival{arrival, arrival}},
-		{Attempts: []Attempt{with(plain(Safe), leave)}, Arrivals: []Arrival{arrival, {ID: "r", Endpoint: "e", At: at(600 * time.Millisecond), Ran: true}}},
-		{Attempts: []Attempt{with(plain(Safe), leave)}, Arrivals: []Arrival{late}, Holds: []Hold{{"e", at(0), at(650 * time.Millisecond)}}},
+		{Attempts: []Attempt{with(plain(Safe), leave)}, Arrivals: []Arrival{arrival, {ID: "r", Endpoint: "e", SentAt: at(600 * time.Millisecond), At: at(time.Second), Ran: true}}},
 		{Attempts: []Attempt{with(plain(Safe), leave)}, Arrivals: []Arrival{late}, Outages: []Outage{{AllHosts, at(200 * time.Millisecond), at(650 * time.Millisecond), false}}},
-		{Attempts: []Attempt{plain(Safe)}, Arrivals: []Arrival{{ID: "r", Endpoint: "e", At: at(2 * time.Second), Ran: true}}},
+		{Attempts: []Attempt{plain(Safe)}, Arrivals: []Arrival{{ID: "r", Endpoint: "e", SentAt: at(2 * time.Second), At: at(2 * time.Second), Ran: true}}},
 		{Attempts: []Attempt{with(plain(Unsafe), func(a *Attempt) { a.Status = 502 })}, Arrivals: []Arrival{arrival}},
 		{Attempts: []Attempt{with(plain(Unsafe), func(a *Attempt) { a.Status = 503 })}, Arrivals: []Arrival{{ID: "r"}}},
 	} {
--- a/internal/operate/slugcheck/observation.go
+++ b/internal/operate/slugcheck/observation.go
@@ -77,6 +77,9 @@
 	// LeaveAt is when the caller closes the connection if the response is not complete by then;
 	// zero means that it waits.
 	LeaveAt time.Time
+	// GoneAt is when the caller had closed its connection, or when its time was over as the host
+	// counts it, whichever came first. A host that is told of both later may still send the request.
+	GoneAt time.Time
 	// Deadline is the end of the caller's time limit, which is no later than that of the
 	// route.
 	Deadline time.Time
@@ -101,7 +104,9 @@
 	Endpoint string
 	// Connection is the address from which the endpoint was called.
 	Connection string
-	At         time.Time
+	// SentAt is when the bytes of the host had reached the machine of the endpoint, and At when the
+	// endpoint had read them.
+	SentAt, At time.Time
 	Ran        bool
 }
 
@@ -111,12 +116,6 @@
 	At         time.Time
 }
 
-// Hold is a span in which the soak passes bytes on late between hosts and an endpoint.
-type Hold struct {
-	Endpoint string
-	From, To time.Time
-}
-
 // Outage is a span in which a host did not run because of the soak, or in which the soak itself
 // was held up by the machine.
 type Outage struct {
@@ -149,7 +148,6 @@
 	Arrivals []Arrival
 	// Prompts are the requests for a prompt only.
 	Prompts []Arrival
-	Holds   []Hold
 	Breaks  []Break
 	Outages []Outage
 	Exits   []Exit
--- a/internal/operate/slugfaultproxy/pipe.go
+++ b/internal/operate/slugfaultproxy/pipe.go
@@ -10,6 +10,8 @@
 type pipe struct {
 	stopped  chan struct{}
 	stopOnce sync.Once
+	// onRead is called after bytes were read, before they are delivered; it may be nil.
+	onRead func()
 
 	mu sync.Mutex
 	// heldUntil is when bytes are delivered again, and delayedUntil when bytes that are read
@@ -31,7 +33,7 @@
 	maxChunks  = 64
 )
 
-func newPipe() *pipe { return &pipe{stopped: make(chan struct{})} }
+func newPipe(onRead func()) *pipe { return &pipe{stopped: make(chan struct{}), onRead: onRead} }
 
 func (p *pipe) stop() { p.stopOnce.Do(func() { close(p.stopped) }) }
 
@@ -113,6 +115,9 @@
 		buf := make([]byte, chunkBytes)
 		n, err := src.Read(buf)
 		if n > 0 {
+			if p.onRead != nil {
+				p.onRead()
+			}
 			chunks <- chunk{buf[:n], p.due()}
 		}
 		if err != nil {
--- a/internal/operate/slugfaultproxy/proxy.go
+++ b/internal/operate/slugfaultproxy/proxy.go
@@ -15,6 +15,8 @@
 	"net"
 	"sync"
 	"time"
+
+	"github.com/sassafraslug/sassafraslug/internal/base/slugsocket"
 )
 
 // Directions names the directions of connections that a fault affects.
@@ -33,6 +35,15 @@
 	At         time.Time
 }
 
+// Receipt is a read of the bytes that a client sent.
+type Receipt struct {
+	// Connection is the address from which the proxy called the server.
+	Connection string
+	// ArrivedAt is when the bytes had reached the socket at the latest, and ReadAt when the proxy had
+	// read them, which is later if it was short of processor time.
+	ArrivedAt, ReadAt time.Time
+}
+
 // Proxy forwards the connections of one address to another one.
 type Proxy struct {
 	listener net.Listener
@@ -41,11 +52,12 @@
 	random func() float64
 	wg     sync.WaitGroup
 
-	mu     sync.Mutex
-	links  map[*link]struct{}
-	active []fault
-	breaks []Break
-	closed bool
+	mu       sync.Mutex
+	links    map[*link]struct{}
+	active   []fault
+	breaks   []Break
+	receipts []Receipt
+	closed   bool
 }
 
 // fault is a fault that affects new connections as well until it ends.
@@ -98,6 +110,13 @@
 	return append([]Break(nil), p.breaks...)
 }
 
+// Receipts returns what was read of clients, in this order.
+func (p *Proxy) Receipts() []Receipt {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return append([]Receipt(nil), p.receipts...)
+}
+
 // Hold keeps all bytes of a share of the connections back for d.
 func (p *Proxy) Hold(which Directions, d time.Duration, share float64) {
 	until := time.Now().Add(d)
@@ -158,7 +177,7 @@
 		_ = client.Close()
 		return
 	}
-	l := &link{client, server, newPipe(), newPipe()}
+	l := &link{client, server, newPipe(func() { p.received(client, server) }), newPipe(nil)}
 	if !p.add(l) {
 		l.close()
 		return
@@ -173,6 +192,19 @@
 	l.close()
 }
 
+// received records that bytes of a client were read.
+func (p *Proxy) received(client, server net.Conn) {
+	state, err := slugsocket.StateOf(client)
+	now := time.Now()
+	r := Receipt{server.LocalAddr().String(), now, now}
+	if err == nil {
+		r.ArrivedAt = now.Add(-state.DataAge)
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.receipts = append(p.receipts, r)
+}
+
 // add registers a connection and applies the faults in effect. It returns false if the proxy
 // is closed.
 func (p *Proxy) add(l *link) bool {
--- a/internal/operate/slugfaultproxy/proxy_test.go
+++ b/internal/operate/slugfaultproxy/proxy_test.go
@@ -102,7 +102,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		client, outer := net.Pipe()
 		inner, server := net.Pipe()
-		l := &link{client: outer, server: inner, outward: newPipe(), inward: newPipe()}
+		l := &link{client: outer, server: inner, outward: newPipe(nil), inward: newPipe(nil)}
 		go l.outward.copy(inner, outer, l)
 		startedAt := time.Now()
 		l.outward.delay(pause, startedAt.Add(pause))
@@ -162,3 +162,30 @@
 	assert.NilError(t, err)
 	assert.Equal(t, string(got), "last")
 }
+
+// Bytes that the proxy reads late, since the processors are busy, must be on record with the time at
+// which the kernel received them.
+func TestReceiptsOfLateProxy(t *testing.T) {
+	target := echo(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	p := &Proxy{listener: l, target: target.Address(), random: func() float64 { return 0 }, links: map[*link]struct{}{}}
+	t.Cleanup(p.Close)
+	c := dial(t, p)
+	_, err = fmt.Fprintln(c, "early")
+	assert.NilError(t, err)
+	writtenAt := time.Now()
+	time.Sleep(pause)
+	p.wg.Go(p.accept)
+	_, err = c.r.ReadString('\n')
+	assert.NilError(t, err)
+	_, err = c.exchange("next")
+	assert.NilError(t, err)
+	receipts := p.Receipts()
+	assert.Equal(t, len(receipts), 2)
+	early, next := receipts[0], receipts[1]
+	assert.Assert(t, early.ReadAt.Sub(writtenAt) >= pause)
+	assert.Assert(t, early.ArrivedAt.Sub(writtenAt) < pause/2, "%s", early.ArrivedAt.Sub(writtenAt))
+	assert.Assert(t, next.ArrivedAt.Sub(writtenAt) >= pause/2, "%s", next.ArrivedAt.Sub(writtenAt))
+	assert.Equal(t, early.Connection, next.Connection)
+}
