Look at the caller again if the look itself took long (GONE)

The log of the host says that the caller was last seen 24 ms after the request had its connection. The host was stopped (SIGSTOP) 65 ms later, its caller left 8 ms after that, and the request was written when the host went on, 75 ms after the signal to do so.

Cause: between the look at the caller and the write lie two system calls, but a goroutine may lose its processor for tens of milliseconds when it returns from the first. What it has seen is trusted however old it is.

Fix: a look that takes 5 ms or longer is followed by another one, up to three in all, so that a slow caller of HTTP/2 does not hold its request up. What is left is a stop within the instructions between the last look and the write. TestCallerLeavesDuringLook fails without it. A look that is not slow costs one more reading of the clock.

--- a/internal/connection/slugsend/handover.go
+++ b/internal/connection/slugsend/handover.go
@@ -67,6 +67,28 @@
 	return nil
 }
 
+const (
+	// maxLookTime is the time that a look at the caller may take to count.
+	maxLookTime = 5 * time.Millisecond
+	// maxLooks is the number of looks after which a request is written nevertheless.
+	maxLooks = 3
+)
+
+// checkNow is like check, and checks again what may have changed since: on a busy host a goroutine is
+// held up most often when it returns from the kernel, which is where it looks at the caller.
+func (h *handover) checkNow() error {
+	for range maxLooks {
+		beganAt := time.Now()
+		if err := h.check(); err != nil {
+			return err
+		}
+		if time.Since(beganAt) < maxLookTime {
+			break
+		}
+	}
+	return nil
+}
+
 // connected is called when the request has a connection, before it is encoded.
 func (h *handover) connected(i httptrace.GotConnInfo) {
 	h.mu.Lock()
@@ -85,7 +107,7 @@
 // beginWrite is called right before the first byte is written, and fails if the request must not be.
 // net/http then closes the connection, and takes no other one as the context has ended.
 func (h *handover) beginWrite(i httptrace.GotConnInfo) error {
-	err := h.check()
+	err := h.checkNow()
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if err != nil {
--- a/internal/connection/slugsend/handover_test.go
+++ b/internal/connection/slugsend/handover_test.go
@@ -121,6 +121,46 @@
 	}
 }
 
+// TestCallerLeavesDuringLook guards against a request whose caller leaves, or whose time passes, while
+// the goroutine that looks at it is held up.
+func TestCallerLeavesDuringLook(t *testing.T) {
+	for _, want := range []error{ErrCallerLeft, ErrTimeOver} {
+		url, requests, _ := countingServer(t, func() {})
+		var left, late bool
+		looks := 0
+		presence := slugpresence.New(slugpresence.Config{ArrivedAt: time.Now, Left: func(context.Context) bool {
+			seen := left
+			if looks++; looks == 2 { // The first look is before the request has a connection.
+				left, late = errors.Is(want, ErrCallerLeft), errors.Is(want, ErrTimeOver)
+				time.Sleep(50 * time.Millisecond)
+			}
+			return seen
+		}})
+		e, err := New(Config{}).Open(presence.Context(t.Context()), Request{Method: http.MethodGet, URL: url, CheckTime: func() error {
+			if late {
+				return ErrTimeOver
+			}
+			return nil
+		}})
+		assert.Assert(t, errors.Is(err, want), "%v", err)
+		assert.Assert(t, !e.Sent)
+		assert.Equal(t, requests.Load(), int64(0))
+	}
+}
+
+// TestSlowLooksEnd guards against a request that is never written because each look is slow.
+func TestSlowLooksEnd(t *testing.T) {
+	url, requests, _ := countingServer(t, func() {})
+	presence := slugpresence.New(slugpresence.Config{ArrivedAt: time.Now, Left: func(context.Context) bool {
+		time.Sleep(2 * maxLookTime)
+		return false
+	}})
+	e, err := New(Config{}).Open(presence.Context(t.Context()), Request{Method: http.MethodGet, URL: url})
+	assert.NilError(t, err)
+	assert.NilError(t, e.Response.Body.Close())
+	assert.Equal(t, requests.Load(), int64(1))
+}
+
 // TestDeadlineOfContextIsOverButNotNoticed guards against a request that is written after the
 // deadline of its context, whose timer has not run yet.
 func TestDeadlineOfContextIsOverButNotNoticed(t *testing.T) {
