Do not take the caller of a canceled attempt for one that left (LOST)

What callers saw: a stream was cut though its caller waited, and its endpoint had just gone on.

Cause: the look at the caller ends early with the context of the attempt, and took the end of that context for the end of the caller: on HTTP/2 the two are the same if the context is that of the request. An extra attempt that is canceled during the look, because another one went on, failed with "the caller has left", which ends the whole request.

Fix: a context that has ended gives its own cause, before what the look says. TestCallerOfCanceledAttemptCountsAsLeft fails without it.

--- a/internal/connection/slugsend/handover.go
+++ b/internal/connection/slugsend/handover.go
@@ -61,7 +61,12 @@
 			return err
 		}
 	}
-	if h.presence.Left(h.ctx) {
+	left := h.presence.Left(h.ctx)
+	switch {
+	case h.ctx.Err() != nil:
+		// Other reasons than the caller's end may cut the look short.
+		return context.Cause(h.ctx)
+	case left:
 		return ErrCallerLeft
 	}
 	return nil
--- a/internal/connection/slugsend/handover_test.go
+++ b/internal/connection/slugsend/handover_test.go
@@ -148,6 +148,27 @@
 	}
 }
 
+// TestCallerOfCanceledAttemptCountsAsLeft guards against a caller that counts as gone, so that its
+// answer is cut, because one of several attempts for it is canceled during the look at it.
+func TestCallerOfCanceledAttemptCountsAsLeft(t *testing.T) {
+	url, requests, _ := countingServer(t, func() {})
+	wentOn := errors.New("another attempt went on")
+	for canceledAt := 1; canceledAt <= 2; canceledAt++ {
+		ctx, cancel := context.WithCancelCause(t.Context())
+		looks := 0
+		presence := slugpresence.New(slugpresence.Config{ArrivedAt: time.Now, Left: func(ctx context.Context) bool {
+			if looks++; looks == canceledAt {
+				cancel(wentOn)
+			}
+			return ctx.Err() != nil // That of a stream of HTTP/2 ends when its caller leaves.
+		}})
+		e, err := New(Config{}).Open(presence.Context(ctx), Request{Method: http.MethodGet, URL: url})
+		assert.Assert(t, errors.Is(err, wentOn) && !errors.Is(err, ErrCallerLeft), "%v", err)
+		assert.Assert(t, !e.Sent)
+		assert.Equal(t, requests.Load(), int64(0))
+	}
+}
+
 // TestSlowLooksEnd guards against a request that is never written because each look is slow.
 func TestSlowLooksEnd(t *testing.T) {
 	url, requests, _ := countingServer(t, func() {})
